Lay out the workspace, the shared types and the edges

Cause: the parts are to be built side by side, so ids, records, result codes, the messages between processes, the platform's trait and the HTTP crate's interface come first.

--- /dev/null
+++ b/crates/radishpin-protocol/src/lib.rs
@@ -0,0 +1,21 @@
+//! Ids, messages, durable records and result codes shared by every part of radishpin.
+
+mod code;
+mod id;
+mod profile;
+mod record;
+mod view;
+
+/// Messages between nodes and agents, generated from `proto/radishpin.proto`.
+#[allow(missing_docs, clippy::all, clippy::use_self)]
+pub mod wire {
+    include!("generated/radishpin.v1.rs");
+}
+
+pub mod prelude;
+
+pub use code::{Ran, ResultCode};
+pub use id::*;
+pub use profile::{Class, PROFILE_FORMAT, Profile, ProfileError};
+pub use record::*;
+pub use view::{AgentView, ClusterView, ModelGrant, Resolved, RowError};
--- /dev/null
+++ b/crates/radishpin-protocol/src/prelude.rs
@@ -0,0 +1,11 @@
+//! The types that nearly every module of radishpin uses.
+
+pub use crate::{
+    AdapterId, AgentView, AttemptId, AttemptNumber, AvailabilityZone, ClusterView, EndpointId,
+    HostId, Incarnation, ModelId, NodeId, Profile, ProfileId, Ran, RequestId, ResultCode,
+    ServiceId, SizeMb, Version,
+};
+pub use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
--- /dev/null
+++ b/crates/radishpin-protocol/src/view.rs
@@ -0,0 +1,196 @@
+//! The view: everything that one accepted version of the configuration says.
+
+use crate::{
+    ADAPTER_PREFIX, AdapterId, AdapterRecord, ENDPOINT_PREFIX, EndpointId, EndpointRecord, Grant,
+    MODEL_PREFIX, ModelId, ModelRecord, PROFILE_PREFIX, Profile, ProfileId, SERVICE_PREFIX,
+    STOP_PREFIX, ServiceId, ServiceRecord, SizeMb, StopId, StopRecord, StopTarget, Version,
+};
+use quick_error::quick_error;
+use serde::de::DeserializeOwned;
+use std::{collections::BTreeMap, time::Duration};
+
+quick_error! {
+    /// Why a row of the platform's table cannot become part of the view.
+    #[derive(Debug)]
+    #[allow(missing_docs)]
+    pub enum RowError {
+        /// The value is not the record that its key announces.
+        Malformed { key: String, cause: serde_json::Error } {
+            display("row {key}: {cause}; restore it from `radishpin profile history` or write it anew")
+            source(cause)
+        }
+    }
+}
+
+/// What a caller's `model` field names.
+#[derive(Clone, Copy, Debug)]
+pub struct Resolved<'a> {
+    /// Name of the model.
+    pub model_id: &'a ModelId,
+    /// The model.
+    pub model: &'a ModelRecord,
+    /// The adapter, where the name is one.
+    pub adapter: Option<(&'a AdapterId, &'a AdapterRecord)>,
+}
+
+/// One version of the configuration, as nodes hold it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ClusterView {
+    /// Version of the head row.
+    pub version: Version,
+    /// Profiles by name.
+    pub profiles: BTreeMap<ProfileId, Profile>,
+    /// Services by name.
+    pub services: BTreeMap<ServiceId, ServiceRecord>,
+    /// Models by name.
+    pub models: BTreeMap<ModelId, ModelRecord>,
+    /// Adapters by name.
+    pub adapters: BTreeMap<AdapterId, AdapterRecord>,
+    /// Endpoints by name.
+    pub endpoints: BTreeMap<EndpointId, EndpointRecord>,
+    /// Planned stops by id.
+    pub stops: BTreeMap<StopId, StopRecord>,
+    /// Version of each row that was read, by key.
+    pub row_versions: BTreeMap<String, Version>,
+}
+
+impl ClusterView {
+    /// Takes one row; `None` deletes it. Keys outside the view are ignored.
+    ///
+    /// # Errors
+    /// [`RowError::Malformed`] where the value is not the record of its key; the old one stays.
+    pub fn apply_row(
+        &mut self,
+        key: &str,
+        version: Version,
+        value: Option<&str>,
+    ) -> Result<(), RowError> {
+        let Some((prefix, name)) = split_key(key) else {
+            return Ok(());
+        };
+        match prefix {
+            PROFILE_PREFIX => put(&mut self.profiles, key, name, value)?,
+            SERVICE_PREFIX => put(&mut self.services, key, name, value)?,
+            MODEL_PREFIX => put(&mut self.models, key, name, value)?,
+            ADAPTER_PREFIX => put(&mut self.adapters, key, name, value)?,
+            ENDPOINT_PREFIX => put(&mut self.endpoints, key, name, value)?,
+            STOP_PREFIX => put(&mut self.stops, key, name, value)?,
+            _ => return Ok(()),
+        }
+        match value {
+            Some(_) => self.row_versions.insert(key.to_owned(), version),
+            None => self.row_versions.remove(key),
+        };
+        Ok(())
+    }
+
+    /// The profile that governs a service.
+    pub fn profile_of(&self, service: &str) -> Option<&Profile> {
+        self.profiles.get(&self.services.get(service)?.profile)
+    }
+
+    /// Finds the model, and the adapter where `name` is one.
+    pub fn resolve(&self, name: &str) -> Option<Resolved<'_>> {
+        if let Some((model_id, model)) = self.models.get_key_value(name) {
+            return Some(Resolved {
+                model_id,
+                model,
+                adapter: None,
+            });
+        }
+        let adapter = self.adapters.get_key_value(name)?;
+        let (model_id, model) = self.models.get_key_value(&adapter.1.model)?;
+        Some(Resolved {
+            model_id,
+            model,
+            adapter: Some(adapter),
+        })
+    }
+
+    /// Whether a planned stop whose window opens before `until_unix_ms` takes the endpoint out.
+    pub fn stops_endpoint(
+        &self,
+        endpoint: &EndpointRecord,
+        now_unix_ms: u64,
+        lead: Duration,
+    ) -> bool {
+        let until_unix_ms =
+            now_unix_ms.saturating_add(u64::try_from(lead.as_millis()).unwrap_or(u64::MAX));
+        self.stops.values().any(|stop| {
+            let covers = match &stop.target {
+                StopTarget::Host(host) => *host == endpoint.host,
+                StopTarget::AvailabilityZone(zone) => *zone == endpoint.availability_zone,
+            };
+            covers && stop.from_unix_ms <= until_unix_ms && now_unix_ms < stop.to_unix_ms
+        })
+    }
+
+    /// The part of the view that the agent of `endpoint` needs.
+    pub fn for_agent(&self, endpoint: &str) -> AgentView {
+        let grants = self.models.iter().filter_map(|(id, model)| {
+            let grant = *model.grants.get(endpoint)?;
+            let profile = self.profile_of(&model.service)?;
+            let rank = model.grants.keys().position(|e| e == endpoint)?;
+            let keep_loaded = (rank as u64) < u64::from(profile.min_loaded);
+            let idle_unload = Duration::from_millis(profile.idle_unload_ms);
+            Some((
+                id.clone(),
+                ModelGrant {
+                    size_mb: model.size_mb,
+                    grant,
+                    keep_loaded,
+                    idle_unload,
+                },
+            ))
+        });
+        AgentView {
+            version: self.version,
+            grants: grants.collect(),
+        }
+    }
+}
+
+/// One version of the configuration, as the agent of one endpoint holds it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct AgentView {
+    /// Version of the view that it was taken from.
+    pub version: Version,
+    /// Models that the endpoint has a grant for.
+    pub grants: BTreeMap<ModelId, ModelGrant>,
+}
+
+/// A grant with what the agent needs to use it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ModelGrant {
+    /// Accelerator memory of a replica.
+    pub size_mb: SizeMb,
+    /// The grant.
+    pub grant: Grant,
+    /// Whether the replica stays loaded when idle.
+    pub keep_loaded: bool,
+    /// Idle time before the replica is unloaded.
+    pub idle_unload: Duration,
+}
+
+fn split_key(key: &str) -> Option<(&str, &str)> {
+    let slash = key.find('/')?;
+    Some(key.split_at(slash + 1))
+}
+
+fn put<T: DeserializeOwned>(
+    rows: &mut BTreeMap<String, T>,
+    key: &str,
+    name: &str,
+    value: Option<&str>,
+) -> Result<(), RowError> {
+    let Some(value) = value else {
+        rows.remove(name);
+        return Ok(());
+    };
+    let record = serde_json::from_str(value).map_err(|cause| RowError::Malformed {
+        key: key.to_owned(),
+        cause,
+    })?;
+    rows.insert(name.to_owned(), record);
+    Ok(())
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,2 @@
+//! placeholder
+fn main() {}
