--- a/crates/radishpin-platform/src/edge.rs
+++ b/crates/radishpin-platform/src/edge.rs
@@ -28,7 +28,8 @@
 }
 
 /// A row as it stands.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Row {
     /// Table version of the commit that wrote it; 0 where it was never written.
     pub version: Version,
@@ -37,7 +38,8 @@
 }
 
 /// A row in a listing.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ListedRow {
     /// Key.
     pub key: String,
@@ -46,7 +48,8 @@
 }
 
 /// Rows under a prefix.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Listing {
     /// Version of the whole table when the listing was made.
     pub version: Version,
@@ -55,7 +58,8 @@
 }
 
 /// A row that a commit depends on.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Condition {
     /// Key.
     pub key: String,
@@ -64,7 +68,8 @@
 }
 
 /// A row that a commit writes.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Write {
     /// Key.
     pub key: String,
@@ -73,7 +78,8 @@
 }
 
 /// Writes that take effect together, or not at all.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Commit {
     /// Rows that must be unchanged.
     pub conditions: Vec<Condition>,
@@ -82,7 +88,8 @@
 }
 
 /// What became of a commit.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum CommitOutcome {
     /// It took effect; every written row has this version.
     Committed(Version),
@@ -92,7 +99,8 @@
 }
 
 /// Whether a host stays.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum HostState {
     /// In service.
@@ -102,7 +110,8 @@
 }
 
 /// An entry of the platform's host list, which lags behind the truth.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct HostEntry {
     /// The host.
     pub host: HostId,
--- a/crates/radishpin-platform/src/lib.rs
+++ b/crates/radishpin-platform/src/lib.rs
@@ -6,4 +6,6 @@
 
 mod edge;
 
+pub mod wire;
+
 pub use edge::*;
--- /dev/null
+++ b/crates/radishpin-platform/src/wire.rs
@@ -0,0 +1,86 @@
+//! The platform over HTTP: paths and JSON bodies.
+
+use crate::PlatformError;
+use radishpin_protocol::Version;
+use serde::{Deserialize, Serialize};
+
+/// Path of [`crate::Platform::get`]; the body is a [`GetRequest`].
+pub const GET_PATH: &str = "/table/get";
+/// Path of [`crate::Platform::commit`]; the body is a [`crate::Commit`].
+pub const COMMIT_PATH: &str = "/table/commit";
+/// Path of [`crate::Platform::list`]; the body is a [`ListRequest`].
+pub const LIST_PATH: &str = "/table/list";
+/// Path prefix of objects; the rest is the key.
+pub const OBJECTS_PATH: &str = "/objects/";
+/// Path of [`crate::Platform::hosts`].
+pub const HOSTS_PATH: &str = "/hosts";
+
+/// Body of a read of one row.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GetRequest {
+    /// Key of the row.
+    pub key: String,
+}
+
+/// Body of a listing.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ListRequest {
+    /// Prefix of the keys.
+    pub prefix: String,
+    /// Version after which the rows were written.
+    pub since: Version,
+}
+
+/// Body of a failure.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(tag = "error", rename_all = "snake_case")]
+pub enum Failure {
+    /// [`PlatformError::Unavailable`].
+    Unavailable {
+        /// Why.
+        cause: String,
+    },
+    /// [`PlatformError::RateLimited`].
+    RateLimited,
+    /// [`PlatformError::Unknown`].
+    Unknown {
+        /// Why.
+        cause: String,
+    },
+}
+
+impl Failure {
+    /// HTTP status of the answer.
+    pub const fn status(&self) -> u16 {
+        match self {
+            Self::Unavailable { .. } => 503,
+            Self::RateLimited => 429,
+            Self::Unknown { .. } => 504,
+        }
+    }
+}
+
+impl From<PlatformError> for Failure {
+    fn from(error: PlatformError) -> Self {
+        match error {
+            PlatformError::Unavailable(cause) => Self::Unavailable { cause },
+            PlatformError::RateLimited => Self::RateLimited,
+            PlatformError::Unknown(cause) => Self::Unknown { cause },
+        }
+    }
+}
+
+impl From<Failure> for PlatformError {
+    fn from(failure: Failure) -> Self {
+        match failure {
+            Failure::Unavailable { cause } => Self::Unavailable(cause),
+            Failure::RateLimited => Self::RateLimited,
+            Failure::Unknown { cause } => Self::Unknown(cause),
+        }
+    }
+}
--- a/crates/radishpin-protocol/src/code.rs
+++ b/crates/radishpin-protocol/src/code.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Whether a request may have run at an endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Ran {
     /// Proven: it did not run and never will.
--- a/crates/radishpin-protocol/src/lib.rs
+++ b/crates/radishpin-protocol/src/lib.rs
@@ -6,6 +6,8 @@
 mod record;
 mod view;
 
+pub mod engine;
+
 /// Messages between nodes and agents, generated from `proto/radishpin.proto`.
 #[allow(missing_docs, clippy::all, clippy::use_self)]
 pub mod wire {
--- a/crates/radishpin-protocol/src/profile.rs
+++ b/crates/radishpin-protocol/src/profile.rs
@@ -13,7 +13,8 @@
 const PRIORITY: RangeInclusive<u32> = 0..=9;
 
 /// What kind of waiting a service's callers do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Class {
     /// Somebody waits for the answer.
@@ -23,7 +24,8 @@
 }
 
 /// A named profile, as operators write it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Profile {
     /// Format of the document, [`PROFILE_FORMAT`].
--- a/crates/radishpin-protocol/src/record.rs
+++ b/crates/radishpin-protocol/src/record.rs
@@ -50,14 +50,16 @@
 ];
 
 /// The row whose version is the version of the view.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct HeadRecord {
     /// Operation id of the commit that wrote the row.
     pub operation: String,
 }
 
 /// A service: a group of endpoints that share one profile.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ServiceRecord {
     /// What its endpoints do.
     pub kind: ServiceKind,
@@ -66,7 +68,8 @@
 }
 
 /// What the endpoints of a service do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ServiceKind {
     /// Its endpoints are runners, which load models.
@@ -76,7 +79,8 @@
 }
 
 /// A model and the grants to load it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ModelRecord {
     /// The service whose runners may load it.
     pub service: ServiceId,
@@ -89,7 +93,8 @@
 }
 
 /// Leave for one endpoint to load one model.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Grant {
     /// Whether it may still be used.
     pub state: GrantState,
@@ -98,7 +103,8 @@
 }
 
 /// State of a grant; both states count as a replica.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum GrantState {
     /// The endpoint may load the model at any time.
@@ -108,7 +114,8 @@
 }
 
 /// An adapter on top of a model.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct AdapterRecord {
     /// The model that it extends.
     pub model: ModelId,
@@ -117,7 +124,8 @@
 }
 
 /// An endpoint, registered by its agent with a conditional write.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct EndpointRecord {
     /// The host of the endpoint and its agent.
     pub host: HostId,
@@ -136,7 +144,8 @@
 }
 
 /// A planned stop, marked by an operator.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct StopRecord {
     /// Id of the stop.
     pub id: StopId,
@@ -149,7 +158,8 @@
 }
 
 /// What a planned stop takes out of service.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum StopTarget {
     /// One host.
