Add the platform's client, the view's reader and writer

Cause: every part of radishpin meets the platform's outages, rate limits and lost replies; nothing may retry without bound, and no outcome may be guessed.

The head is written without a condition: the rows' own conditions guard a change, and a change that rests on the whole view states its version.

Conclusion: nodes can read and change the view through this crate.

--- /dev/null
+++ b/crates/radishpin-platform/src/client.rs
@@ -0,0 +1,319 @@
+//! The client through which the rest of radishpin uses the platform.
+
+mod commit;
+mod guard;
+mod sweep;
+
+pub use commit::Settled;
+pub use sweep::OperationSweep;
+
+use crate::{
+    Backoff, BreakerSettings, BudgetSettings, CallError, Cause, HostEntry, Listing, OperationId,
+    Platform, PlatformError, PlatformMetrics, Row,
+};
+use guard::Guard;
+use radishpin_protocol::Version;
+use std::{future::Future, sync::Arc, time::Duration};
+
+/// Limits of the client.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ClientSettings {
+    /// Time of one try.
+    pub try_timeout: Duration,
+    /// Time of a call with all its tries, after which no further one starts.
+    pub call_timeout: Duration,
+    /// Tries of one call.
+    pub tries: u32,
+    /// Waits between tries.
+    pub backoff: Backoff,
+    /// Budget of retries over all calls.
+    pub budget: BudgetSettings,
+    /// Breaker over all calls.
+    pub breaker: BreakerSettings,
+}
+
+impl Default for ClientSettings {
+    fn default() -> Self {
+        Self {
+            try_timeout: Duration::from_secs(1),
+            call_timeout: Duration::from_secs(5),
+            tries: 4,
+            backoff: Backoff {
+                base: Duration::from_millis(50),
+                cap: Duration::from_secs(1),
+            },
+            budget: BudgetSettings::default(),
+            breaker: BreakerSettings::default(),
+        }
+    }
+}
+
+/// Client of the platform; clones share budget, breaker and pace.
+#[derive(Clone)]
+pub struct PlatformClient {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    platform: Arc<dyn Platform>,
+    settings: ClientSettings,
+    metrics: PlatformMetrics,
+    guard: Guard,
+}
+
+/// Which call a try belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CallKind {
+    Get,
+    List,
+    Commit,
+    PutObject,
+    GetObject,
+    Hosts,
+}
+
+/// Why one try failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Failure {
+    cause: Cause,
+    /// Whether the call may have taken effect, or still may.
+    may_have_run: bool,
+    /// Time before which no other try is of use.
+    retry_after: Duration,
+}
+
+/// Tries of one call so far.
+struct Tries {
+    kind: CallKind,
+    started: Duration,
+    retries: u32,
+}
+
+impl PlatformClient {
+    /// A client over `platform`; `seed` decides its jitter and begins its operation ids, so no
+    /// two processes may share one.
+    pub fn new(
+        platform: Arc<dyn Platform>,
+        settings: ClientSettings,
+        metrics: PlatformMetrics,
+        seed: u64,
+    ) -> Self {
+        let guard = Guard::new(&settings, seed);
+        let shared = Shared {
+            platform,
+            settings,
+            metrics,
+            guard,
+        };
+        Self {
+            shared: Arc::new(shared),
+        }
+    }
+
+    /// Reads a row.
+    ///
+    /// # Errors
+    /// [`CallError::Refused`] when no try was answered.
+    pub async fn get(&self, key: &str) -> Result<Row, CallError> {
+        let platform = &self.shared.platform;
+        self.repeat(CallKind::Get, || platform.get(key)).await
+    }
+
+    /// Lists the rows under `prefix` written after version `since`, deleted ones too.
+    ///
+    /// # Errors
+    /// [`CallError::Refused`] when no try was answered.
+    pub async fn list(&self, prefix: &str, since: Version) -> Result<Listing, CallError> {
+        let platform = &self.shared.platform;
+        self.repeat(CallKind::List, || platform.list(prefix, since))
+            .await
+    }
+
+    /// Reads an object.
+    ///
+    /// # Errors
+    /// [`CallError::Refused`] when no try was answered.
+    pub async fn get_object(&self, key: &str) -> Result<Option<Vec<u8>>, CallError> {
+        let platform = &self.shared.platform;
+        self.repeat(CallKind::GetObject, || platform.get_object(key))
+            .await
+    }
+
+    /// Stores an object; repeated where the outcome is unknown, as the same value overwrites.
+    ///
+    /// # Errors
+    /// [`CallError::Refused`] when it was not stored, [`CallError::Unknown`] when it may have been.
+    pub async fn put_object(&self, key: &str, value: &[u8]) -> Result<(), CallError> {
+        let platform = &self.shared.platform;
+        self.repeat(CallKind::PutObject, || platform.put_object(key, value))
+            .await
+    }
+
+    /// The platform's list of hosts, which lags.
+    ///
+    /// # Errors
+    /// [`CallError::Refused`] when no try was answered.
+    pub async fn hosts(&self) -> Result<Vec<HostEntry>, CallError> {
+        let platform = &self.shared.platform;
+        self.repeat(CallKind::Hosts, || platform.hosts()).await
+    }
+
+    /// A number between 0 and 1 from the client's generator, for the jitter of callers' loops.
+    pub fn random(&self) -> f64 {
+        self.shared.guard.random()
+    }
+
+    /// The metrics that the client counts in.
+    pub fn metrics(&self) -> &PlatformMetrics {
+        &self.shared.metrics
+    }
+
+    /// Tries a call that may be repeated without harm.
+    async fn repeat<T, F>(&self, kind: CallKind, call: impl Fn() -> F) -> Result<T, CallError>
+    where
+        F: Future<Output = Result<T, PlatformError>>,
+    {
+        let mut tries = self.first_try(kind);
+        let mut may_have_run = false;
+        loop {
+            let failure = match self.attempt(&tries, call()).await {
+                Ok(value) => return Ok(value),
+                Err(failure) => failure,
+            };
+            may_have_run |= failure.may_have_run && kind.writes();
+            if self.wait_for_retry(&mut tries, &failure).await {
+                continue;
+            }
+            return Err(if may_have_run {
+                failure.unknown(OperationId::new())
+            } else {
+                failure.refused()
+            });
+        }
+    }
+
+    fn first_try(&self, kind: CallKind) -> Tries {
+        let started = self.shared.guard.now();
+        self.shared.guard.deposit();
+        Tries {
+            kind,
+            started,
+            retries: 0,
+        }
+    }
+
+    /// Sends one try, within breaker, pace and time.
+    async fn attempt<T>(
+        &self,
+        tries: &Tries,
+        call: impl Future<Output = Result<T, PlatformError>>,
+    ) -> Result<T, Failure> {
+        let shared = &self.shared;
+        let patience = self.time_left(tries);
+        let wait = shared.guard.admit(tries.kind, patience, &shared.metrics)?;
+        if !wait.is_zero() {
+            smol::Timer::after(wait).await;
+        }
+        let answer = radishpin_runtime::timeout(shared.settings.try_timeout, call).await;
+        let result = match answer {
+            Some(Ok(value)) => Ok(value),
+            Some(Err(error)) => Err(Failure::from(error)),
+            None => Err(Failure::timeout()),
+        };
+        let cause = result.as_ref().err().map(|failure| &failure.cause);
+        shared.guard.note(tries.kind, cause, &shared.metrics);
+        shared
+            .metrics
+            .call(tries.kind.name(), cause.map_or("ok", Cause::name));
+        result
+    }
+
+    /// Waits before the next try; false where none may follow.
+    async fn wait_for_retry(&self, tries: &mut Tries, failure: &Failure) -> bool {
+        let shared = &self.shared;
+        let worthwhile = !matches!(failure.cause, Cause::BreakerOpen | Cause::Paced);
+        if !worthwhile || tries.retries + 1 >= shared.settings.tries {
+            return false;
+        }
+        let delay = shared
+            .settings
+            .backoff
+            .delay(tries.retries, shared.guard.random());
+        if delay >= self.time_left(tries) {
+            return false;
+        }
+        if !shared.guard.take_retry() {
+            shared.metrics.retry_refused();
+            return false;
+        }
+        shared.metrics.retry(tries.kind.name(), &failure.cause);
+        tries.retries += 1;
+        smol::Timer::after(delay).await;
+        true
+    }
+
+    fn time_left(&self, tries: &Tries) -> Duration {
+        let spent = self.shared.guard.now().saturating_sub(tries.started);
+        self.shared.settings.call_timeout.saturating_sub(spent)
+    }
+}
+
+impl std::fmt::Debug for PlatformClient {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("PlatformClient")
+            .field("settings", &self.shared.settings)
+            .finish_non_exhaustive()
+    }
+}
+
+impl CallKind {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Get => "get",
+            Self::List => "list",
+            Self::Commit => "commit",
+            Self::PutObject => "put_object",
+            Self::GetObject => "get_object",
+            Self::Hosts => "hosts",
+        }
+    }
+
+    /// Whether the platform counts it as a write.
+    const fn writes(self) -> bool {
+        matches!(self, Self::Commit | Self::PutObject)
+    }
+}
+
+impl Failure {
+    fn timeout() -> Self {
+        Self {
+            cause: Cause::Timeout,
+            may_have_run: true,
+            retry_after: Duration::ZERO,
+        }
+    }
+
+    fn refused(self) -> CallError {
+        CallError::Refused {
+            cause: self.cause,
+            retry_after: self.retry_after,
+        }
+    }
+
+    fn unknown(self, operation: OperationId) -> CallError {
+        CallError::Unknown {
+            operation,
+            cause: self.cause,
+        }
+    }
+}
+
+impl From<PlatformError> for Failure {
+    fn from(error: PlatformError) -> Self {
+        Self {
+            may_have_run: matches!(error, PlatformError::Unknown(_)),
+            cause: Cause::Platform(error),
+            retry_after: Duration::ZERO,
+        }
+    }
+}
--- /dev/null
+++ b/crates/radishpin-platform/src/client/guard.rs
@@ -0,0 +1,123 @@
+//! Breaker, pace, budget and jitter of a client, each under its own lock.
+
+use super::{CallKind, ClientSettings, Failure};
+use crate::{Breaker, Cause, Pace, Permit, PlatformError, PlatformMetrics, RetryBudget};
+use parking_lot::Mutex;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    time::{Duration, Instant},
+};
+
+/// What stands between a call and the platform.
+pub(super) struct Guard {
+    start: Instant,
+    breaker: Mutex<Breaker>,
+    reads: Mutex<Pace>,
+    writes: Mutex<Pace>,
+    budget: Mutex<RetryBudget>,
+    random: Mutex<SmallRng>,
+    process: u64,
+    next_operation: AtomicU64,
+}
+
+impl Guard {
+    pub(super) fn new(settings: &ClientSettings, seed: u64) -> Self {
+        Self {
+            start: Instant::now(),
+            breaker: Mutex::new(Breaker::new(settings.breaker)),
+            reads: Mutex::default(),
+            writes: Mutex::default(),
+            budget: Mutex::new(RetryBudget::new(settings.budget, Duration::ZERO)),
+            random: Mutex::new(SmallRng::seed_from_u64(seed)),
+            process: seed,
+            next_operation: AtomicU64::new(1),
+        }
+    }
+
+    /// Time since the client's start.
+    pub(super) fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    pub(super) fn random(&self) -> f64 {
+        self.random.lock().random()
+    }
+
+    pub(super) fn deposit(&self) {
+        self.budget.lock().deposit(self.now());
+    }
+
+    pub(super) fn take_retry(&self) -> bool {
+        self.budget.lock().take(self.now())
+    }
+
+    /// An id that no other operation has.
+    pub(super) fn new_operation(&self) -> String {
+        let number = self.next_operation.fetch_add(1, Ordering::Relaxed);
+        format!("{:016x}-{number}", self.process)
+    }
+
+    /// Lets a try through, and returns how long it has to wait.
+    pub(super) fn admit(
+        &self,
+        kind: CallKind,
+        patience: Duration,
+        metrics: &PlatformMetrics,
+    ) -> Result<Duration, Failure> {
+        let now = self.now();
+        self.permit(now, metrics)?;
+        let wait = self.pace(kind).lock().reserve(now, patience);
+        wait.ok_or_else(|| refusal(Cause::Paced, patience))
+    }
+
+    fn permit(&self, now: Duration, metrics: &PlatformMetrics) -> Result<(), Failure> {
+        let mut breaker = self.breaker.lock();
+        let before = breaker.state();
+        let permit = breaker.permit(now);
+        metrics.breaker(before, breaker.state());
+        match permit {
+            Permit::Call => Ok(()),
+            Permit::Refused(retry_after) => Err(refusal(Cause::BreakerOpen, retry_after)),
+        }
+    }
+
+    /// Takes note of how a try went; `None` for an answer.
+    pub(super) fn note(&self, kind: CallKind, cause: Option<&Cause>, metrics: &PlatformMetrics) {
+        let now = self.now();
+        let random = self.random();
+        let limited = matches!(cause, Some(Cause::Platform(PlatformError::RateLimited)));
+        let answered = cause.is_none() || limited;
+        let mut pace = self.pace(kind).lock();
+        if limited {
+            pace.limited(now, random);
+        } else if answered {
+            pace.served();
+        }
+        drop(pace);
+        let mut breaker = self.breaker.lock();
+        let before = breaker.state();
+        if answered {
+            breaker.success();
+        } else {
+            breaker.failure(now, random);
+        }
+        metrics.breaker(before, breaker.state());
+    }
+
+    fn pace(&self, kind: CallKind) -> &Mutex<Pace> {
+        if kind.writes() {
+            &self.writes
+        } else {
+            &self.reads
+        }
+    }
+}
+
+fn refusal(cause: Cause, retry_after: Duration) -> Failure {
+    Failure {
+        cause,
+        may_have_run: false,
+        retry_after,
+    }
+}
--- /dev/null
+++ b/crates/radishpin-platform/src/metrics.rs
@@ -0,0 +1,120 @@
+//! Prometheus metrics of the client.
+
+use crate::{BreakerState, Cause};
+use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+
+/// Counters and gauges of one client, or of several that share them.
+#[derive(Clone, Debug)]
+pub struct PlatformMetrics {
+    calls: IntCounterVec,
+    retries: IntCounterVec,
+    retries_refused: IntCounter,
+    settled: IntCounterVec,
+    breaker_state: IntGauge,
+    breaker_changes: IntCounterVec,
+    view_rows_malformed: IntCounter,
+    view_rounds: IntCounterVec,
+}
+
+impl PlatformMetrics {
+    /// Makes the metrics and registers them.
+    ///
+    /// # Errors
+    /// The registry has metrics of these names already.
+    pub fn register(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let metrics = Self::unregistered()?;
+        registry.register(Box::new(metrics.calls.clone()))?;
+        registry.register(Box::new(metrics.retries.clone()))?;
+        registry.register(Box::new(metrics.retries_refused.clone()))?;
+        registry.register(Box::new(metrics.settled.clone()))?;
+        registry.register(Box::new(metrics.breaker_state.clone()))?;
+        registry.register(Box::new(metrics.breaker_changes.clone()))?;
+        registry.register(Box::new(metrics.view_rows_malformed.clone()))?;
+        registry.register(Box::new(metrics.view_rounds.clone()))?;
+        Ok(metrics)
+    }
+
+    /// Makes the metrics without a registry.
+    ///
+    /// # Errors
+    /// None in practice; the names are valid.
+    pub fn unregistered() -> Result<Self, prometheus::Error> {
+        Ok(Self {
+            calls: counters(
+                "radishpin_platform_calls_total",
+                "Tries sent to the platform, by call and outcome",
+                &["call", "outcome"],
+            )?,
+            retries: counters(
+                "radishpin_platform_retries_total",
+                "Tries after the first, by call and by cause of the failure before",
+                &["call", "cause"],
+            )?,
+            retries_refused: IntCounter::new(
+                "radishpin_platform_retries_refused_total",
+                "Retries not made, as the retry budget was spent",
+            )?,
+            settled: counters(
+                "radishpin_platform_settled_total",
+                "Unknown outcomes of commits that were settled, by what was found",
+                &["outcome"],
+            )?,
+            breaker_state: IntGauge::new(
+                "radishpin_platform_breaker_state",
+                "State of the breaker: 0 closed, 1 half open, 2 open",
+            )?,
+            breaker_changes: counters(
+                "radishpin_platform_breaker_changes_total",
+                "Changes of the breaker, by the state entered",
+                &["state"],
+            )?,
+            view_rows_malformed: IntCounter::new(
+                "radishpin_view_rows_malformed_total",
+                "Rows that could not be read and were left as they stood before",
+            )?,
+            view_rounds: counters(
+                "radishpin_view_listings_total",
+                "Listings read for the view, by whether the round was the first",
+                &["round"],
+            )?,
+        })
+    }
+
+    pub(crate) fn call(&self, call: &str, outcome: &str) {
+        self.calls.with_label_values(&[call, outcome]).inc();
+    }
+
+    pub(crate) fn retry(&self, call: &str, cause: &Cause) {
+        self.retries.with_label_values(&[call, cause.name()]).inc();
+    }
+
+    pub(crate) fn retry_refused(&self) {
+        self.retries_refused.inc();
+    }
+
+    pub(crate) fn settled(&self, outcome: &str) {
+        self.settled.with_label_values(&[outcome]).inc();
+    }
+
+    pub(crate) fn breaker(&self, before: BreakerState, after: BreakerState) {
+        if before != after {
+            self.breaker_state.set(after.number());
+            self.breaker_changes
+                .with_label_values(&[after.name()])
+                .inc();
+        }
+    }
+
+    pub(crate) fn row_malformed(&self) {
+        self.view_rows_malformed.inc();
+    }
+
+    pub(crate) fn listing(&self, first_round: bool) {
+        let round = if first_round { "first" } else { "repeated" };
+        self.view_rounds.with_label_values(&[round]).inc();
+    }
+}
+
+fn counters(name: &str, help: &str, labels: &[&str]) -> Result<IntCounterVec, prometheus::Error> {
+    IntCounterVec::new(Opts::new(name, help), labels)
+}
--- /dev/null
+++ b/crates/radishpin-platform/src/view_writer.rs
@@ -0,0 +1,189 @@
+//! Commits changes of the view: the rows with the head row, and profiles with their history.
+
+use crate::{CallError, Commit, CommitOutcome, Condition, OperationId, PlatformClient, Write};
+use radishpin_protocol::{
+    HEAD_KEY, HISTORY_PREFIX, HeadRecord, PROFILE_PREFIX, ProfileId, Version,
+};
+
+/// Digits of a version in a history key, so that keys sort as versions do.
+const VERSION_DIGITS: usize = 20;
+
+/// A row to write.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RowChange {
+    /// Key of the row.
+    pub key: String,
+    /// Version of the row that the change was decided on; 0 for a row never written.
+    pub expected_version: Version,
+    /// New value, JSON text; `None` deletes.
+    pub value: Option<String>,
+}
+
+/// Rows that change together.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ViewChange {
+    /// Rows to write.
+    pub rows: Vec<RowChange>,
+    /// Rows that the decision rests on and that must not have changed.
+    pub unchanged: Vec<Condition>,
+    /// Version of the view that the decision rests on as a whole, as when it needs the absence
+    /// of a row; `None` where the rows above say it all.
+    pub whole_view: Option<Version>,
+}
+
+/// What became of a change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ChangeOutcome {
+    /// It is durable; the view has this version.
+    Accepted(Version),
+    /// Another change came first; nothing was written.
+    Conflict {
+        /// The row that had changed; the head where the whole view had to be unchanged.
+        key: String,
+        /// Its present version.
+        current_version: Version,
+    },
+}
+
+/// An earlier profile document.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ProfileHistoryEntry {
+    /// Version of the document.
+    pub version: Version,
+    /// The document, JSON text.
+    pub document: String,
+}
+
+/// Writes changes of the view.
+#[derive(Clone, Debug)]
+pub struct ViewWriter {
+    client: PlatformClient,
+}
+
+impl ViewWriter {
+    /// A writer over `client`.
+    pub fn new(client: PlatformClient) -> Self {
+        Self { client }
+    }
+
+    /// Commits a change.
+    ///
+    /// # Errors
+    /// [`CallError::Refused`] where nothing was written, [`CallError::Unknown`] where that
+    /// could not be found out.
+    pub async fn commit(&self, change: &ViewChange) -> Result<ChangeOutcome, CallError> {
+        self.commit_with(change, Vec::new()).await
+    }
+
+    /// Writes a profile, or deletes it, and keeps the document that it replaces.
+    ///
+    /// `change` holds further conditions; the profile's row is added to it.
+    ///
+    /// # Errors
+    /// As [`Self::commit`].
+    pub async fn write_profile(
+        &self,
+        name: &str,
+        expected_version: Version,
+        document: Option<String>,
+        mut change: ViewChange,
+    ) -> Result<ChangeOutcome, CallError> {
+        let key = format!("{PROFILE_PREFIX}{name}");
+        let old = self.client.get(&key).await?;
+        if old.version != expected_version {
+            return Ok(ChangeOutcome::Conflict {
+                key,
+                current_version: old.version,
+            });
+        }
+        let history = old.value.map(|value| Write {
+            key: history_key(name, old.version),
+            value: Some(value),
+        });
+        change.rows.push(RowChange {
+            key,
+            expected_version,
+            value: document,
+        });
+        self.commit_with(&change, history.into_iter().collect())
+            .await
+    }
+
+    /// Documents that a profile had before the present one, oldest first.
+    ///
+    /// # Errors
+    /// The platform did not answer.
+    pub async fn profile_history(
+        &self,
+        name: &ProfileId,
+    ) -> Result<Vec<ProfileHistoryEntry>, CallError> {
+        let prefix = history_prefix(name);
+        let listing = self.client.list(&prefix, 0).await?;
+        let entries = listing.rows.into_iter().filter_map(|listed| {
+            let version = listed.key.strip_prefix(&prefix)?.parse().ok()?;
+            let document = listed.row.value?;
+            Some(ProfileHistoryEntry { version, document })
+        });
+        Ok(entries.collect())
+    }
+
+    async fn commit_with(
+        &self,
+        change: &ViewChange,
+        further_writes: Vec<Write>,
+    ) -> Result<ChangeOutcome, CallError> {
+        let operation = self.client.new_operation();
+        let mut commit = commit_of(change);
+        commit.writes.extend(further_writes);
+        commit.writes.push(head_write(&operation));
+        let outcome = self.client.commit_as(operation, &commit).await?;
+        Ok(match outcome {
+            CommitOutcome::Committed(version) => ChangeOutcome::Accepted(version),
+            CommitOutcome::Conflict(condition) => ChangeOutcome::Conflict {
+                key: condition.key,
+                current_version: condition.version,
+            },
+        })
+    }
+}
+
+/// Conditions and writes of a change; conditions on rows come before the one on the head, so
+/// that a conflict names the row where there is one.
+fn commit_of(change: &ViewChange) -> Commit {
+    let rows = change.rows.iter().map(|row| Condition {
+        key: row.key.clone(),
+        version: row.expected_version,
+    });
+    let head = change.whole_view.map(|version| Condition {
+        key: HEAD_KEY.to_owned(),
+        version,
+    });
+    let conditions = rows.chain(change.unchanged.iter().cloned()).chain(head);
+    let writes = change.rows.iter().map(|row| Write {
+        key: row.key.clone(),
+        value: row.value.clone(),
+    });
+    Commit {
+        conditions: conditions.collect(),
+        writes: writes.collect(),
+    }
+}
+
+fn head_write(operation: &OperationId) -> Write {
+    let record = HeadRecord {
+        operation: operation.clone(),
+    };
+    Write {
+        key: HEAD_KEY.to_owned(),
+        value: serde_json::to_string(&record).ok(),
+    }
+}
+
+fn history_prefix(name: &str) -> String {
+    format!("{HISTORY_PREFIX}{PROFILE_PREFIX}{name}/")
+}
+
+fn history_key(name: &str, version: Version) -> String {
+    let prefix = history_prefix(name);
+    format!("{prefix}{version:0VERSION_DIGITS$}")
+}
--- /dev/null
+++ b/crates/radishpin-platform/tests/pure.rs
@@ -0,0 +1,105 @@
+//! Backoff, retry budget, breaker and pace, with time passed in.
+
+use radishpin_platform::{
+    Backoff, Breaker, BreakerSettings, BreakerState, BudgetSettings, Pace, Permit, RetryBudget,
+    jittered,
+};
+use std::time::Duration;
+
+const fn ms(value: u64) -> Duration {
+    Duration::from_millis(value)
+}
+
+#[test]
+fn backoff_doubles_up_to_its_cap_and_spreads_from_zero() {
+    let backoff = Backoff {
+        base: ms(50),
+        cap: ms(1_000),
+    };
+    let ceilings: Vec<u128> = (0..7).map(|n| backoff.ceiling(n).as_millis()).collect();
+    insta::assert_compact_json_snapshot!(ceilings, @"[50, 100, 200, 400, 800, 1000, 1000]");
+    assert_eq!(backoff.ceiling(u32::MAX), ms(1_000));
+    assert_eq!(backoff.delay(3, 0.0), ms(0));
+    assert_eq!(backoff.delay(3, 0.5), ms(200));
+    assert_eq!(jittered(ms(2_000), 0.0), ms(1_000));
+    assert_eq!(jittered(ms(2_000), 1.0), ms(3_000));
+}
+
+#[test]
+fn retries_stay_a_share_of_the_calls() {
+    // Eighths are exact in binary.
+    let settings = BudgetSettings {
+        per_call: 0.125,
+        per_second: 0.125,
+        max_saved: 10.0,
+    };
+    let mut budget = RetryBudget::new(settings, ms(0));
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        budget.deposit(ms(0));
+        retries += usize::from(budget.take(ms(0)));
+    }
+    // 10 saved, and an eighth of each call but the first, which found the budget full.
+    assert_eq!(retries, 134);
+    assert!(!budget.take(ms(0)));
+    assert!(!budget.take(ms(999)));
+    assert!(budget.take(ms(1_000)));
+}
+
+#[test]
+fn the_breaker_opens_probes_once_and_opens_for_longer() {
+    let mut breaker = Breaker::new(BreakerSettings::default());
+    for _ in 0..4 {
+        breaker.failure(ms(0), 1.0);
+    }
+    assert_eq!(breaker.permit(ms(0)), Permit::Call);
+    breaker.failure(ms(0), 1.0);
+    assert_eq!(breaker.state(), BreakerState::Open);
+    let mut seen = Vec::new();
+    let mut now = ms(0);
+    for _ in 0..6 {
+        let Permit::Refused(wait) = breaker.permit(now) else {
+            panic!("not open at {now:?}");
+        };
+        seen.push(wait.as_millis());
+        now += wait;
+        assert_eq!(breaker.permit(now), Permit::Call);
+        assert_eq!(breaker.state(), BreakerState::HalfOpen);
+        assert_eq!(breaker.permit(now), Permit::Refused(ms(2_000)));
+        breaker.failure(now, 1.0);
+    }
+    insta::assert_compact_json_snapshot!(seen, @"[500, 1000, 2000, 4000, 5000, 5000]");
+    breaker.success();
+    assert_eq!(breaker.permit(now), Permit::Call);
+}
+
+#[test]
+fn a_probe_without_an_outcome_is_given_up() {
+    let mut breaker = Breaker::new(BreakerSettings {
+        failures: 1,
+        ..BreakerSettings::default()
+    });
+    breaker.failure(ms(0), 0.0);
+    assert_eq!(breaker.permit(ms(249)), Permit::Refused(ms(1)));
+    assert_eq!(breaker.permit(ms(250)), Permit::Call);
+    assert_eq!(breaker.permit(ms(2_249)), Permit::Refused(ms(1)));
+    assert_eq!(breaker.permit(ms(2_250)), Permit::Call);
+}
+
+#[test]
+fn the_pace_slows_once_for_calls_that_were_limited_together() {
+    let mut pace = Pace::default();
+    assert_eq!(pace.reserve(ms(0), ms(0)), Some(ms(0)));
+    pace.limited(ms(0), 1.0);
+    pace.limited(ms(1), 1.0);
+    assert_eq!(pace.interval(), ms(50));
+    assert_eq!(pace.reserve(ms(0), ms(1_000)), Some(ms(50)));
+    assert_eq!(pace.reserve(ms(0), ms(1_000)), Some(ms(100)));
+    assert_eq!(pace.reserve(ms(0), ms(149)), None);
+    pace.limited(ms(60), 1.0);
+    assert_eq!(pace.interval(), ms(100));
+    for _ in 0..2_000 {
+        pace.served();
+    }
+    assert_eq!(pace.interval(), ms(0));
+}
--- /dev/null
+++ b/crates/radishpin-platform/tests/view.rs
@@ -0,0 +1,291 @@
+//! The view: consistent while rows change, monotone, and written without losing a change.
+
+#[path = "support/shared.rs"]
+mod support;
+
+use parking_lot::Mutex;
+use radishpin_platform::{
+    BoxFuture, ChangeOutcome, Commit, CommitOutcome, HostEntry, Listing, Platform, PlatformError,
+    Row, RowChange, ViewChange, ViewReader, ViewWriter, Write,
+};
+use radishpin_protocol::Version;
+use radishpin_standin::MemoryPlatform;
+use smol::block_on;
+use std::sync::Arc;
+use support::{SEED, client};
+
+/// A platform on which a commit happens before chosen reads.
+#[derive(Clone)]
+struct Interleaved {
+    platform: MemoryPlatform,
+    /// For each read to come, whether a commit happens before it.
+    schedule: Arc<Mutex<Vec<bool>>>,
+    /// Number that the next commit writes.
+    next: Arc<Mutex<u64>>,
+}
+
+impl Interleaved {
+    fn new(platform: &MemoryPlatform) -> Self {
+        Self {
+            platform: platform.clone(),
+            schedule: Arc::default(),
+            next: Arc::new(Mutex::new(1)),
+        }
+    }
+
+    fn before_read(&self) {
+        if self.schedule.lock().pop() == Some(true) {
+            self.write_both();
+        }
+    }
+
+    /// Writes the same number into rows under two prefixes, one listed early and one late.
+    fn write_both(&self) {
+        let mut next = self.next.lock();
+        let number = *next;
+        *next += 1;
+        let profile = profile(number);
+        let stop = format!(
+            r#"{{"id":"s","target":{{"host":"h"}},"from_unix_ms":{number},"to_unix_ms":{number}}}"#
+        );
+        let rows = [
+            ("profile/p", profile),
+            ("stop/s", stop),
+            ("head", "{}".into()),
+        ];
+        let writes = rows.map(|(key, value)| Write {
+            key: key.into(),
+            value: Some(value),
+        });
+        let commit = Commit {
+            conditions: Vec::new(),
+            writes: writes.into(),
+        };
+        assert!(block_on(self.platform.commit(&commit)).is_ok());
+    }
+}
+
+impl Platform for Interleaved {
+    fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Row, PlatformError>> {
+        self.before_read();
+        self.platform.get(key)
+    }
+
+    fn commit<'a>(
+        &'a self,
+        commit: &'a Commit,
+    ) -> BoxFuture<'a, Result<CommitOutcome, PlatformError>> {
+        self.platform.commit(commit)
+    }
+
+    fn list<'a>(
+        &'a self,
+        prefix: &'a str,
+        since: Version,
+    ) -> BoxFuture<'a, Result<Listing, PlatformError>> {
+        self.before_read();
+        self.platform.list(prefix, since)
+    }
+
+    fn put_object<'a>(
+        &'a self,
+        key: &'a str,
+        value: &'a [u8],
+    ) -> BoxFuture<'a, Result<(), PlatformError>> {
+        self.platform.put_object(key, value)
+    }
+
+    fn get_object<'a>(
+        &'a self,
+        key: &'a str,
+    ) -> BoxFuture<'a, Result<Option<Vec<u8>>, PlatformError>> {
+        self.platform.get_object(key)
+    }
+
+    fn hosts(&self) -> BoxFuture<'_, Result<Vec<HostEntry>, PlatformError>> {
+        self.platform.hosts()
+    }
+}
+
+fn profile(patience_ms: u64) -> String {
+    format!(
+        r#"{{"format":1,"min_loaded":0,"max_replicas":2,"idle_unload_ms":1000,"patience_ms":{patience_ms},"priority":5,"class":"interactive","idempotent":true}}"#
+    )
+}
+
+fn change(key: &str, expected_version: Version, value: &str) -> ViewChange {
+    ViewChange {
+        rows: vec![RowChange {
+            key: key.into(),
+            expected_version,
+            value: Some(value.into()),
+        }],
+        ..ViewChange::default()
+    }
+}
+
+/// Every schedule of commits before the first reads of a poll: the view always holds the same
+/// number under both prefixes, is the table at its version, and never goes back.
+#[test]
+fn a_view_is_one_version_whatever_changes_between_the_reads() {
+    const READS: u32 = 10;
+    for schedule in 0..(1_u32 << READS) {
+        let platform = MemoryPlatform::new(SEED);
+        let interleaved = Interleaved::new(&platform);
+        interleaved.write_both();
+        let mut reader = ViewReader::new(client(&interleaved));
+        let commits = (0..READS).map(|read| schedule & (1 << read) != 0);
+        *interleaved.schedule.lock() = commits.collect();
+        let mut version = 0;
+        while version < platform.row("head").version || !interleaved.schedule.lock().is_empty() {
+            if let Some(view) = block_on(reader.poll()).unwrap() {
+                let number = view.profiles["p"].patience_ms;
+                assert_eq!(
+                    number, view.stops["s"].from_unix_ms,
+                    "schedule {schedule:b}"
+                );
+                assert_eq!(number, view.version, "schedule {schedule:b}");
+                assert!(view.version > version, "schedule {schedule:b}");
+                version = view.version;
+            }
+        }
+        assert_eq!(reader.handle().current().version, version);
+    }
+}
+
+#[test]
+fn a_poll_that_is_always_overtaken_goes_on_in_the_next_one() {
+    let platform = MemoryPlatform::new(SEED);
+    let interleaved = Interleaved::new(&platform);
+    interleaved.write_both();
+    let mut reader = ViewReader::new(client(&interleaved));
+    *interleaved.schedule.lock() = vec![true; 1_000];
+    assert_eq!(block_on(reader.poll()).unwrap(), None);
+    assert_eq!(reader.handle().current().version, 0);
+    interleaved.schedule.lock().clear();
+    let view = block_on(reader.poll()).unwrap().unwrap();
+    assert_eq!(view.version, platform.row("head").version);
+}
+
+#[test]
+fn an_older_head_and_a_malformed_row_leave_what_stands() {
+    let platform = MemoryPlatform::new(SEED);
+    let client = client(&platform);
+    let writer = ViewWriter::new(client.clone());
+    let mut reader = ViewReader::new(client);
+    block_on(async {
+        let accepted = writer.commit(&change("profile/p", 0, &profile(100))).await;
+        assert_eq!(accepted, Ok(ChangeOutcome::Accepted(1)));
+        assert_eq!(reader.poll().await.unwrap().unwrap().version, 1);
+        assert_eq!(reader.poll().await, Ok(None));
+        let accepted = writer.commit(&change("profile/p", 1, "{}")).await;
+        assert_eq!(accepted, Ok(ChangeOutcome::Accepted(2)));
+        let view = reader.poll().await.unwrap().unwrap();
+        assert_eq!(view.version, 2);
+        assert_eq!(view.profiles["p"].patience_ms, 100);
+        let lagging = MemoryPlatform::new(SEED);
+        lagging.put_row("head", Some("{}"));
+        let mut behind = ViewReader::new(support::client(&lagging));
+        assert_eq!(behind.poll().await.unwrap().unwrap().version, 1);
+    });
+}
+
+#[test]
+fn deleted_rows_leave_the_view() {
+    let platform = MemoryPlatform::new(SEED);
+    let client = client(&platform);
+    let writer = ViewWriter::new(client.clone());
+    let mut reader = ViewReader::new(client);
+    block_on(async {
+        assert!(
+            writer
+                .commit(&change("profile/p", 0, &profile(100)))
+                .await
+                .is_ok()
+        );
+        assert!(reader.poll().await.is_ok());
+        let deleted = writer
+            .write_profile("p", 1, None, ViewChange::default())
+            .await;
+        assert_eq!(deleted, Ok(ChangeOutcome::Accepted(2)));
+        let view = reader.poll().await.unwrap().unwrap();
+        assert_eq!(view.profiles.len(), 0);
+        assert_eq!(view.row_versions.len(), 0);
+    });
+}
+
+#[test]
+fn of_two_writers_one_wins_and_the_other_learns_the_version() {
+    let platform = MemoryPlatform::new(SEED);
+    let (first, second) = (client(&platform), client(&platform));
+    let (first, second) = (ViewWriter::new(first), ViewWriter::new(second));
+    block_on(async {
+        for (version, patience_ms) in [(0, 100), (1, 200), (2, 300)] {
+            let document = Some(profile(patience_ms));
+            let accepted = first
+                .write_profile("p", version, document, ViewChange::default())
+                .await;
+            assert_eq!(accepted, Ok(ChangeOutcome::Accepted(version + 1)));
+        }
+        let conflict = ChangeOutcome::Conflict {
+            key: "profile/p".into(),
+            current_version: 3,
+        };
+        let stale = second
+            .write_profile("p", 2, Some(profile(400)), ViewChange::default())
+            .await;
+        assert_eq!(stale, Ok(conflict.clone()));
+        let raced = second.commit(&change("profile/p", 2, &profile(400))).await;
+        assert_eq!(raced, Ok(conflict));
+        // A change of another row does not conflict, though it writes the same head.
+        let other = second.commit(&change("profile/q", 0, &profile(500))).await;
+        assert_eq!(other, Ok(ChangeOutcome::Accepted(4)));
+        let history = first.profile_history(&"p".to_owned()).await.unwrap();
+        let versions: Vec<_> = history.iter().map(|entry| entry.version).collect();
+        assert_eq!(versions, [1, 2]);
+        assert_eq!(history[0].document, profile(100));
+    });
+}
+
+#[test]
+fn a_change_that_rests_on_the_whole_view_conflicts_on_the_head() {
+    let platform = MemoryPlatform::new(SEED);
+    let writer = ViewWriter::new(client(&platform));
+    let service = r#"{"kind":"plain","profile":"p"}"#;
+    block_on(async {
+        assert!(
+            writer
+                .commit(&change("profile/p", 0, &profile(100)))
+                .await
+                .is_ok()
+        );
+        // Decided at version 1, where no service uses the profile.
+        let delete = ViewChange {
+            whole_view: Some(1),
+            ..ViewChange::default()
+        };
+        assert!(
+            writer
+                .commit(&change("service/s", 0, service))
+                .await
+                .is_ok()
+        );
+        let outcome = writer.write_profile("p", 1, None, delete).await;
+        let conflict = ChangeOutcome::Conflict {
+            key: "head".into(),
+            current_version: 2,
+        };
+        assert_eq!(outcome, Ok(conflict));
+        assert!(platform.row("profile/p").value.is_some());
+    });
+}
+
+#[test]
+fn a_change_whose_reply_is_lost_is_accepted_once() {
+    let platform = MemoryPlatform::new(SEED);
+    let writer = ViewWriter::new(client(&platform));
+    platform.change_faults(|faults| faults.lose_commit_replies = 1);
+    let accepted = block_on(writer.commit(&change("profile/p", 0, &profile(100))));
+    assert_eq!(accepted, Ok(ChangeOutcome::Accepted(1)));
+    assert_eq!(platform.row("head").version, 1);
+}
