--- a/crates/radishpin-core/src/lib.rs
+++ b/crates/radishpin-core/src/lib.rs
@@ -1,1 +1,12 @@
-//! placeholder
+//! Pure decisions of radishpin: no IO, no clock and no randomness of their own.
+//!
+//! Time comes in as an argument: a [`std::time::Duration`] since the start of the process.
+//! Modules are grouped by life span: what lives as long as one version of the configuration,
+//! and what lives as long as a process.
+
+#[cfg(feature = "mutations")]
+#[doc(hidden)]
+pub mod mutation;
+#[cfg(not(feature = "mutations"))]
+mod mutation;
+pub mod process;
--- /dev/null
+++ b/crates/radishpin-core/src/mutation.rs
@@ -0,0 +1,39 @@
+//! Decisions made wrong on purpose, so that the model checker can be shown to find each.
+
+/// A rule that is broken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Mutation {
+    /// The agent applies a view older than the one in force.
+    ApplyOlderView,
+    /// The agent loads a model whose grant is being revoked.
+    LoadWhileRevoking,
+    /// Memory counts as free as soon as the unload is ordered.
+    ReleaseMemoryAtUnloadOrder,
+    /// A report settles orders without a known outcome even where it is older than them.
+    SettleUnknownByAnyReport,
+    /// A late report is taken for the newest one.
+    TakeLateReports,
+    /// A new incarnation trusts a report that orders of its predecessor may outlive.
+    TrustFirstReport,
+}
+
+/// Which rules hold: all of them, but for a test that breaks one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub(crate) struct Rules {
+    mutation: Option<Mutation>,
+}
+
+impl Rules {
+    /// All rules but one.
+    #[cfg(feature = "mutations")]
+    pub(crate) const fn breaking(mutation: Mutation) -> Self {
+        Self {
+            mutation: Some(mutation),
+        }
+    }
+
+    /// Whether a rule is broken.
+    pub(crate) fn broken(self, mutation: Mutation) -> bool {
+        self.mutation == Some(mutation)
+    }
+}
--- a/crates/radishpin-protocol/src/record.rs
+++ b/crates/radishpin-protocol/src/record.rs
@@ -76,7 +76,7 @@
 }
 
 /// A model and the grants to load it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ModelRecord {
     /// The service whose runners may load it.
     pub service: ServiceId,
@@ -89,7 +89,7 @@
 }
 
 /// Leave for one endpoint to load one model.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Grant {
     /// Whether it may still be used.
     pub state: GrantState,
@@ -98,7 +98,7 @@
 }
 
 /// State of a grant; both states count as a replica.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum GrantState {
     /// The endpoint may load the model at any time.
--- a/crates/radishpin-protocol/src/view.rs
+++ b/crates/radishpin-protocol/src/view.rs
@@ -151,7 +151,7 @@
 }
 
 /// One version of the configuration, as the agent of one endpoint holds it.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct AgentView {
     /// Version of the view that it was taken from.
     pub version: Version,
@@ -160,7 +160,7 @@
 }
 
 /// A grant with what the agent needs to use it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct ModelGrant {
     /// Accelerator memory of a replica.
     pub size_mb: SizeMb,
