Add the thin binary: commands, typed settings and logs

Cause: the roles need settings from flags and environment, with every fault told at once, before there is anything to start.

Change: each setting is declared once with its kind, range, default and help; a command reads all of them, then reports all faults (exit 2). Tokens come from the environment or a file and never show. Logs are key=value lines. The roles themselves answer "not available in this build" until they are wired.

Conclusion: commands, help and checks work without starting anything.

--- /dev/null
+++ b/src/command.rs
@@ -0,0 +1,125 @@
+//! The registry of commands.
+
+mod agent;
+mod check;
+mod node;
+mod profile;
+mod standin;
+mod status;
+mod stop;
+mod r#try;
+
+use crate::{
+    CommandError,
+    settings::{Fault, Setting, Values},
+};
+
+/// What a command is called and which settings it takes.
+#[derive(Debug)]
+pub struct CommandSpec {
+    /// Name as the user types it.
+    pub name: &'static str,
+    /// One line on what it does.
+    pub summary: &'static str,
+    /// What follows the name, one entry for each form.
+    pub usages: &'static [&'static str],
+    /// Its settings.
+    pub settings: &'static [&'static Setting],
+    /// Whole command lines that its help shows.
+    pub examples: &'static [&'static str],
+    /// Checks operands, and rules between settings that are sound by themselves.
+    pub check: fn(&Values) -> Vec<Fault>,
+}
+
+/// A command of the binary.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Command {
+    /// Everything in one process, to try it.
+    Try,
+    /// The role on an entry host.
+    Node,
+    /// The role beside an endpoint.
+    Agent,
+    /// Stand-ins for other processes.
+    Standin,
+    /// Checks settings and documents without starting.
+    Check,
+    /// Profiles.
+    Profile,
+    /// Planned stops.
+    Stop,
+    /// State of the cluster.
+    Status,
+}
+
+impl Command {
+    /// Every command, in the order of the help.
+    pub const ALL: [Self; 8] = [
+        Self::Try,
+        Self::Node,
+        Self::Agent,
+        Self::Standin,
+        Self::Check,
+        Self::Profile,
+        Self::Stop,
+        Self::Status,
+    ];
+
+    /// Name as the user types it.
+    pub fn name(self) -> &'static str {
+        self.spec().name
+    }
+
+    /// The command with this name.
+    pub fn from_name(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|command| command.name() == name)
+    }
+
+    /// The command with this name, if it starts a long-running process.
+    pub fn role(name: &str) -> Option<Self> {
+        let roles = [Self::Try, Self::Node, Self::Agent, Self::Standin];
+        roles.into_iter().find(|command| command.name() == name)
+    }
+
+    /// Its settings and help.
+    pub fn spec(self) -> &'static CommandSpec {
+        match self {
+            Self::Try => &r#try::SPEC,
+            Self::Node => &node::SPEC,
+            Self::Agent => &agent::SPEC,
+            Self::Standin => &standin::SPEC,
+            Self::Check => &check::SPEC,
+            Self::Profile => &profile::SPEC,
+            Self::Stop => &stop::SPEC,
+            Self::Status => &status::SPEC,
+        }
+    }
+
+    /// Runs the command with checked settings.
+    ///
+    /// # Errors
+    /// The command fails; bad settings are found before.
+    pub fn run(self, values: &Values) -> Result<(), CommandError> {
+        match self {
+            Self::Try => r#try::run(values),
+            Self::Node => node::run(values),
+            Self::Agent => agent::run(values),
+            Self::Standin => standin::run(values),
+            Self::Check => check::run(values),
+            Self::Profile => profile::run(values),
+            Self::Stop => stop::run(values),
+            Self::Status => status::run(values),
+        }
+    }
+}
+
+/// For a command that takes no operands.
+fn no_operands(values: &Values) -> Vec<Fault> {
+    let extra = values.operands().iter();
+    extra
+        .map(|operand| Fault::Operand {
+            operand: operand.clone(),
+            allowed: "flags only".into(),
+        })
+        .collect()
+}
--- /dev/null
+++ b/src/command/node.rs
@@ -0,0 +1,192 @@
+//! `radishpin node`: the role on an entry host.
+
+use super::{CommandSpec, no_operands};
+use crate::{
+    CommandError,
+    settings::{
+        Fault, Kind, Setting, Values,
+        common::{
+            AVAILABILITY_ZONE, DRAIN_TIMEOUT, HOST, INTERNAL_TOKEN, LOG_LEVEL, NAME, PLATFORM,
+            THREADS, TOKEN,
+        },
+    },
+};
+use radishpin_http::ServerLimits;
+use radishpin_server::NodeSettings;
+use std::time::Duration;
+
+static LISTEN: Setting = Setting::with_default(
+    "listen",
+    Kind::Address,
+    "0.0.0.0:8080",
+    "Address of the callers' listener; port 0 takes a free one.",
+)
+.env("RADISHPIN_LISTEN");
+
+static OPERATOR_LISTEN: Setting = Setting::with_default(
+    "operator-listen",
+    Kind::Address,
+    "127.0.0.1:8081",
+    "Address of the operators' listener.",
+)
+.env("RADISHPIN_OPERATOR_LISTEN");
+
+static PEER_LISTEN: Setting = Setting::with_default(
+    "peer-listen",
+    Kind::Address,
+    "0.0.0.0:8082",
+    "Address of the listener for other nodes.",
+)
+.env("RADISHPIN_PEER_LISTEN");
+
+static HEAD_LIMIT: Setting = Setting::with_default(
+    "head-limit-bytes",
+    Kind::Number {
+        min: 1_024,
+        max: 1_048_576,
+        unit: "bytes",
+    },
+    "16384",
+    "Largest head of a caller's request.",
+)
+.env("RADISHPIN_HEAD_LIMIT_BYTES");
+
+static BODY_LIMIT: Setting = Setting::with_default(
+    "body-limit-bytes",
+    Kind::Number {
+        min: 1_024,
+        max: 1_073_741_824,
+        unit: "bytes",
+    },
+    "8388608",
+    "Largest body of a caller's request.",
+)
+.env("RADISHPIN_BODY_LIMIT_BYTES");
+
+static CONNECTION_LIMIT: Setting = Setting::with_default(
+    "connection-limit",
+    Kind::Number {
+        min: 1,
+        max: 1_000_000,
+        unit: "connections",
+    },
+    "10000",
+    "Callers' connections open at once.",
+)
+.env("RADISHPIN_CONNECTION_LIMIT");
+
+const CALLER_TIMEOUT: Kind = Kind::Duration {
+    min: Duration::from_millis(100),
+    max: Duration::from_secs(3_600),
+};
+
+static HEAD_TIMEOUT: Setting = Setting::with_default(
+    "head-timeout",
+    CALLER_TIMEOUT,
+    "10s",
+    "Time that a caller has to send a head.",
+)
+.env("RADISHPIN_HEAD_TIMEOUT");
+
+static BODY_TIMEOUT: Setting = Setting::with_default(
+    "body-timeout",
+    CALLER_TIMEOUT,
+    "30s",
+    "Time that a caller has to send a body.",
+)
+.env("RADISHPIN_BODY_TIMEOUT");
+
+static IDLE_TIMEOUT: Setting = Setting::with_default(
+    "idle-timeout",
+    CALLER_TIMEOUT,
+    "75s",
+    "Time that a caller's connection may rest between requests.",
+)
+.env("RADISHPIN_IDLE_TIMEOUT");
+
+static WRITE_TIMEOUT: Setting = Setting::with_default(
+    "write-timeout",
+    CALLER_TIMEOUT,
+    "30s",
+    "Time that one write to a caller may stall.",
+)
+.env("RADISHPIN_WRITE_TIMEOUT");
+
+static POLL_INTERVAL: Setting = Setting::with_default(
+    "poll-interval",
+    Kind::Duration {
+        min: Duration::from_millis(100),
+        max: Duration::from_secs(10),
+    },
+    "2s",
+    "Time between two reads of the platform's head row, which tells of changes.",
+)
+.env("RADISHPIN_POLL_INTERVAL");
+
+pub(super) static SPEC: CommandSpec = CommandSpec {
+    name: "node",
+    summary: "Run the node of an entry host: takes callers' requests and operators' orders.",
+    usages: &["[FLAGS]"],
+    settings: &[
+        &NAME,
+        &AVAILABILITY_ZONE,
+        &HOST,
+        &LISTEN,
+        &OPERATOR_LISTEN,
+        &PEER_LISTEN,
+        &PLATFORM,
+        &TOKEN,
+        &INTERNAL_TOKEN,
+        &THREADS,
+        &HEAD_LIMIT,
+        &BODY_LIMIT,
+        &CONNECTION_LIMIT,
+        &HEAD_TIMEOUT,
+        &BODY_TIMEOUT,
+        &IDLE_TIMEOUT,
+        &WRITE_TIMEOUT,
+        &DRAIN_TIMEOUT,
+        &POLL_INTERVAL,
+        &LOG_LEVEL,
+    ],
+    examples: &[
+        "RADISHPIN_TOKEN=0123456789abcdef RADISHPIN_INTERNAL_TOKEN=fedcba9876543210 \
+         radishpin node --name node-1 --availability-zone gondar --host host-1 --platform 127.0.0.1:9000",
+    ],
+    check: no_operands,
+};
+
+pub(super) fn run(values: &Values) -> Result<(), CommandError> {
+    start(node_settings(values)?)
+}
+
+/// Runs the node until it is told to stop. To be wired to the server crate.
+fn start(_settings: NodeSettings) -> Result<(), CommandError> {
+    Err(CommandError::Unavailable { command: SPEC.name })
+}
+
+fn node_settings(values: &Values) -> Result<NodeSettings, Vec<Fault>> {
+    Ok(NodeSettings {
+        name: values.text(&NAME)?,
+        availability_zone: values.text(&AVAILABILITY_ZONE)?,
+        host: values.text(&HOST)?,
+        listen: values.address(&LISTEN)?,
+        operator_listen: values.address(&OPERATOR_LISTEN)?,
+        peer_listen: values.address(&PEER_LISTEN)?,
+        platform: values.address(&PLATFORM)?,
+        token: values.token(&TOKEN)?,
+        internal_token: values.token(&INTERNAL_TOKEN)?,
+        threads: values.number(&THREADS)?,
+        limits: ServerLimits {
+            head_bytes: values.number(&HEAD_LIMIT)?,
+            body_bytes: values.number(&BODY_LIMIT)?,
+            head_timeout: values.duration(&HEAD_TIMEOUT)?,
+            body_timeout: values.duration(&BODY_TIMEOUT)?,
+            idle_timeout: values.duration(&IDLE_TIMEOUT)?,
+            write_timeout: values.duration(&WRITE_TIMEOUT)?,
+            connections: values.number(&CONNECTION_LIMIT)?,
+        },
+        drain_timeout: values.duration(&DRAIN_TIMEOUT)?,
+        poll_interval: values.duration(&POLL_INTERVAL)?,
+    })
+}
--- /dev/null
+++ b/src/error.rs
@@ -0,0 +1,49 @@
+//! Why a command failed.
+
+use crate::settings::Fault;
+use quick_error::quick_error;
+
+quick_error! {
+    /// Why a command failed.
+    #[derive(Debug)]
+    #[allow(missing_docs)]
+    pub enum CommandError {
+        /// Settings are missing or out of range; all faults found.
+        Settings(faults: Vec<Fault>) {
+            display("{}", lines(faults))
+            from()
+        }
+        /// The command has no implementation in this build.
+        Unavailable { command: &'static str } {
+            display("`radishpin {command}` is not available in this build")
+        }
+        /// A file cannot be read.
+        File { path: String, cause: std::io::Error } {
+            display("{path}: {cause}; check the path and its permissions")
+            source(cause)
+        }
+        /// A document is not valid; all faults found.
+        Document { lines: Vec<String> } {
+            display("{}", lines.join("\n"))
+        }
+        /// The operator's API cannot be reached, or its answer cannot be read.
+        Server { address: String, cause: String } {
+            display("{address}: {cause}; check --server and whether the node runs")
+        }
+        /// The operator's API refused the order.
+        Refused { text: String } {
+            display("{text}")
+        }
+        /// Standard output or another local resource failed.
+        Io(cause: std::io::Error) {
+            display("{cause}")
+            source(cause)
+            from()
+        }
+    }
+}
+
+fn lines(faults: &[Fault]) -> String {
+    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,15 @@
+//! Commands, settings and logs of the `radishpin` binary.
+//!
+//! [`main`] picks a [`Command`], reads its settings from flags and environment, and runs it.
+
+mod command;
+mod error;
+mod logging;
+mod run;
+mod settings;
+
+pub use command::{Command, CommandSpec};
+pub use error::CommandError;
+pub use logging::{format_record, start_logging};
+pub use run::{Outcome, evaluate, main};
+pub use settings::{Fault, Input, Kind, Presence, Setting, TimeSpec, Value, Values};
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,2 +1,7 @@
-//! placeholder
-fn main() {}
+//! The `radishpin` binary; everything it does is in the library beside it.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    radishpin_cli::main()
+}
--- /dev/null
+++ b/src/settings/input.rs
@@ -0,0 +1,29 @@
+//! Where settings come from.
+
+use std::{collections::BTreeMap, env};
+
+/// Arguments and environment of the process, or of a test.
+#[derive(Clone, Debug, Default)]
+pub struct Input {
+    /// Arguments without the program's name.
+    pub args: Vec<String>,
+    /// Environment variables.
+    pub env: BTreeMap<String, String>,
+}
+
+impl Input {
+    /// Arguments and environment of this process; text that is not UTF-8 becomes U+FFFD.
+    pub fn of_process() -> Self {
+        let args = env::args_os().skip(1);
+        let vars = env::vars_os();
+        Self {
+            args: args.map(|a| a.to_string_lossy().into_owned()).collect(),
+            env: vars
+                .map(|(name, value)| {
+                    let name = name.to_string_lossy().into_owned();
+                    (name, value.to_string_lossy().into_owned())
+                })
+                .collect(),
+        }
+    }
+}
--- /dev/null
+++ b/src/settings/values.rs
@@ -0,0 +1,304 @@
+//! Reading and checking the settings of one command.
+
+use super::{Fault, Input, Kind, Presence, Setting, TimeSpec, Value};
+use getopts::{Fail, Matches, Options};
+use radishpin_server::Token;
+use std::{collections::BTreeMap, fs, net::SocketAddr, time::Duration};
+
+/// The checked settings and operands of a command.
+#[derive(Clone, Debug, Default)]
+pub struct Values {
+    values: BTreeMap<&'static str, Value>,
+    operands: Vec<String>,
+    help: bool,
+}
+
+impl Values {
+    /// Reads all settings of `command`; returns what is sound, and every fault of the rest.
+    pub fn read(
+        command: &'static str,
+        settings: &[&'static Setting],
+        input: &Input,
+    ) -> (Self, Vec<Fault>) {
+        let mut faults = Vec::new();
+        let matches = parse_args(command, settings, &input.args, &mut faults);
+        let mut values = Self {
+            help: matches.opt_present("help"),
+            operands: matches.free.clone(),
+            ..Self::default()
+        };
+        for setting in settings {
+            match read_setting(setting, &matches, input) {
+                Ok(Some(value)) => {
+                    values.values.insert(setting.flag, value);
+                }
+                Ok(None) => {}
+                // A flag whose own form is at fault has been reported already.
+                Err(Fault::Missing { .. }) if was_reported(&faults, setting) => {}
+                Err(fault) => faults.push(fault),
+            }
+        }
+        (values, faults)
+    }
+
+    /// Whether `--help` was given.
+    pub fn wants_help(&self) -> bool {
+        self.help
+    }
+
+    /// Arguments that are no flags, in order.
+    pub fn operands(&self) -> &[String] {
+        &self.operands
+    }
+
+    /// Whether the switch is on.
+    pub fn switch(&self, setting: &Setting) -> bool {
+        matches!(self.values.get(setting.flag), Some(Value::Switch(true)))
+    }
+
+    /// Value of an optional text.
+    pub fn optional_text(&self, setting: &Setting) -> Option<&str> {
+        match self.values.get(setting.flag) {
+            Some(Value::Text(text)) => Some(text),
+            _ => None,
+        }
+    }
+
+    /// Value of an optional number.
+    pub fn optional_number(&self, setting: &Setting) -> Option<u64> {
+        match self.values.get(setting.flag) {
+            Some(Value::Number(number)) => Some(*number),
+            _ => None,
+        }
+    }
+
+    /// Value of an optional time.
+    pub fn optional_time(&self, setting: &Setting) -> Option<TimeSpec> {
+        match self.values.get(setting.flag) {
+            Some(Value::Time(time)) => Some(*time),
+            _ => None,
+        }
+    }
+
+    /// Value of a text.
+    ///
+    /// # Errors
+    /// It was not given.
+    pub fn text(&self, setting: &Setting) -> Result<String, Vec<Fault>> {
+        let text = self.optional_text(setting).map(ToOwned::to_owned);
+        text.ok_or_else(|| missing(setting))
+    }
+
+    /// Value of a number, in the type that the role uses.
+    ///
+    /// # Errors
+    /// It was not given, or does not fit the type.
+    pub fn number<T: TryFrom<u64>>(&self, setting: &Setting) -> Result<T, Vec<Fault>> {
+        let number = self.optional_number(setting);
+        number
+            .and_then(|number| T::try_from(number).ok())
+            .ok_or_else(|| missing(setting))
+    }
+
+    /// Value of an address.
+    ///
+    /// # Errors
+    /// It was not given.
+    pub fn address(&self, setting: &Setting) -> Result<SocketAddr, Vec<Fault>> {
+        match self.values.get(setting.flag) {
+            Some(Value::Address(address)) => Ok(*address),
+            _ => Err(missing(setting)),
+        }
+    }
+
+    /// Value of a duration.
+    ///
+    /// # Errors
+    /// It was not given.
+    pub fn duration(&self, setting: &Setting) -> Result<Duration, Vec<Fault>> {
+        match self.values.get(setting.flag) {
+            Some(Value::Duration(duration)) => Ok(*duration),
+            _ => Err(missing(setting)),
+        }
+    }
+
+    /// Value of a token.
+    ///
+    /// # Errors
+    /// It was not given.
+    pub fn token(&self, setting: &Setting) -> Result<Token, Vec<Fault>> {
+        match self.values.get(setting.flag) {
+            Some(Value::Token(token)) => Ok(token.clone()),
+            _ => Err(missing(setting)),
+        }
+    }
+}
+
+fn missing(setting: &Setting) -> Vec<Fault> {
+    vec![Fault::Missing {
+        setting: setting.label(),
+        allowed: setting.kind.allowed(),
+    }]
+}
+
+fn was_reported(faults: &[Fault], setting: &Setting) -> bool {
+    let own = format!("--{}", setting.flag);
+    faults.iter().any(|fault| match fault {
+        Fault::NoValue { flag, .. } | Fault::UnwantedValue { flag } => *flag == own,
+        _ => false,
+    })
+}
+
+fn read_setting(
+    setting: &Setting,
+    matches: &Matches,
+    input: &Input,
+) -> Result<Option<Value>, Fault> {
+    if matches.opt_present(setting.flag) {
+        let text = matches.opt_str(setting.flag);
+        return match (setting.kind, text) {
+            (Kind::Switch, _) => Ok(Some(Value::Switch(true))),
+            (Kind::Token, Some(path)) => read_token_file(setting, &path).map(Some),
+            (_, text) => read_text(setting, &text.unwrap_or_default(), "").map(Some),
+        };
+    }
+    if let Some((env, text)) = setting.env.and_then(|env| input.env.get_key_value(env)) {
+        return match setting.kind {
+            Kind::Token => read_token(setting, env, text).map(Some),
+            _ => read_text(setting, text, env).map(Some),
+        };
+    }
+    match setting.presence {
+        Presence::Default(text) => read_text(setting, text, "").map(Some),
+        Presence::Optional => Ok(None),
+        Presence::Required => Err(Fault::Missing {
+            setting: setting.label(),
+            allowed: setting.kind.allowed(),
+        }),
+    }
+}
+
+fn read_text(setting: &Setting, text: &str, env: &str) -> Result<Value, Fault> {
+    setting.kind.parse(text).ok_or_else(|| Fault::NotAllowed {
+        setting: source_label(setting, env),
+        value: text.to_owned(),
+        allowed: setting.kind.allowed(),
+    })
+}
+
+fn read_token_file(setting: &Setting, path: &str) -> Result<Value, Fault> {
+    let text = fs::read_to_string(path).map_err(|cause| Fault::NotAllowed {
+        setting: source_label(setting, ""),
+        value: path.to_owned(),
+        allowed: format!("a readable file ({cause})"),
+    })?;
+    read_token(setting, "", &text)
+}
+
+fn read_token(setting: &Setting, env: &str, text: &str) -> Result<Value, Fault> {
+    Token::new(text)
+        .map(Value::Token)
+        .map_err(|cause| Fault::SecretNotAllowed {
+            setting: source_label(setting, env),
+            cause: cause.to_string(),
+        })
+}
+
+fn source_label(setting: &Setting, env: &str) -> String {
+    if env.is_empty() {
+        return format!("--{}", setting.flag);
+    }
+    format!("--{} (from {env})", setting.flag)
+}
+
+/// Parses the arguments, taking out each one at fault so that the rest is checked too.
+fn parse_args(
+    command: &'static str,
+    settings: &[&'static Setting],
+    args: &[String],
+    faults: &mut Vec<Fault>,
+) -> Matches {
+    let options = options(settings);
+    let mut args = args.to_vec();
+    loop {
+        let fail = match options.parse(&args) {
+            Ok(matches) => return matches,
+            Err(fail) => fail,
+        };
+        let name = flag_name(&fail);
+        faults.push(flag_fault(command, settings, &fail));
+        let Some(position) = args.iter().rposition(|arg| is_flag(arg, name)) else {
+            // Not found again: check the rest without any argument.
+            args.clear();
+            continue;
+        };
+        let flag = args.remove(position);
+        let has_own_value = matches!(fail, Fail::OptionDuplicated(_))
+            && !flag.contains('=')
+            && takes_value(settings, name)
+            && position < args.len();
+        if has_own_value {
+            args.remove(position);
+        }
+    }
+}
+
+fn takes_value(settings: &[&'static Setting], name: &str) -> bool {
+    let setting = settings.iter().find(|setting| setting.flag == name);
+    setting.is_some_and(|setting| setting.kind != Kind::Switch)
+}
+
+fn options(settings: &[&'static Setting]) -> Options {
+    let mut options = Options::new();
+    options.optflag("", "help", "");
+    for setting in settings {
+        match setting.kind {
+            Kind::Switch => options.optflag("", setting.flag, ""),
+            _ => options.optopt("", setting.flag, "", ""),
+        };
+    }
+    options
+}
+
+fn flag_name(fail: &Fail) -> &str {
+    match fail {
+        Fail::ArgumentMissing(name)
+        | Fail::UnrecognizedOption(name)
+        | Fail::OptionMissing(name)
+        | Fail::OptionDuplicated(name)
+        | Fail::UnexpectedArgument(name) => name,
+    }
+}
+
+fn is_flag(arg: &str, name: &str) -> bool {
+    let Some(flag) = arg.strip_prefix('-') else {
+        return false;
+    };
+    match flag.strip_prefix('-') {
+        Some(long) => long.split('=').next() == Some(name),
+        None => flag.contains(name),
+    }
+}
+
+fn flag_fault(command: &'static str, settings: &[&'static Setting], fail: &Fail) -> Fault {
+    let name = flag_name(fail);
+    let flag = match name.chars().count() {
+        1 => format!("-{name}"),
+        _ => format!("--{name}"),
+    };
+    match fail {
+        Fail::ArgumentMissing(_) => {
+            let setting = settings.iter().find(|setting| setting.flag == name);
+            let allowed = setting.map(|setting| setting.kind.allowed());
+            Fault::NoValue {
+                flag,
+                allowed: allowed.unwrap_or_default(),
+            }
+        }
+        Fail::UnrecognizedOption(_) | Fail::OptionMissing(_) => {
+            Fault::UnknownFlag { flag, command }
+        }
+        Fail::OptionDuplicated(_) => Fault::Repeated { flag },
+        Fail::UnexpectedArgument(_) => Fault::UnwantedValue { flag },
+    }
+}
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,102 @@
+//! Settings: flags win over the environment, and every fault is reported at once.
+
+use radishpin_cli::{Command, Fault, Input, Outcome, evaluate};
+use std::collections::BTreeMap;
+
+const NODE: &str = "node --name n1 --availability-zone gondar --host h1 --platform 127.0.0.1:9000";
+const TOKENS: [(&str, &str); 2] = [
+    ("RADISHPIN_TOKEN", "0123456789abcdef"),
+    ("RADISHPIN_INTERNAL_TOKEN", "fedcba9876543210"),
+];
+
+fn input(args: &str, env: &[(&str, &str)]) -> Input {
+    Input {
+        args: args.split_whitespace().map(str::to_owned).collect(),
+        env: env
+            .iter()
+            .map(|(name, value)| ((*name).to_owned(), (*value).to_owned()))
+            .collect::<BTreeMap<_, _>>(),
+    }
+}
+
+fn faults(args: &str, env: &[(&str, &str)]) -> String {
+    match evaluate(&input(args, env)) {
+        Outcome::Bad(faults) => lines(&faults),
+        other => format!("{other:?}"),
+    }
+}
+
+fn lines(faults: &[Fault]) -> String {
+    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
+
+#[test]
+fn all_faults_are_reported_at_once() {
+    let args = "node --name bad/name --availability-zone --listen 8080 --threads 0 \
+                --poll-interval 1h --drain-timeout soon --colour red --platform 127.0.0.1:9000 --threads 3";
+    let env = [
+        ("RADISHPIN_TOKEN", "short-secret"),
+        ("RADISHPIN_BODY_LIMIT_BYTES", "12"),
+    ];
+    insta::assert_snapshot!(faults(args, &env));
+}
+
+#[test]
+fn secrets_never_show_in_faults_or_debug_output() {
+    let shown = faults(NODE, &[("RADISHPIN_TOKEN", "short-secret")]);
+    assert!(!shown.contains("short-secret"), "{shown}");
+    let outcome = format!("{:?}", evaluate(&input(NODE, &TOKENS)));
+    assert!(outcome.starts_with("Run(Node"), "{outcome}");
+    assert!(!outcome.contains("0123456789abcdef"), "{outcome}");
+}
+
+#[test]
+fn a_flag_wins_over_the_environment() {
+    let env = [TOKENS[0], TOKENS[1], ("RADISHPIN_THREADS", "999")];
+    insta::assert_snapshot!(
+        faults(NODE, &env),
+        @r#"--threads (from RADISHPIN_THREADS): "999" is not allowed; allowed: 1 to 256 threads"#
+    );
+    let args = format!("{NODE} --threads 2");
+    let Outcome::Run(Command::Node, _) = evaluate(&input(&args, &env)) else {
+        panic!("the flag must win");
+    };
+}
+
+#[test]
+fn rules_between_settings_are_checked() {
+    let agent = "agent --name e1 --availability-zone gondar --host h1 --platform 127.0.0.1:9000 \
+                 --endpoint 127.0.0.1:7000 --service drafting";
+    let plain = format!("{agent} --kind plain --memory-mb 5");
+    insta::assert_snapshot!(faults(agent, &TOKENS), @"--memory-mb or RADISHPIN_MEMORY_MB: 0 contradicts another setting; allowed: 1 to 16777216 MiB with --kind models");
+    insta::assert_snapshot!(faults(&plain, &TOKENS), @"--memory-mb or RADISHPIN_MEMORY_MB: 5 contradicts another setting; allowed: 0 with --kind plain");
+}
+
+#[test]
+fn check_finds_the_same_faults_as_the_role() {
+    let checked = format!("check {NODE} --threads 0");
+    let started = format!("{NODE} --threads 0");
+    assert_eq!(faults(&checked, &TOKENS), faults(&started, &TOKENS));
+    let Outcome::Checked(Command::Node) = evaluate(&input(&format!("check {NODE}"), &TOKENS))
+    else {
+        panic!("sound settings must pass");
+    };
+}
+
+#[test]
+fn a_token_file_that_is_missing_is_a_fault() {
+    let args = format!("{NODE} --token-file /no/such/file");
+    insta::assert_snapshot!(faults(&args, &TOKENS), @r#"--token-file: "/no/such/file" is not allowed; allowed: a readable file (No such file or directory (os error 2))"#);
+}
+
+#[test]
+fn unknown_commands_and_operands_name_what_is_allowed() {
+    insta::assert_snapshot!(faults("serve", &[]), @"serve: not allowed here; allowed: try, node, agent, standin, check, profile, stop, status");
+    insta::assert_snapshot!(faults("", &[]), @"no command: not allowed here; allowed: try, node, agent, standin, check, profile, stop, status");
+    insta::assert_snapshot!(faults("try now", &[]), @"now: not allowed here; allowed: flags only");
+    insta::assert_snapshot!(faults("try -x --seed", &[]), @"
+    -x: unknown flag; see `radishpin try --help`
+    --seed: has no value; allowed: 0 to 18446744073709551615 as a seed
+    ");
+}
