--- a/crates/radishpin-protocol/src/lib.rs
+++ b/crates/radishpin-protocol/src/lib.rs
@@ -1,6 +1,7 @@
 //! Ids, messages, durable records and result codes shared by every part of radishpin.
 
 mod code;
+mod error_body;
 mod id;
 mod profile;
 mod record;
@@ -15,6 +16,7 @@
 pub mod prelude;
 
 pub use code::{Ran, ResultCode};
+pub use error_body::{ErrorBody, ErrorDetail};
 pub use id::*;
 pub use profile::{Class, PROFILE_FORMAT, Profile, ProfileError};
 pub use record::*;
--- a/crates/radishpin-protocol/src/profile.rs
+++ b/crates/radishpin-protocol/src/profile.rs
@@ -70,11 +70,19 @@
     /// # Errors
     /// All faults found: one where the text is malformed, else one for each field out of range.
     pub fn parse(text: &str) -> Result<Self, Vec<ProfileError>> {
+        // A derived reader would also take an array of the fields in order.
+        if !text.trim_start().starts_with('{') {
+            return Err(vec![ProfileError::Malformed {
+                path: ".".into(),
+                cause: "expected an object".into(),
+            }]);
+        }
         let mut deserializer = serde_json::Deserializer::from_str(text);
         let profile: Self = serde_path_to_error::deserialize(&mut deserializer).map_err(|e| {
+            let cause = e.inner().to_string();
             vec![ProfileError::Malformed {
-                path: e.path().to_string(),
-                cause: e.inner().to_string(),
+                path: field_path(e.path().to_string(), &cause),
+                cause,
             }]
         })?;
         deserializer.end().map_err(|e| {
@@ -124,6 +132,18 @@
     }
 }
 
+/// The path of the field at fault; `serde` names a missing or repeated field in its message alone.
+fn field_path(path: String, cause: &str) -> String {
+    let named = ["missing field `", "duplicate field `"]
+        .iter()
+        .find_map(|lead| cause.strip_prefix(lead)?.split('`').next());
+    match named {
+        Some(field) if path == "." => field.to_owned(),
+        Some(field) => format!("{path}.{field}"),
+        None => path,
+    }
+}
+
 fn widen(range: &RangeInclusive<u32>) -> RangeInclusive<u64> {
     u64::from(*range.start())..=u64::from(*range.end())
 }
