--- a/crates/radishpin-server/src/lib.rs
+++ b/crates/radishpin-server/src/lib.rs
@@ -1,6 +1,7 @@
 //! The node and agent processes of radishpin.
 
 mod rpc;
-mod settings;
+pub mod settings;
+mod token;
 
-pub use settings::{AgentSettings, NodeSettings, OrderCheck, Token};
+pub use token::{Token, TokenError};
--- a/crates/radishpin-server/src/rpc/channel.rs
+++ b/crates/radishpin-server/src/rpc/channel.rs
@@ -1,7 +1,7 @@
 //! Calling side: a client connection that is made on demand and made anew after a failure.
 
 use super::listener::SmolExecutor;
-use crate::settings::Token;
+use crate::Token;
 use http::{HeaderValue, Request, Response, Uri, header::AUTHORIZATION, uri::PathAndQuery};
 use hyper::{
     body::Incoming,
@@ -81,7 +81,7 @@
 impl Channel {
     /// A channel to `address` whose calls carry `token`; it connects at the first call.
     pub fn new(runtime: Runtime, address: SocketAddr, token: &Token) -> Self {
-        let authorization = HeaderValue::from_str(&format!("Bearer {}", token.expose())).ok();
+        let authorization = HeaderValue::from_str(&token.authorization()).ok();
         let sender = Mutex::new(None);
         let connecting = AsyncMutex::new(());
         Self {
--- a/crates/radishpin-server/src/rpc/token.rs
+++ b/crates/radishpin-server/src/rpc/token.rs
@@ -1,6 +1,6 @@
 //! The token that every call between radishpin's processes carries.
 
-use crate::settings::Token;
+use crate::Token;
 use radishpin_protocol::ResultCode;
 use tonic::{Status, metadata::MetadataMap};
 
--- a/crates/radishpin-server/src/settings.rs
+++ b/crates/radishpin-server/src/settings.rs
@@ -1,111 +1,85 @@
-//! Settings of the roles, already read and checked.
+//! Settings of the roles, already parsed and checked by the binary.
 
-use radishpin_protocol::{
-    AvailabilityZone, EndpointId, HostId, NodeId, ServiceId, ServiceKind, SizeMb,
-};
-use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
-use subtle::ConstantTimeEq;
+use crate::Token;
+use radishpin_http::ServerLimits;
+use radishpin_protocol::{AvailabilityZone, EndpointId, HostId, NodeId, ServiceId, SizeMb};
+use std::{net::SocketAddr, time::Duration};
 
-/// A secret that proves that a caller may give orders.
-#[derive(Clone)]
-pub struct Token(Arc<str>);
+pub use radishpin_protocol::ServiceKind;
 
-impl Token {
-    /// Wraps a secret.
-    pub fn new(secret: &str) -> Self {
-        Self(secret.into())
-    }
-
-    /// Compares in time that does not depend on where the two differ.
-    pub fn matches(&self, presented: &str) -> bool {
-        self.0.as_bytes().ct_eq(presented.as_bytes()).into()
-    }
-
-    /// The secret, for the header of a call.
-    pub fn expose(&self) -> &str {
-        &self.0
-    }
-}
-
-impl fmt::Debug for Token {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("Token(redacted)")
-    }
-}
-
-/// Whether an endpoint refuses an order whose number is older than one it has seen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum OrderCheck {
-    /// It refuses old orders.
-    Checked,
-    /// It carries out every order.
-    Ignored,
-}
-
-/// Settings of `radishpin node`.
+/// Settings of a node.
 #[derive(Clone, Debug)]
 pub struct NodeSettings {
-    /// Name of the node.
+    /// Name of the node, unique among nodes.
     pub name: NodeId,
-    /// Its host.
-    pub host: HostId,
-    /// Its availability zone.
+    /// Availability zone that the node runs in.
     pub availability_zone: AvailabilityZone,
-    /// Address for callers.
+    /// Host that the node runs on, as the platform's host list names it.
+    pub host: HostId,
+    /// Address of the callers' listener.
     pub listen: SocketAddr,
-    /// Address for operators.
+    /// Address of the operators' listener.
     pub operator_listen: SocketAddr,
-    /// Address for other nodes.
+    /// Address of the listener for other nodes.
     pub peer_listen: SocketAddr,
-    /// Address of the platform's HTTP interface.
+    /// HTTP address of the platform.
     pub platform: SocketAddr,
     /// Token that operators present.
-    pub operator_token: Token,
-    /// Token between nodes and agents.
+    pub token: Token,
+    /// Token that the system's own processes present to each other.
     pub internal_token: Token,
     /// Worker threads.
     pub threads: usize,
-    /// Largest body of a caller's request.
-    pub body_limit_bytes: usize,
-    /// Time that running requests get when the node stops.
+    /// Bounds on callers' connections and requests.
+    pub limits: ServerLimits,
+    /// Longest time that running requests get when the node stops.
     pub drain_timeout: Duration,
-    /// Time between reads of the head row.
+    /// Time between two reads of the head row.
     pub poll_interval: Duration,
 }
 
-/// Settings of `radishpin agent`.
+/// Settings of an agent.
 #[derive(Clone, Debug)]
 pub struct AgentSettings {
-    /// Name of the endpoint.
-    pub endpoint: EndpointId,
-    /// Host of the agent and its endpoint.
-    pub host: HostId,
-    /// Availability zone of the host.
+    /// Name of the endpoint beside the agent, unique among endpoints.
+    pub name: EndpointId,
+    /// Availability zone that the endpoint runs in.
     pub availability_zone: AvailabilityZone,
-    /// Address for nodes.
+    /// Host of the endpoint, as the platform's host list names it.
+    pub host: HostId,
+    /// Address of the listener for nodes.
     pub listen: SocketAddr,
-    /// Address of the endpoint: a model engine or a plain service.
-    pub endpoint_address: SocketAddr,
-    /// The service that the endpoint belongs to.
+    /// HTTP address of the model engine or plain service.
+    pub endpoint: SocketAddr,
+    /// Service that the endpoint belongs to.
     pub service: ServiceId,
     /// What the endpoint does.
     pub kind: ServiceKind,
-    /// Accelerator memory; 0 for a plain service.
+    /// Accelerator memory of the endpoint; 0 for a plain service.
     pub memory_mb: SizeMb,
     /// Calls that the endpoint works on at once.
     pub concurrency: u32,
-    /// Whether the endpoint refuses old orders.
-    pub order_check: OrderCheck,
-    /// Longest time that an order may still take effect after it was sent.
-    pub order_life: Duration,
-    /// Address of the platform's HTTP interface.
+    /// Whether the endpoint checks fencing numbers.
+    pub fencing: Fencing,
+    /// HTTP address of the platform.
     pub platform: SocketAddr,
-    /// Token between nodes and agents.
+    /// Token that the system's own processes present to each other.
     pub internal_token: Token,
     /// Worker threads.
     pub threads: usize,
-    /// Calls that may wait at the agent.
-    pub queue_places: usize,
-    /// Time that running calls get when the agent stops.
+    /// Calls that may wait for the endpoint at once.
+    pub queue_places: u32,
+    /// Longest time after which an order sent to the endpoint may still take effect.
+    pub order_life: Duration,
+    /// Longest time that running calls get when the agent stops.
     pub drain_timeout: Duration,
 }
+
+/// What an endpoint does with an order that carries an old fencing number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Fencing {
+    /// It refuses the order.
+    Checked,
+    /// It carries the order out.
+    Ignored,
+}
