--- a/crates/radishpin-core/src/request/keyed_call.rs
+++ b/crates/radishpin-core/src/request/keyed_call.rs
@@ -17,7 +17,8 @@
 pub type Fingerprint = String;
 
 /// Where and when an attempt of a keyed call was to be sent.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Dispatch {
     /// Id of the write that announced it; unique.
     pub operation: String,
@@ -34,7 +35,8 @@
 }
 
 /// The answer of a finished call.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Answer {
     /// In the row.
@@ -73,7 +75,8 @@
 }
 
 /// The durable row of a keyed call.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "state", rename_all = "snake_case")]
 pub enum KeyedRow {
     /// An attempt may have been sent; its outcome is not recorded.
--- a/crates/radishpin-protocol/src/engine.rs
+++ b/crates/radishpin-protocol/src/engine.rs
@@ -127,12 +127,26 @@
     pub change: CacheChange,
 }
 
+/// A target that takes accelerator memory.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Resident {
+    /// What it is.
+    pub target: LoadTarget,
+    /// Accelerator memory that it takes.
+    pub size_mb: SizeMb,
+}
+
 /// State of an engine, some time ago.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct EngineReport {
     /// Number of the report; a later state has a greater number.
     pub report_sequence: u64,
+    /// Identity of the engine's present life; a restart changes it.
+    pub instance: u64,
+    /// Time by which the report lags behind the state at most.
+    pub lag_ms: u64,
     /// Highest order whose effect the report shows; zero after a restart of the engine.
     pub as_of: OrderNumber,
     /// Accelerator memory.
@@ -140,9 +154,11 @@
     /// Accelerator memory of what is loaded or loading.
     pub used_mb: SizeMb,
     /// What is loaded.
-    pub loaded: Vec<LoadTarget>,
+    pub loaded: Vec<Resident>,
     /// What is loading.
-    pub loading: Vec<LoadTarget>,
+    pub loading: Vec<Resident>,
+    /// What is being unloaded and still takes memory.
+    pub unloading: Vec<Resident>,
     /// Where checkpoints are; a model that is not listed is remote.
     pub tiers: BTreeMap<ModelId, Tier>,
     /// Calls that run.
--- a/crates/radishpin-protocol/src/error_body.rs
+++ b/crates/radishpin-protocol/src/error_body.rs
@@ -4,14 +4,16 @@
 use serde::{Deserialize, Serialize};
 
 /// `{"error": {..}}`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ErrorBody {
     /// What went wrong.
     pub error: ErrorDetail,
 }
 
 /// What went wrong, and what can be done.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ErrorDetail {
     /// Number of the result code.
     pub code: u32,
--- /dev/null
+++ b/crates/radishpin-server/src/agent/connection.rs
@@ -0,0 +1,8 @@
+//! What lives for a connection: calls to the endpoint and calls from nodes.
+
+mod endpoint;
+mod handlers;
+mod orders;
+
+pub(super) use endpoint::{Endpoint, EndpointAnswer, EndpointError, StreamEvent};
+pub(super) use handlers::AgentService;
--- /dev/null
+++ b/crates/radishpin-server/src/agent/connection/endpoint.rs
@@ -0,0 +1,267 @@
+//! Calls to the endpoint: completions at a model engine, any call at a plain service.
+
+use futures_lite::{AsyncBufReadExt, AsyncReadExt};
+use http_types::{Method, Request, Response, StatusCode, Url, headers::HeaderName};
+use quick_error::quick_error;
+use radishpin_http::{Client, ClientError, ClientLimits};
+use radishpin_protocol::{
+    ServiceKind,
+    engine::{
+        EngineErrorBody, EngineErrorKind, PRIORITY_HEADER, REQUEST_ID_HEADER,
+        RESUME_OFFSET_HEADER, STREAM_END,
+    },
+    wire::{ExecuteRequest, Header},
+};
+use serde::Deserialize;
+use std::{net::SocketAddr, str::FromStr};
+
+/// Largest line of an event stream.
+const EVENT_BYTES_MAX: usize = 1024 * 1024;
+/// Idle connections kept to the endpoint.
+const IDLE_CONNECTIONS: usize = 256;
+/// Headers that belong to one connection and are not passed on.
+const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "keep-alive",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+quick_error! {
+    /// Why a call to the endpoint brought no whole answer.
+    #[derive(Debug)]
+    #[allow(missing_docs)]
+    pub(in crate::agent) enum EndpointError {
+        /// Nothing was sent.
+        Connect(cause: String) {
+            display("the endpoint cannot be reached: {cause}")
+        }
+        /// The request cannot be sent as HTTP; nothing was sent.
+        Malformed(cause: String) {
+            display("the request cannot be passed on: {cause}")
+        }
+        /// The model is not loaded; it did not run.
+        NotLoaded {
+            display("the endpoint does not have the model loaded")
+        }
+        /// The endpoint takes no call now; it did not run.
+        Refused {
+            display("the endpoint refused the call")
+        }
+        /// The answer belongs to another attempt.
+        Crossed {
+            display("the endpoint answered another request")
+        }
+        /// The connection failed after sending.
+        Broken(cause: String) {
+            display("the connection to the endpoint broke: {cause}")
+        }
+        /// The answer ended too early.
+        Truncated {
+            display("the endpoint's answer ended too early")
+        }
+    }
+}
+
+/// One part of an event stream.
+#[derive(Debug)]
+pub(in crate::agent) enum StreamEvent {
+    /// Payload of an event.
+    Data(Vec<u8>),
+    /// The stream is complete.
+    Done,
+}
+
+/// The endpoint beside the agent.
+#[derive(Clone, Debug)]
+pub(in crate::agent) struct Endpoint {
+    pub(super) client: Client,
+    pub(super) address: SocketAddr,
+    kind: ServiceKind,
+}
+
+impl Endpoint {
+    /// The endpoint at `address`.
+    pub(in crate::agent) fn new(address: SocketAddr, kind: ServiceKind) -> Self {
+        let limits = ClientLimits {
+            idle_connections: IDLE_CONNECTIONS,
+            ..ClientLimits::default()
+        };
+        Self {
+            client: Client::new(limits),
+            address,
+            kind,
+        }
+    }
+
+    /// Sends a call and returns when the head of the answer is there.
+    pub(in crate::agent) async fn call(
+        &self,
+        call: &ExecuteRequest,
+    ) -> Result<EndpointAnswer, EndpointError> {
+        let attempt = format!("{}/{}", call.request_id, call.attempt);
+        let request = self.request_of(call, &attempt)?;
+        let response = self.client.send(self.address, request).await?;
+        let answer = EndpointAnswer { response, attempt };
+        match self.kind {
+            ServiceKind::Models => answer.check_engine().await,
+            ServiceKind::Plain => Ok(answer),
+        }
+    }
+
+    pub(super) fn url(&self, path: &str) -> Result<Url, EndpointError> {
+        Url::parse(&format!("http://{}{path}", self.address))
+            .map_err(|e| EndpointError::Malformed(e.to_string()))
+    }
+
+    fn request_of(&self, call: &ExecuteRequest, attempt: &str) -> Result<Request, EndpointError> {
+        let method = Method::from_str(&call.method)
+            .map_err(|e| EndpointError::Malformed(e.to_string()))?;
+        let mut request = Request::new(method, self.url(&call.path)?);
+        request.set_body(call.body.clone());
+        for header in &call.headers {
+            copy_header(&mut request, header);
+        }
+        request.insert_header(REQUEST_ID_HEADER, attempt);
+        request.insert_header(PRIORITY_HEADER, call.priority.to_string());
+        if call.resume_offset > 0 {
+            request.insert_header(RESUME_OFFSET_HEADER, call.resume_offset.to_string());
+        }
+        Ok(request)
+    }
+}
+
+impl From<ClientError> for EndpointError {
+    fn from(error: ClientError) -> Self {
+        match error {
+            ClientError::Connect(cause) => Self::Connect(cause.to_string()),
+            ClientError::Broken(cause) => Self::Broken(cause),
+        }
+    }
+}
+
+fn copy_header(request: &mut Request, header: &Header) {
+    let Ok(name) = HeaderName::from_str(&header.name) else {
+        return;
+    };
+    let Ok(value) = std::str::from_utf8(&header.value) else {
+        return;
+    };
+    if !HOP_BY_HOP.contains(&name.as_str()) {
+        request.append_header(name, value);
+    }
+}
+
+/// An answer whose head is there and whose body is still coming.
+#[derive(Debug)]
+pub(in crate::agent) struct EndpointAnswer {
+    response: Response,
+    attempt: String,
+}
+
+/// The field of an event that tells whose it is.
+#[derive(Deserialize)]
+struct EventIdentity<'a> {
+    #[serde(borrow)]
+    id: Option<&'a str>,
+}
+
+impl EndpointAnswer {
+    /// HTTP status.
+    pub(in crate::agent) fn status(&self) -> u16 {
+        self.response.status().into()
+    }
+
+    /// Headers that may be passed on.
+    pub(in crate::agent) fn headers(&self) -> Vec<Header> {
+        let passed = self.response.iter().filter(|(name, _)| {
+            !HOP_BY_HOP.contains(&name.as_str()) && name.as_str() != REQUEST_ID_HEADER
+        });
+        passed
+            .flat_map(|(name, values)| values.iter().map(move |value| (name, value)))
+            .map(|(name, value)| Header {
+                name: name.as_str().to_owned(),
+                value: value.as_str().as_bytes().to_vec(),
+            })
+            .collect()
+    }
+
+    /// Whether the body is a stream of server-sent events.
+    pub(in crate::agent) fn is_event_stream(&self) -> bool {
+        let content_type = self.response.content_type();
+        content_type.is_some_and(|mime| mime.essence() == "text/event-stream")
+    }
+
+    /// The next bytes of the body, at most `limit`; empty at its end.
+    pub(in crate::agent) async fn next_bytes(
+        &mut self,
+        limit: usize,
+    ) -> Result<Vec<u8>, EndpointError> {
+        let mut bytes = vec![0; limit];
+        let length = self.response.read(&mut bytes).await.map_err(broken)?;
+        bytes.truncate(length);
+        Ok(bytes)
+    }
+
+    /// The next event of the stream.
+    pub(in crate::agent) async fn next_event(&mut self) -> Result<StreamEvent, EndpointError> {
+        let mut line = String::new();
+        loop {
+            line.clear();
+            let limited = &mut (&mut self.response).take(EVENT_BYTES_MAX as u64);
+            let length = limited.read_line(&mut line).await.map_err(broken)?;
+            if length == 0 || !line.ends_with('\n') {
+                return Err(EndpointError::Truncated);
+            }
+            match line.trim_end().strip_prefix("data: ") {
+                None => continue,
+                Some(STREAM_END) => return Ok(StreamEvent::Done),
+                Some(data) => {
+                    self.check_event(data)?;
+                    return Ok(StreamEvent::Data(data.as_bytes().to_vec()));
+                }
+            }
+        }
+    }
+
+    fn check_event(&self, data: &str) -> Result<(), EndpointError> {
+        let identity: EventIdentity =
+            serde_json::from_str(data).map_err(|e| EndpointError::Broken(e.to_string()))?;
+        match identity.id {
+            Some(id) if id != self.attempt => Err(EndpointError::Crossed),
+            _ => Ok(()),
+        }
+    }
+
+    async fn check_engine(mut self) -> Result<Self, EndpointError> {
+        let echoed = self.response.header(REQUEST_ID_HEADER).map(|values| values.as_str());
+        if echoed.is_some_and(|echoed| echoed != self.attempt) {
+            return Err(EndpointError::Crossed);
+        }
+        match self.response.status() {
+            StatusCode::Conflict | StatusCode::ServiceUnavailable => self.engine_refusal().await,
+            _ => Ok(self),
+        }
+    }
+
+    async fn engine_refusal(&mut self) -> Result<Self, EndpointError> {
+        let body: EngineErrorBody = self
+            .response
+            .body_json()
+            .await
+            .map_err(|e| EndpointError::Broken(e.to_string()))?;
+        Err(match body.error.kind {
+            EngineErrorKind::ModelNotLoaded => EndpointError::NotLoaded,
+            _ => EndpointError::Refused,
+        })
+    }
+}
+
+fn broken(cause: std::io::Error) -> EndpointError {
+    EndpointError::Broken(cause.to_string())
+}
--- /dev/null
+++ b/crates/radishpin-server/src/agent/connection/handlers.rs
@@ -0,0 +1,92 @@
+//! The agent's `tonic` service: every call needs the internal token.
+
+use crate::{
+    agent::{Agent, request::AttemptStream},
+    rpc::require_token,
+};
+use radishpin_core::request::TombstoneOutcome;
+use radishpin_protocol::{
+    prelude::*,
+    wire::{
+        ExecuteRequest, SyncReply, SyncRequest, TombstoneReply, TombstoneRequest, agent_server,
+        tombstone_reply,
+    },
+};
+use std::sync::Arc;
+use tonic::{Request, Response, Status};
+
+/// Largest request id.
+const REQUEST_ID_BYTES_MAX: usize = 256;
+
+/// The service as nodes call it.
+#[derive(Clone, Debug)]
+pub(in crate::agent) struct AgentService {
+    agent: Arc<Agent>,
+}
+
+impl AgentService {
+    /// The service of `agent`.
+    pub(in crate::agent) fn new(agent: Arc<Agent>) -> Self {
+        Self { agent }
+    }
+}
+
+#[tonic::async_trait]
+impl agent_server::Agent for AgentService {
+    type ExecuteStream = AttemptStream;
+
+    async fn execute(
+        &self,
+        request: Request<ExecuteRequest>,
+    ) -> Result<Response<Self::ExecuteStream>, Status> {
+        require_token(request.metadata(), &self.agent.settings.internal_token)?;
+        let call = request.into_inner();
+        check_request_id(&call.request_id, call.attempt)?;
+        let agent = Arc::clone(&self.agent);
+        let stream = AttemptStream::new(|frames| agent.run_attempt(call, frames));
+        Ok(Response::new(stream))
+    }
+
+    async fn tombstone(
+        &self,
+        request: Request<TombstoneRequest>,
+    ) -> Result<Response<TombstoneReply>, Status> {
+        require_token(request.metadata(), &self.agent.settings.internal_token)?;
+        let call = request.into_inner();
+        check_request_id(&call.request_id, call.attempt)?;
+        let id = AttemptId {
+            request_id: call.request_id,
+            number: call.attempt,
+        };
+        let outcome = wire_outcome(self.agent.tombstone(&id));
+        Ok(Response::new(TombstoneReply {
+            outcome: outcome.into(),
+            incarnation: self.agent.incarnation(),
+        }))
+    }
+
+    async fn sync(&self, request: Request<SyncRequest>) -> Result<Response<SyncReply>, Status> {
+        require_token(request.metadata(), &self.agent.settings.internal_token)?;
+        Ok(Response::new(self.agent.sync(request.into_inner())))
+    }
+}
+
+// The size of `Status` is tonic's; every handler returns it.
+#[allow(clippy::result_large_err)]
+fn check_request_id(request_id: &str, attempt: u32) -> Result<(), Status> {
+    if request_id.is_empty() || request_id.len() > REQUEST_ID_BYTES_MAX || attempt == 0 {
+        return Err(Status::invalid_argument(
+            "request_id must have 1 to 256 bytes and attempt must be at least 1",
+        ));
+    }
+    Ok(())
+}
+
+const fn wire_outcome(outcome: TombstoneOutcome) -> tombstone_reply::Outcome {
+    match outcome {
+        TombstoneOutcome::NeverRuns => tombstone_reply::Outcome::NeverRuns,
+        TombstoneOutcome::Started => tombstone_reply::Outcome::Started,
+        TombstoneOutcome::Finished => tombstone_reply::Outcome::Finished,
+        TombstoneOutcome::Unknown => tombstone_reply::Outcome::Unspecified,
+    }
+}
--- /dev/null
+++ b/crates/radishpin-server/src/agent/connection/orders.rs
@@ -0,0 +1,110 @@
+//! Orders to a model engine and its reports.
+
+use super::endpoint::{Endpoint, EndpointError};
+use http_types::{Method, Request, StatusCode};
+use radishpin_core::process::{Order, OrderKind, OrderOutcome, Target};
+use radishpin_protocol::{
+    engine::{
+        self, EngineErrorBody, EngineErrorKind, EngineReport, LOAD_PATH, LoadTarget, REPORT_PATH,
+        UNLOAD_PATH,
+    },
+    prelude::*,
+};
+use radishpin_runtime::timeout;
+
+/// Time after which an engine that does not report counts as unreachable for now.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(2);
+
+impl Endpoint {
+    /// Gives an order and waits for its outcome, at most `limit`.
+    pub(in crate::agent) async fn order(&self, order: &Order, limit: Duration) -> OrderOutcome {
+        match timeout(limit, self.send_order(order)).await {
+            Some(outcome) => outcome,
+            None => OrderOutcome::Unknown,
+        }
+    }
+
+    /// Reads the engine's report.
+    ///
+    /// # Errors
+    /// The engine does not answer, or not with a report.
+    pub(in crate::agent) async fn report(&self) -> Result<EngineReport, EndpointError> {
+        let request = Request::new(Method::Get, self.url(REPORT_PATH)?);
+        let read = async {
+            let mut response = self.client.send(self.address, request).await?;
+            let report = response.body_json().await;
+            report.map_err(|e| EndpointError::Broken(e.to_string()))
+        };
+        match timeout(REPORT_TIMEOUT, read).await {
+            Some(report) => report,
+            None => Err(EndpointError::Broken("no report in time".to_owned())),
+        }
+    }
+
+    async fn send_order(&self, order: &Order) -> OrderOutcome {
+        let Ok(request) = self.order_request(order) else {
+            return OrderOutcome::Failed;
+        };
+        match self.client.send(self.address, request).await {
+            Ok(mut response) => match response.status() {
+                StatusCode::Ok => OrderOutcome::Done,
+                _ => outcome_of(response.body_json().await.ok()),
+            },
+            Err(radishpin_http::ClientError::Connect(_)) => OrderOutcome::Failed,
+            Err(radishpin_http::ClientError::Broken(_)) => OrderOutcome::Unknown,
+        }
+    }
+
+    fn order_request(&self, order: &Order) -> Result<Request, EndpointError> {
+        let path = match order.kind {
+            OrderKind::Load => LOAD_PATH,
+            OrderKind::Unload => UNLOAD_PATH,
+        };
+        let body = engine::Order {
+            target: load_target(&order.target),
+            size_mb: order.size_mb,
+            number: engine::OrderNumber {
+                incarnation: order.number.incarnation,
+                sequence: order.number.sequence,
+            },
+        };
+        let text =
+            serde_json::to_string(&body).map_err(|e| EndpointError::Malformed(e.to_string()))?;
+        let mut request = Request::new(Method::Post, self.url(path)?);
+        request.set_body(text);
+        request.set_content_type(http_types::mime::JSON);
+        Ok(request)
+    }
+}
+
+/// What an engine's refusal of an order says of its effect.
+fn outcome_of(body: Option<EngineErrorBody>) -> OrderOutcome {
+    match body.map(|body| body.error.kind) {
+        Some(
+            EngineErrorKind::StaleOrder
+            | EngineErrorKind::LoadFailed
+            | EngineErrorKind::BadRequest
+            | EngineErrorKind::UnknownPath,
+        ) => OrderOutcome::Failed,
+        _ => OrderOutcome::Unknown,
+    }
+}
+
+/// The engine's name of a target.
+pub(in crate::agent) fn load_target(target: &Target) -> LoadTarget {
+    match target {
+        Target::Model(model) => LoadTarget::model(model.clone()),
+        Target::Adapter { model, adapter } => LoadTarget::adapter(adapter.clone(), model.clone()),
+    }
+}
+
+/// The ledger's name of an engine's target.
+pub(in crate::agent) fn ledger_target(target: &LoadTarget) -> Target {
+    match &target.adapter {
+        None => Target::Model(target.model.clone()),
+        Some(adapter) => Target::Adapter {
+            model: target.model.clone(),
+            adapter: adapter.clone(),
+        },
+    }
+}
--- /dev/null
+++ b/crates/radishpin-server/src/agent/process.rs
@@ -0,0 +1,128 @@
+//! What lives as long as the agent's process.
+
+mod error;
+mod housekeeping;
+mod loader;
+mod meter;
+mod metrics;
+mod places;
+mod registration;
+mod run;
+
+pub use error::AgentError;
+
+use super::connection::Endpoint;
+use crate::{clock::Clock, settings::AgentSettings, shards::Shards};
+use event_listener::Event;
+use loader::Loader;
+use meter::LoadMeter;
+use metrics::AgentMetrics;
+use parking_lot::Mutex;
+use places::Places;
+use radishpin_core::{
+    process::ReplicaLedger,
+    request::{AttemptLedger, TombstoneOutcome},
+};
+use radishpin_http::Shutdown;
+use radishpin_protocol::{engine::Tier, prelude::*, wire::Load};
+use radishpin_runtime::Runtime;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+/// Shards of the ledger of attempts.
+const ATTEMPT_SHARDS: usize = 16;
+/// Attempts that one shard remembers.
+const ATTEMPTS_PER_SHARD: usize = 8 * 1024;
+/// Time that an attempt is remembered after its end. Longer than any message can be delayed:
+/// a connection without an answered ping closes within seconds.
+const ATTEMPT_KEEP: Duration = Duration::from_secs(60);
+
+/// An agent and its endpoint.
+#[derive(Debug)]
+pub struct Agent {
+    pub(super) settings: AgentSettings,
+    pub(super) runtime: Runtime,
+    pub(super) clock: Clock,
+    pub(super) endpoint: Endpoint,
+    /// `None` until the agent is registered.
+    pub(super) ledger: Mutex<Option<ReplicaLedger>>,
+    /// Notified after every change of the ledger.
+    pub(super) ledger_changed: Event,
+    /// Notified where the endpoint's report should be read at once.
+    pub(super) report_wanted: Event,
+    pub(super) attempts: Shards<AttemptLedger>,
+    pub(super) places: Places,
+    pub(super) loader: Loader,
+    pub(super) meter: LoadMeter,
+    pub(super) metrics: AgentMetrics,
+    pub(super) tiers: Mutex<BTreeMap<ModelId, Tier>>,
+    pub(super) incarnation: AtomicU64,
+    pub(super) told_to_leave: AtomicBool,
+    pub(super) shutdown: Shutdown,
+}
+
+impl Agent {
+    fn new(settings: AgentSettings, runtime: Runtime, shutdown: Shutdown) -> Self {
+        let endpoint = Endpoint::new(settings.endpoint, settings.kind);
+        let places = Places::new(settings.concurrency, settings.queue_places);
+        Self {
+            runtime,
+            clock: Clock::start(),
+            endpoint,
+            ledger: Mutex::new(None),
+            ledger_changed: Event::new(),
+            report_wanted: Event::new(),
+            attempts: Shards::new(ATTEMPT_SHARDS, || {
+                AttemptLedger::new(ATTEMPTS_PER_SHARD, ATTEMPT_KEEP)
+            }),
+            places,
+            loader: Loader::default(),
+            meter: LoadMeter::default(),
+            metrics: AgentMetrics::new(),
+            tiers: Mutex::default(),
+            incarnation: AtomicU64::new(0),
+            told_to_leave: AtomicBool::new(false),
+            shutdown,
+            settings,
+        }
+    }
+
+    /// Life of this process at its endpoint; 0 until it is registered.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation.load(Ordering::Acquire)
+    }
+
+    /// Whether new attempts are refused because the endpoint is to go.
+    pub fn leaving(&self) -> bool {
+        self.told_to_leave.load(Ordering::Acquire) || self.shutdown.has_begun()
+    }
+
+    /// Load of the endpoint now.
+    pub(super) fn load(&self) -> Load {
+        let (memory_used_mb, loading) = self.memory_and_loads();
+        Load {
+            running: self.places.running(),
+            queued: self.places.queued(),
+            concurrency: self.settings.concurrency,
+            memory_mb: self.settings.memory_mb,
+            memory_used_mb,
+            service_time_ms: self.meter.service_time_ms(),
+            load_time_ms: self.meter.load_time_ms(),
+            leaving: self.leaving(),
+            loading,
+        }
+    }
+
+    /// Makes sure that an attempt which has not started never starts.
+    pub(super) fn tombstone(&self, id: &AttemptId) -> TombstoneOutcome {
+        let now = self.clock.now();
+        self.attempts.with(id, |ledger| ledger.tombstone(id, now))
+    }
+
+    fn memory_and_loads(&self) -> (SizeMb, u32) {
+        let used_mb = match self.ledger.lock().as_ref() {
+            Some(ledger) => ledger.memory_used_mb(),
+            None => self.settings.memory_mb,
+        };
+        (used_mb, self.loader.in_flight())
+    }
+}
--- /dev/null
+++ b/crates/radishpin-server/src/agent/process/housekeeping.rs
@@ -0,0 +1,81 @@
+//! Regular work: reading reports, preloading and unloading, forgetting old attempts.
+
+use crate::agent::{Agent, connection::ledger_target};
+use radishpin_core::process::{EngineReport, OrderNumber};
+use radishpin_protocol::{ServiceKind, engine, prelude::*};
+use radishpin_runtime::{Runtime, timeout};
+use std::sync::Arc;
+
+/// Time between two reads of the endpoint's report, unless one is wanted at once.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+/// Shortest time between two reads.
+const REPORT_PAUSE: Duration = Duration::from_millis(20);
+/// Time between two rounds of preloading and unloading.
+const ROUND_INTERVAL: Duration = Duration::from_millis(100);
+
+impl Agent {
+    /// Reads the endpoint's reports until the process ends.
+    pub(super) async fn watch_endpoint(self: Arc<Self>) {
+        if self.settings.kind == ServiceKind::Plain {
+            return;
+        }
+        let mut sequence = 0;
+        loop {
+            let wanted = self.report_wanted.listen();
+            sequence += 1;
+            self.read_report(sequence).await;
+            Runtime::sleep(REPORT_PAUSE).await;
+            timeout(REPORT_INTERVAL, wanted).await;
+        }
+    }
+
+    /// Preloads, unloads and forgets until the process ends.
+    pub(super) async fn keep_house(self: Arc<Self>) {
+        loop {
+            Runtime::sleep(ROUND_INTERVAL).await;
+            let now = self.clock.now();
+            let orders = match self.ledger.lock().as_mut() {
+                Some(ledger) => ledger.housekeeping(now),
+                None => Vec::new(),
+            };
+            for order in orders {
+                self.perform(order);
+            }
+            self.attempts.for_each(|ledger| ledger.expire(now));
+        }
+    }
+
+    async fn read_report(&self, sequence: u64) {
+        let asked_at = self.clock.now();
+        let report = match self.endpoint.report().await {
+            Ok(report) => report,
+            Err(cause) => {
+                self.metrics.reports_missed.inc();
+                log::debug!(event = "report_missed", cause:% = cause; "no report");
+                return;
+            }
+        };
+        self.tiers.lock().clone_from(&report.tiers);
+        let observed = ledger_report(sequence, asked_at, &report);
+        let now = self.clock.now();
+        if let Some(ledger) = self.ledger.lock().as_mut() {
+            ledger.observe(&observed, now);
+        }
+        self.ledger_changed.notify(usize::MAX);
+    }
+}
+
+fn ledger_report(sequence: u64, asked_at: Duration, report: &engine::EngineReport) -> EngineReport {
+    EngineReport {
+        sequence,
+        instance: report.instance,
+        asked_at: asked_at.saturating_sub(Duration::from_millis(report.lag_ms)),
+        as_of: OrderNumber {
+            incarnation: report.as_of.incarnation,
+            sequence: report.as_of.sequence,
+        },
+        loaded: sizes(&report.loaded),
+        loading: sizes(&report.loading),
+        unloading: sizes(&report.unloading),
+    }
+}
--- /dev/null
+++ b/crates/radishpin-server/src/agent/process/loader.rs
@@ -0,0 +1,111 @@
+//! Carries out the ledger's orders, one task each, and counts loads that failed.
+
+use crate::agent::Agent;
+use parking_lot::Mutex;
+use radishpin_core::process::{Order, OrderKind, OrderOutcome, Target};
+use radishpin_protocol::prelude::*;
+use std::sync::{
+    Arc,
+    atomic::{AtomicU32, Ordering},
+};
+
+/// Loads in flight and loads that failed.
+#[derive(Debug, Default)]
+pub(in crate::agent) struct Loader {
+    in_flight: AtomicU32,
+    failures: Mutex<BTreeMap<Target, u64>>,
+}
+
+impl Loader {
+    /// Loads in flight.
+    pub(in crate::agent) fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Loads of the target that failed since the process started, those of its model included.
+    pub(in crate::agent) fn failures(&self, target: &Target) -> u64 {
+        let failures = self.failures.lock();
+        let of = |target: &Target| failures.get(target).copied().unwrap_or_default();
+        match target {
+            Target::Model(_) => of(target),
+            Target::Adapter { model, .. } => of(target) + of(&Target::Model(model.clone())),
+        }
+    }
+
+    fn count_failure(&self, target: &Target) {
+        *self.failures.lock().entry(target.clone()).or_default() += 1;
+    }
+}
+
+impl Agent {
+    /// Starts to carry out an order. It goes on where the attempt that asked for it is
+    /// cancelled, as others may wait for it and the ledger must hear its outcome.
+    pub(in crate::agent) fn perform(self: &Arc<Self>, order: Order) {
+        let agent = Arc::clone(self);
+        self.runtime.spawn_detached(async move {
+            agent.carry_out(&order).await;
+        });
+    }
+
+    /// Orders the unload of idle targets.
+    pub(in crate::agent) fn evict(self: &Arc<Self>, targets: &[Target]) {
+        let now = self.clock.now();
+        let orders: Vec<Order> = match self.ledger.lock().as_mut() {
+            Some(ledger) => targets
+                .iter()
+                .filter_map(|target| ledger.request_unload(target, now))
+                .collect(),
+            None => Vec::new(),
+        };
+        for order in orders {
+            self.metrics.evictions.inc();
+            self.perform(order);
+        }
+    }
+
+    async fn carry_out(&self, order: &Order) {
+        let started_at = self.clock.now();
+        let loading = order.kind == OrderKind::Load;
+        if loading {
+            self.loader.in_flight.fetch_add(1, Ordering::Relaxed);
+        }
+        let outcome = self.endpoint.order(order, self.settings.order_life).await;
+        let took = self.clock.now().saturating_sub(started_at);
+        if loading {
+            self.loader.in_flight.fetch_sub(1, Ordering::Relaxed);
+            self.note_load(order, outcome, took);
+        }
+        log::info!(
+            event = "order",
+            kind:? = order.kind,
+            target:? = order.target,
+            incarnation = order.number.incarnation,
+            sequence = order.number.sequence,
+            outcome:? = outcome,
+            took_ms = took.as_millis() as u64;
+            "order settled"
+        );
+        self.metrics.order(order.kind, outcome);
+        self.settle(order, outcome);
+    }
+
+    fn note_load(&self, order: &Order, outcome: OrderOutcome, took: Duration) {
+        match outcome {
+            OrderOutcome::Done => self.meter.loaded(took),
+            OrderOutcome::Failed | OrderOutcome::Unknown => {
+                self.loader.count_failure(&order.target);
+            }
+        }
+    }
+
+    fn settle(&self, order: &Order, outcome: OrderOutcome) {
+        let now = self.clock.now();
+        if let Some(ledger) = self.ledger.lock().as_mut() {
+            ledger.settle(order.number, outcome, now);
+        }
+        self.ledger_changed.notify(usize::MAX);
+        if outcome != OrderOutcome::Done {
+            self.report_wanted.notify(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/radishpin-server/src/agent/process/places.rs
@@ -0,0 +1,163 @@
+//! Places at the endpoint and the bounded queue before them.
+
+use crate::{agent::request::AttemptRefusal, clock::Clock};
+use parking_lot::Mutex;
+use radishpin_core::request::{Popped, QueueLimits, QueueRefusal, WorkQueue};
+use radishpin_protocol::{prelude::*, wire::ExecuteRequest};
+use radishpin_runtime::timeout;
+use std::sync::Arc;
+
+/// Waiting time that counts as much as one step of priority.
+const AGEING: Duration = Duration::from_millis(500);
+
+/// Tells a waiting attempt that it has a place.
+type Turn = async_channel::Sender<Place>;
+
+#[derive(Debug)]
+struct State {
+    running: u32,
+    queue: WorkQueue<Turn>,
+}
+
+/// Places of one endpoint; clones share them.
+#[derive(Clone, Debug)]
+pub(in crate::agent) struct Places {
+    concurrency: u32,
+    queue_places: usize,
+    state: Arc<Mutex<State>>,
+}
+
+/// A place at the endpoint; the next attempt gets it when it is dropped.
+#[derive(Debug)]
+pub(in crate::agent) struct Place {
+    places: Places,
+    held: bool,
+}
+
+impl Places {
+    /// `concurrency` places and `queue_places` behind them.
+    pub(in crate::agent) fn new(concurrency: u32, queue_places: usize) -> Self {
+        let limits = QueueLimits {
+            capacity: queue_places,
+            per_service: queue_places,
+            ageing: AGEING,
+        };
+        let queue = WorkQueue::new(limits);
+        let state = Arc::new(Mutex::new(State { running: 0, queue }));
+        Self {
+            concurrency,
+            queue_places,
+            state,
+        }
+    }
+
+    /// Calls that hold a place.
+    pub(in crate::agent) fn running(&self) -> u32 {
+        self.state.lock().running
+    }
+
+    /// Calls that wait.
+    pub(in crate::agent) fn queued(&self) -> u32 {
+        u32::try_from(self.state.lock().queue.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Waits for a place, at most until `deadline`.
+    ///
+    /// # Errors
+    /// The queue is full, or the deadline passed. The attempt has not run.
+    pub(in crate::agent) async fn wait(
+        &self,
+        clock: &Clock,
+        request: &ExecuteRequest,
+        deadline: Duration,
+    ) -> Result<Place, AttemptRefusal> {
+        let now = clock.now();
+        let turn = match self.enter(request, deadline, now)? {
+            Entry::Place(place) => return Ok(place),
+            Entry::Queued(turn) => turn,
+        };
+        match timeout(deadline.saturating_sub(now), turn.recv()).await {
+            Some(Ok(place)) => Ok(place),
+            _ => Err(AttemptRefusal::not_run(
+                ResultCode::DeadlinePassed,
+                "the deadline passed in the endpoint's queue",
+            )),
+        }
+    }
+
+    fn enter(
+        &self,
+        request: &ExecuteRequest,
+        deadline: Duration,
+        now: Duration,
+    ) -> Result<Entry, AttemptRefusal> {
+        let mut state = self.state.lock();
+        if state.running < self.concurrency {
+            state.running += 1;
+            return Ok(Entry::Place(self.place()));
+        }
+        if state.queue.len() >= self.queue_places {
+            state.queue.remove_if(Turn::is_closed);
+        }
+        let (turn, my_turn) = async_channel::bounded(1);
+        state
+            .queue
+            .push(turn, &request.service, request.priority, deadline, now)
+            .map_err(refusal_of)?;
+        Ok(Entry::Queued(my_turn))
+    }
+
+    fn place(&self) -> Place {
+        Place {
+            places: self.clone(),
+            held: true,
+        }
+    }
+
+    /// Passes a free place on to the next attempt that still waits.
+    fn release(&self) {
+        loop {
+            let turn = {
+                let mut state = self.state.lock();
+                match state.queue.pop(Duration::ZERO) {
+                    Some(Popped::Ready(turn)) => turn,
+                    Some(Popped::Expired(_)) => continue,
+                    None => {
+                        state.running -= 1;
+                        return;
+                    }
+                }
+            };
+            match turn.try_send(self.place()) {
+                Ok(()) => return,
+                // The attempt has gone; the place is offered to the next one.
+                Err(undelivered) => undelivered.into_inner().held = false,
+            }
+        }
+    }
+}
+
+enum Entry {
+    Place(Place),
+    Queued(async_channel::Receiver<Place>),
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        if self.held {
+            self.places.release();
+        }
+    }
+}
+
+fn refusal_of(refusal: QueueRefusal) -> AttemptRefusal {
+    match refusal {
+        QueueRefusal::Full => {
+            AttemptRefusal::not_run(ResultCode::QueueFull, "the endpoint's queue is full")
+        }
+        QueueRefusal::ServiceLimit => AttemptRefusal::not_run(
+            ResultCode::ServiceLimit,
+            "the service has all the places that it may take",
+        ),
+    }
+}
--- /dev/null
+++ b/crates/radishpin-server/src/agent/request/attempt.rs
@@ -0,0 +1,89 @@
+//! One attempt: admitted once, queued, started at most once, answered or refused.
+
+use super::{AttemptRefusal, Frames, guards::AttemptGuard, relay, residence};
+use crate::agent::Agent;
+use radishpin_core::request::Admission;
+use radishpin_protocol::{
+    prelude::*,
+    wire::{End, ExecuteRequest, Started, execute_reply::Frame},
+};
+use std::sync::Arc;
+
+impl Agent {
+    /// Runs an attempt to its end and sends its frames.
+    pub(in crate::agent) async fn run_attempt(
+        self: Arc<Self>,
+        request: ExecuteRequest,
+        frames: Frames,
+    ) {
+        match self.try_attempt(&request, &frames).await {
+            Ok(()) => frames.send(Frame::End(End {}), Some(self.load())).await,
+            Err(refusal) => {
+                self.metrics.refused(refusal.code);
+                log::debug!(
+                    event = "attempt_refused",
+                    request_id = request.request_id.as_str(),
+                    attempt = request.attempt,
+                    code = refusal.code.number();
+                    "{}", refusal.detail
+                );
+                frames.send(refusal.into_frame(), Some(self.load())).await;
+            }
+        }
+    }
+
+    async fn try_attempt(
+        self: &Arc<Self>,
+        request: &ExecuteRequest,
+        frames: &Frames,
+    ) -> Result<(), AttemptRefusal> {
+        let deadline = self.clock.now() + Duration::from_millis(request.remaining_ms);
+        let guard = self.admit(request)?;
+        let _residence = residence::ensure(self, request, deadline).await?;
+        let place = self.places.wait(&self.clock, request, deadline).await?;
+        self.refuse_when_leaving()?;
+        if !guard.start() {
+            let detail = "the attempt was tombstoned while it waited";
+            return Err(AttemptRefusal::not_run(ResultCode::Tombstoned, detail));
+        }
+        frames.send(Frame::Started(Started {}), Some(self.load())).await;
+        let started_at = self.clock.now();
+        relay::relay(self, request, frames, deadline).await?;
+        self.meter.served(self.clock.now().saturating_sub(started_at));
+        drop(place);
+        Ok(())
+    }
+
+    fn admit(self: &Arc<Self>, request: &ExecuteRequest) -> Result<AttemptGuard, AttemptRefusal> {
+        self.refuse_when_leaving()?;
+        let id = AttemptId {
+            request_id: request.request_id.clone(),
+            number: request.attempt,
+        };
+        let now = self.clock.now();
+        let admission = self.attempts.with(&id, |ledger| ledger.admit(&id, now));
+        match admission {
+            Admission::Admitted => Ok(AttemptGuard::new(self, id)),
+            Admission::Duplicate(_) => {
+                let detail = "the same attempt arrived before";
+                Err(AttemptRefusal::unknown(ResultCode::DuplicateAttempt, detail))
+            }
+            Admission::Tombstoned | Admission::Superseded | Admission::Stale => {
+                let detail = "the attempt may not start any more";
+                Err(AttemptRefusal::not_run(ResultCode::Tombstoned, detail))
+            }
+            Admission::Full => {
+                let detail = "the agent remembers as many attempts as it can";
+                Err(AttemptRefusal::not_run(ResultCode::QueueFull, detail))
+            }
+        }
+    }
+
+    fn refuse_when_leaving(&self) -> Result<(), AttemptRefusal> {
+        if self.leaving() {
+            let detail = "the endpoint is leaving";
+            return Err(AttemptRefusal::not_run(ResultCode::EndpointLeaving, detail));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/radishpin-server/src/agent/request/relay.rs
@@ -0,0 +1,101 @@
+//! Passes a started attempt to the endpoint and its answer back, chunk by chunk.
+
+use super::{AttemptRefusal, Frames};
+use crate::agent::{
+    Agent,
+    connection::{EndpointAnswer, EndpointError, StreamEvent},
+};
+use radishpin_protocol::{
+    prelude::*,
+    wire::{Chunk, ExecuteRequest, Head, execute_reply::Frame},
+};
+use radishpin_runtime::timeout;
+
+/// Bytes of an answer's body that one frame carries at most.
+const CHUNK_BYTES: usize = 64 * 1024;
+
+/// Calls the endpoint and sends its answer.
+///
+/// # Errors
+/// The endpoint refused the call, or its answer is missing, broken or crossed.
+pub(super) async fn relay(
+    agent: &Agent,
+    request: &ExecuteRequest,
+    frames: &Frames,
+    deadline: Duration,
+) -> Result<(), AttemptRefusal> {
+    let left = deadline.saturating_sub(agent.clock.now());
+    let call = agent.endpoint.call(request);
+    let answer = match timeout(left, call).await {
+        Some(answer) => answer.map_err(|e| refusal_of(agent, &e))?,
+        None => {
+            let detail = "the endpoint did not begin its answer before the deadline";
+            return Err(AttemptRefusal::unknown(ResultCode::DeadlinePassedStarted, detail));
+        }
+    };
+    frames.send(Frame::Head(head_of(&answer)), None).await;
+    if answer.is_event_stream() {
+        relay_events(agent, request, answer, frames).await
+    } else {
+        relay_body(agent, answer, frames).await
+    }
+}
+
+fn head_of(answer: &EndpointAnswer) -> Head {
+    Head {
+        status: u32::from(answer.status()),
+        headers: answer.headers(),
+    }
+}
+
+async fn relay_events(
+    agent: &Agent,
+    request: &ExecuteRequest,
+    mut answer: EndpointAnswer,
+    frames: &Frames,
+) -> Result<(), AttemptRefusal> {
+    let mut offset = request.resume_offset;
+    loop {
+        match answer.next_event().await.map_err(|e| refusal_of(agent, &e))? {
+            StreamEvent::Data(data) => {
+                let chunk = Chunk { offset, data };
+                frames.send(Frame::Chunk(chunk), None).await;
+                offset += 1;
+            }
+            StreamEvent::Done => return Ok(()),
+        }
+    }
+}
+
+async fn relay_body(
+    agent: &Agent,
+    mut answer: EndpointAnswer,
+    frames: &Frames,
+) -> Result<(), AttemptRefusal> {
+    let mut offset = 0;
+    loop {
+        let data = answer.next_bytes(CHUNK_BYTES).await.map_err(|e| refusal_of(agent, &e))?;
+        if data.is_empty() {
+            return Ok(());
+        }
+        frames.send(Frame::Chunk(Chunk { offset, data }), None).await;
+        offset += 1;
+    }
+}
+
+fn refusal_of(agent: &Agent, error: &EndpointError) -> AttemptRefusal {
+    let detail = error.to_string();
+    match error {
+        EndpointError::Connect(_) => AttemptRefusal::not_run(ResultCode::NoEndpoint, detail),
+        EndpointError::NotLoaded => {
+            // The endpoint lost the model, most likely in a restart: look at once.
+            agent.report_wanted.notify(1);
+            AttemptRefusal::not_run(ResultCode::LoadFailed, detail)
+        }
+        EndpointError::Refused => AttemptRefusal::not_run(ResultCode::NoEndpoint, detail),
+        EndpointError::Malformed(_) => AttemptRefusal::not_run(ResultCode::InvalidField, detail),
+        EndpointError::Crossed => AttemptRefusal::unknown(ResultCode::AnswerCrossed, detail),
+        EndpointError::Broken(_) => AttemptRefusal::unknown(ResultCode::OutcomeUnknown, detail),
+        EndpointError::Truncated => AttemptRefusal::unknown(ResultCode::AnswerBroken, detail),
+    }
+}
--- /dev/null
+++ b/crates/radishpin-server/src/agent/request/residence.rs
@@ -0,0 +1,108 @@
+//! Brings the model and adapter of an attempt into the endpoint's memory and keeps them there.
+
+use super::{AttemptRefusal, guards::UseGuard};
+use crate::agent::Agent;
+use radishpin_core::process::{LoadDecision, LoadRefusal, Target};
+use radishpin_protocol::{prelude::*, wire::ExecuteRequest};
+use std::sync::Arc;
+
+/// Failed loads that one attempt waits through before it is refused.
+const LOAD_FAILURES_MAX: u64 = 2;
+
+/// Waits until the attempt's target is loaded and counts a use of it.
+///
+/// # Errors
+/// The target cannot be loaded here, or not before the deadline. The attempt has not run.
+pub(super) async fn ensure(
+    agent: &Arc<Agent>,
+    request: &ExecuteRequest,
+    deadline: Duration,
+) -> Result<Option<UseGuard>, AttemptRefusal> {
+    if request.model.is_empty() {
+        return Ok(None);
+    }
+    let target = target_of(request);
+    let adapter_size_mb = (!request.adapter.is_empty()).then_some(request.adapter_size_mb);
+    let failures_before = agent.loader.failures(&target);
+    loop {
+        let changed = agent.ledger_changed.listen();
+        if agent.loader.failures(&target) >= failures_before + LOAD_FAILURES_MAX {
+            let detail = "the endpoint failed to load the model";
+            return Err(AttemptRefusal::not_run(ResultCode::LoadFailed, detail));
+        }
+        if step(agent, &target, adapter_size_mb)? {
+            if let Some(guard) = UseGuard::begin(agent, &target) {
+                return Ok(Some(guard));
+            }
+        }
+        let left = deadline.saturating_sub(agent.clock.now());
+        if left.is_zero() || radishpin_runtime::timeout(left, changed).await.is_none() {
+            let detail = "the deadline passed while the model was loading";
+            return Err(AttemptRefusal::not_run(ResultCode::DeadlinePassed, detail));
+        }
+    }
+}
+
+/// Takes one step towards a loaded target; `true` where it is loaded.
+fn step(
+    agent: &Arc<Agent>,
+    target: &Target,
+    adapter_size_mb: Option<SizeMb>,
+) -> Result<bool, AttemptRefusal> {
+    let now = agent.clock.now();
+    let decision = match agent.ledger.lock().as_mut() {
+        Some(ledger) => ledger.request_load(target, adapter_size_mb, now),
+        None => LoadDecision::Refused(LoadRefusal::NotRegistered),
+    };
+    match decision {
+        LoadDecision::Ready => Ok(true),
+        LoadDecision::Loading => Ok(false),
+        LoadDecision::Issue(order) => {
+            agent.perform(order);
+            Ok(false)
+        }
+        LoadDecision::Refused(refusal) => refused(agent, &refusal).map(|()| false),
+    }
+}
+
+/// Waits out what may change soon, evicts what is idle, refuses the rest.
+fn refused(agent: &Arc<Agent>, refusal: &LoadRefusal) -> Result<(), AttemptRefusal> {
+    match refusal {
+        LoadRefusal::NotGranted | LoadRefusal::Revoking => {
+            let detail = "the endpoint has no grant for the model";
+            Err(AttemptRefusal::not_run(ResultCode::NotGranted, detail))
+        }
+        LoadRefusal::NoMemory {
+            needed_mb,
+            free_mb,
+            releasing_mb,
+            evict,
+        } => {
+            if evict.is_empty() && free_mb.saturating_add(*releasing_mb) < *needed_mb {
+                let detail = format!("{needed_mb} MiB needed, {free_mb} MiB free, the rest in use");
+                return Err(AttemptRefusal::not_run(ResultCode::NoMemory, detail));
+            }
+            agent.evict(evict);
+            Ok(())
+        }
+        LoadRefusal::NotRegistered => {
+            let detail = "the agent has no configuration yet";
+            Err(AttemptRefusal::not_run(ResultCode::NotReady, detail))
+        }
+        LoadRefusal::UnknownSize => {
+            let detail = "the size of the adapter is missing";
+            Err(AttemptRefusal::not_run(ResultCode::Internal, detail))
+        }
+        LoadRefusal::Uncertain => Ok(()),
+    }
+}
+
+fn target_of(request: &ExecuteRequest) -> Target {
+    if request.adapter.is_empty() {
+        return Target::Model(request.model.clone());
+    }
+    Target::Adapter {
+        model: request.model.clone(),
+        adapter: request.adapter.clone(),
+    }
+}
--- /dev/null
+++ b/crates/radishpin-server/src/agent/version.rs
@@ -0,0 +1,3 @@
+//! What lives as long as one version of the configuration.
+
+mod sync;
--- /dev/null
+++ b/crates/radishpin-server/src/agent/version/sync.rs
@@ -0,0 +1,131 @@
+//! The heartbeat between a node and the agent: configuration in, state out.
+
+use crate::agent::{Agent, connection::load_target};
+use radishpin_core::process::{ReplicaState, Target};
+use radishpin_protocol::{
+    Grant, GrantState, ModelGrant,
+    engine::Tier,
+    prelude::*,
+    wire::{self, GrantView, ReplicaReport, SyncReply, SyncRequest},
+};
+use std::sync::atomic::Ordering;
+
+impl Agent {
+    /// Takes the node's view, unless an older one, and tells the endpoint's state.
+    pub(in crate::agent) fn sync(&self, request: SyncRequest) -> SyncReply {
+        let newest = request.view_version >= self.view_version();
+        if newest {
+            self.told_to_leave.store(request.leaving, Ordering::Release);
+        }
+        if request.full {
+            self.apply(&request);
+        }
+        SyncReply {
+            endpoint: self.settings.name.clone(),
+            incarnation: self.incarnation(),
+            view_version: self.view_version(),
+            load: Some(self.load()),
+            replicas: self.replica_reports(),
+            released: self.released(),
+        }
+    }
+
+    /// Version of the view in force; 0 before the first.
+    pub fn view_version(&self) -> Version {
+        let ledger = self.ledger.lock();
+        ledger.as_ref().map_or(0, |ledger| ledger.view_version())
+    }
+
+    fn released(&self) -> Vec<ModelId> {
+        let ledger = self.ledger.lock();
+        ledger.as_ref().map(|ledger| ledger.released()).unwrap_or_default()
+    }
+
+    fn apply(&self, request: &SyncRequest) {
+        let view = AgentView {
+            version: request.view_version,
+            grants: request.grants.iter().filter_map(model_grant).collect(),
+        };
+        let mut ledger = self.ledger.lock();
+        let Some(ledger) = ledger.as_mut() else {
+            return;
+        };
+        let version_before = ledger.view_version();
+        if !ledger.apply_view(&view) {
+            self.metrics.older_views.inc();
+            return;
+        }
+        if view.version > version_before {
+            self.ledger_changed.notify(usize::MAX);
+            log::info!(event = "view_applied", version = view.version; "configuration in force");
+        }
+    }
+
+    fn replica_reports(&self) -> Vec<ReplicaReport> {
+        let tiers = self.tiers.lock().clone();
+        let ledger = self.ledger.lock();
+        let Some(ledger) = ledger.as_ref() else {
+            return Vec::new();
+        };
+        let replicas = ledger.replicas();
+        let mut reports: BTreeMap<ModelId, ReplicaReport> = ledger
+            .granted_models()
+            .map(|model| (model.clone(), absent(model, &tiers)))
+            .collect();
+        for (target, status) in &replicas {
+            let model = target.model();
+            let report = reports
+                .entry(model.clone())
+                .or_insert_with(|| absent(model, &tiers));
+            match target {
+                Target::Model(_) => report.state = wire_state(status.state).into(),
+                Target::Adapter { .. } => {
+                    report.adapters.push(load_target(target).name().to_owned());
+                }
+            }
+        }
+        reports.into_values().collect()
+    }
+}
+
+fn absent(model: &str, tiers: &BTreeMap<ModelId, Tier>) -> ReplicaReport {
+    let tier = match tiers.get(model) {
+        Some(Tier::Memory) => wire::Tier::Memory,
+        Some(Tier::Disk) => wire::Tier::Disk,
+        Some(Tier::Remote) | None => wire::Tier::Remote,
+    };
+    ReplicaReport {
+        model: model.to_owned(),
+        state: wire::ReplicaState::Absent.into(),
+        tier: tier.into(),
+        adapters: Vec::new(),
+    }
+}
+
+const fn wire_state(state: ReplicaState) -> wire::ReplicaState {
+    match state {
+        ReplicaState::Loading => wire::ReplicaState::Loading,
+        ReplicaState::Loaded => wire::ReplicaState::Loaded,
+        ReplicaState::Unloading => wire::ReplicaState::Unloading,
+        ReplicaState::Uncertain => wire::ReplicaState::Uncertain,
+    }
+}
+
+/// A grant whose state is not known is left out: the endpoint then may not load the model.
+fn model_grant(grant: &GrantView) -> Option<(ModelId, ModelGrant)> {
+    let state = match grant.state() {
+        wire::GrantState::Held => GrantState::Held,
+        wire::GrantState::Revoking => GrantState::Revoking,
+        wire::GrantState::Unspecified => return None,
+    };
+    let model_grant = ModelGrant {
+        size_mb: grant.size_mb,
+        grant: Grant {
+            state,
+            since_version: grant.granted_version,
+        },
+        keep_loaded: grant.keep_loaded,
+        idle_unload: Duration::from_millis(grant.idle_unload_ms),
+    };
+    Some((grant.model.clone(), model_grant))
+}
--- a/crates/radishpin-server/src/lib.rs
+++ b/crates/radishpin-server/src/lib.rs
@@ -1,7 +1,15 @@
 //! The node and agent processes of radishpin.
 
+mod agent;
+mod clock;
+mod metrics;
+mod node;
 mod rpc;
-pub mod settings;
+mod settings;
+mod shards;
 mod token;
 
+pub use agent::{Agent, AgentError};
+pub use node::{Node, NodeError};
+pub use settings::{AgentSettings, Fencing, NodeSettings};
 pub use token::{Token, TokenError};
--- /dev/null
+++ b/crates/radishpin-server/src/node/connection/agent_link.rs
@@ -0,0 +1,282 @@
+//! The link to one agent: its connection and what this node knows of its endpoint.
+
+use crate::{Token, rpc::Channel};
+use parking_lot::Mutex;
+use radishpin_core::request::{Candidate, ReplicaReadiness, Tier, estimate_wait};
+use radishpin_protocol::{
+    EndpointRecord,
+    prelude::*,
+    wire::{self, Load, SyncReply, agent_client::AgentClient},
+};
+use radishpin_runtime::Runtime;
+use std::{
+    net::SocketAddr,
+    sync::atomic::{AtomicU32, Ordering},
+};
+
+/// Largest message from an agent.
+const MESSAGE_BYTES_MAX: usize = 16 * 1024 * 1024;
+/// Time for which an endpoint is avoided after a failed call, unless it answers before.
+const SUSPICION: Duration = Duration::from_secs(2);
+/// Load time assumed before one was observed, by tier.
+const LOAD_TIME_MEMORY: Duration = Duration::from_millis(500);
+const LOAD_TIME_DISK: Duration = Duration::from_secs(2);
+const LOAD_TIME_REMOTE: Duration = Duration::from_secs(4);
+
+/// What the agent last said of a model.
+#[derive(Clone, Copy, Debug)]
+struct Replica {
+    state: wire::ReplicaState,
+    tier: wire::Tier,
+    since: Duration,
+}
+
+#[derive(Debug, Default)]
+struct Known {
+    load: Load,
+    load_at: Duration,
+    /// Attempts of this node that were outstanding when `load` was told.
+    outstanding_then: u32,
+    incarnation: Incarnation,
+    view_version: Version,
+    replicas: BTreeMap<ModelId, Replica>,
+    released: BTreeSet<ModelId>,
+    suspected_until: Duration,
+    heard: bool,
+}
+
+/// The link to one agent.
+#[derive(Debug)]
+pub(in crate::node) struct AgentLink {
+    endpoint: EndpointId,
+    record: EndpointRecord,
+    client: AgentClient<Channel>,
+    outstanding: AtomicU32,
+    known: Mutex<Known>,
+}
+
+impl AgentLink {
+    /// A link that connects at its first call.
+    pub(in crate::node) fn new(
+        runtime: Runtime,
+        endpoint: EndpointId,
+        record: EndpointRecord,
+        address: SocketAddr,
+        token: &Token,
+    ) -> Self {
+        let channel = Channel::new(runtime, address, token);
+        let client = AgentClient::new(channel).max_decoding_message_size(MESSAGE_BYTES_MAX);
+        let known = Known {
+            incarnation: record.incarnation,
+            ..Known::default()
+        };
+        Self {
+            endpoint,
+            record,
+            client,
+            outstanding: AtomicU32::new(0),
+            known: Mutex::new(known),
+        }
+    }
+
+    /// Name of the endpoint.
+    pub(in crate::node) const fn endpoint(&self) -> &EndpointId {
+        &self.endpoint
+    }
+
+    /// The record that the link was made from.
+    pub(in crate::node) const fn record(&self) -> &EndpointRecord {
+        &self.record
+    }
+
+    /// A client over the link's connection.
+    pub(in crate::node) fn client(&self) -> AgentClient<Channel> {
+        self.client.clone()
+    }
+
+    /// Life of the agent, as last heard.
+    pub(in crate::node) fn incarnation(&self) -> Incarnation {
+        self.known.lock().incarnation
+    }
+
+    /// Version of the view in force at the agent, as last heard.
+    pub(in crate::node) fn view_version(&self) -> Version {
+        self.known.lock().view_version
+    }
+
+    /// Models whose unload the agent has confirmed, with the version of the view then in force.
+    pub(in crate::node) fn released(&self) -> (Version, BTreeSet<ModelId>) {
+        let known = self.known.lock();
+        (known.view_version, known.released.clone())
+    }
+
+    /// Whether the agent was ever heard.
+    pub(in crate::node) fn is_heard(&self) -> bool {
+        self.known.lock().heard
+    }
+
+    /// Last load told by the agent.
+    pub(in crate::node) fn load(&self) -> Load {
+        self.known.lock().load
+    }
+
+    /// States of the replicas, as last heard.
+    pub(in crate::node) fn replicas(&self) -> BTreeMap<ModelId, wire::ReplicaState> {
+        let known = self.known.lock();
+        known.replicas.iter().map(|(model, replica)| (model.clone(), replica.state)).collect()
+    }
+
+    /// Counts an attempt that was sent.
+    pub(in crate::node) fn count_sent(&self) {
+        self.outstanding.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts an attempt that ended.
+    pub(in crate::node) fn count_ended(&self) {
+        self.outstanding.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Takes the load that a reply carried.
+    pub(in crate::node) fn note_load(&self, load: Load, now: Duration) {
+        let outstanding = self.outstanding.load(Ordering::Relaxed);
+        let mut known = self.known.lock();
+        known.load = load;
+        known.load_at = now;
+        known.outstanding_then = outstanding;
+        known.suspected_until = Duration::ZERO;
+    }
+
+    /// Takes a heartbeat's answer.
+    pub(in crate::node) fn note_sync(&self, reply: SyncReply, now: Duration) {
+        if let Some(load) = reply.load {
+            self.note_load(load, now);
+        }
+        let mut known = self.known.lock();
+        known.heard = true;
+        known.incarnation = known.incarnation.max(reply.incarnation);
+        known.view_version = reply.view_version;
+        known.released = reply.released.into_iter().collect();
+        let old = std::mem::take(&mut known.replicas);
+        known.replicas = reply
+            .replicas
+            .into_iter()
+            .map(|report| {
+                let state = report.state();
+                let since = match old.get(&report.model) {
+                    Some(replica) if replica.state == state => replica.since,
+                    _ => now,
+                };
+                let tier = report.tier();
+                (report.model, Replica { state, tier, since })
+            })
+            .collect();
+    }
+
+    /// Notes that a call failed: the endpoint is avoided for a while.
+    pub(in crate::node) fn call_failed(&self, now: Duration) {
+        let mut known = self.known.lock();
+        known.suspected_until = known.suspected_until.max(now + SUSPICION);
+    }
+
+    /// Notes that this node saw the model loaded there.
+    pub(in crate::node) fn note_served(&self, model: &str, now: Duration) {
+        let mut known = self.known.lock();
+        let replica = known.replicas.get_mut(model);
+        match replica {
+            Some(replica) if replica.state == wire::ReplicaState::Loaded => {}
+            Some(replica) => {
+                replica.state = wire::ReplicaState::Loaded;
+                replica.since = now;
+            }
+            None => {}
+        }
+    }
+
+    /// Notes that this node is about to start a load there.
+    pub(in crate::node) fn note_load_begun(&self, model: &str, now: Duration) {
+        let mut known = self.known.lock();
+        let replica = known.replicas.entry(model.to_owned()).or_insert(Replica {
+            state: wire::ReplicaState::Absent,
+            tier: wire::Tier::Remote,
+            since: now,
+        });
+        if replica.state == wire::ReplicaState::Absent {
+            replica.state = wire::ReplicaState::Loading;
+            replica.since = now;
+        }
+    }
+
+    /// The endpoint as a candidate for a call; `model` is `None` for a plain service.
+    pub(in crate::node) fn candidate(
+        &self,
+        model: Option<&ModelId>,
+        local_zone: &str,
+        now: Duration,
+    ) -> Candidate {
+        let outstanding_now = self.outstanding.load(Ordering::Relaxed);
+        let known = self.known.lock();
+        let reported = known.load.running + known.load.queued;
+        let sent_since = outstanding_now.saturating_sub(known.outstanding_then);
+        let replica = model.map(|model| known.replicas.get(model).copied());
+        let tier = replica.flatten().map_or(wire::Tier::Remote, |replica| replica.tier);
+        let load_time = known.load_time(tier);
+        Candidate {
+            endpoint: self.endpoint.clone(),
+            availability_zone_local: self.record.availability_zone == local_zone,
+            replica: match replica {
+                None => ReplicaReadiness::Loaded,
+                Some(replica) => readiness(replica, tier, load_time, now),
+            },
+            outstanding: reported.saturating_add(sent_since).max(outstanding_now),
+            concurrency: self.record.concurrency,
+            service_time: Duration::from_millis(known.load.service_time_ms),
+            load_time,
+            suspected: now < known.suspected_until,
+            leaving: known.load.leaving,
+            affinity: false,
+            load_age: now.saturating_sub(known.load_at),
+        }
+    }
+
+    /// Time that a new call would wait here, as far as this node knows.
+    pub(in crate::node) fn expected_wait(&self) -> Duration {
+        estimate_wait(&self.candidate(None, "", Duration::ZERO))
+    }
+}
+
+impl Known {
+    fn load_time(&self, tier: wire::Tier) -> Duration {
+        if self.load.load_time_ms > 0 {
+            return Duration::from_millis(self.load.load_time_ms);
+        }
+        match tier {
+            wire::Tier::Memory => LOAD_TIME_MEMORY,
+            wire::Tier::Disk => LOAD_TIME_DISK,
+            wire::Tier::Remote | wire::Tier::Unspecified => LOAD_TIME_REMOTE,
+        }
+    }
+}
+
+fn readiness(
+    replica: Option<Replica>,
+    tier: wire::Tier,
+    load_time: Duration,
+    now: Duration,
+) -> ReplicaReadiness {
+    match replica {
+        Some(replica) if replica.state == wire::ReplicaState::Loaded => ReplicaReadiness::Loaded,
+        Some(replica) if replica.state == wire::ReplicaState::Loading => {
+            let spent = now.saturating_sub(replica.since);
+            ReplicaReadiness::Loading {
+                remaining: load_time.saturating_sub(spent),
+            }
+        }
+        _ => ReplicaReadiness::Granted {
+            tier: match tier {
+                wire::Tier::Memory => Tier::Memory,
+                wire::Tier::Disk => Tier::Disk,
+                wire::Tier::Remote | wire::Tier::Unspecified => Tier::Remote,
+            },
+        },
+    }
+}
--- /dev/null
+++ b/crates/radishpin-server/src/node/process/metrics.rs
@@ -0,0 +1,87 @@
+//! Counters of a node.
+
+use crate::metrics::{counter, counter_vec, gauge, histogram};
+use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge, Registry};
+use radishpin_core::request::RetryReason;
+use radishpin_protocol::prelude::*;
+
+/// Upper bounds of the answer times' buckets, in seconds.
+const ANSWER_BUCKETS_SECONDS: [f64; 14] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 60.0,
+];
+
+/// Counters of one node, in a registry of their own.
+#[derive(Debug)]
+pub(in crate::node) struct NodeMetrics {
+    pub(in crate::node) registry: Registry,
+    pub(in crate::node) requests: IntCounter,
+    pub(in crate::node) view_version: IntGauge,
+    pub(in crate::node) running: IntGauge,
+    pub(in crate::node) grant_writes: IntCounterVec,
+    refusals: IntCounterVec,
+    retries: IntCounterVec,
+    answer_seconds: Histogram,
+}
+
+impl NodeMetrics {
+    pub(super) fn new() -> Self {
+        let registry = Registry::new();
+        let refusals = counter_vec(
+            &registry,
+            "radishpin_refusals_total",
+            "Requests refused, by result code.",
+            &["code"],
+        );
+        for code in ResultCode::ALL {
+            refusals.with_label_values(&[code.name()]);
+        }
+        let retries = counter_vec(
+            &registry,
+            "radishpin_retries_total",
+            "Attempts after the first, by reason.",
+            &["reason"],
+        );
+        for reason in RetryReason::ALL {
+            retries.with_label_values(&[reason.name()]);
+        }
+        Self {
+            requests: counter(&registry, "radishpin_requests_total", "Requests received."),
+            view_version: gauge(
+                &registry,
+                "radishpin_view_version",
+                "Version of the configuration in force.",
+            ),
+            running: gauge(&registry, "radishpin_requests_running", "Requests being served."),
+            grant_writes: counter_vec(
+                &registry,
+                "radishpin_grant_writes_total",
+                "Writes of grants, by outcome.",
+                &["outcome"],
+            ),
+            refusals,
+            retries,
+            answer_seconds: histogram(
+                &registry,
+                "radishpin_answer_seconds",
+                "Time to the start of an answer.",
+                ANSWER_BUCKETS_SECONDS.to_vec(),
+            ),
+            registry,
+        }
+    }
+
+    /// Counts a refusal.
+    pub(in crate::node) fn refused(&self, code: ResultCode) {
+        self.refusals.with_label_values(&[code.name()]).inc();
+    }
+
+    /// Counts a retry.
+    pub(in crate::node) fn retried(&self, reason: RetryReason) {
+        self.retries.with_label_values(&[reason.name()]).inc();
+    }
+
+    /// Takes the time to the start of an answer.
+    pub(in crate::node) fn answered(&self, took: Duration) {
+        self.answer_seconds.observe(took.as_secs_f64());
+    }
+}
--- /dev/null
+++ b/crates/radishpin-server/src/node/request.rs
@@ -0,0 +1,13 @@
+//! What lives for one caller's request.
+
+mod attempt;
+mod body;
+mod call;
+mod dispatch;
+mod events;
+mod parse;
+mod refusal;
+
+pub(super) use call::{Call, CallKind};
+pub(super) use parse::{model_call, service_call};
+pub(super) use refusal::{Refusal, refusal_response};
--- /dev/null
+++ b/crates/radishpin-server/src/node/request/attempt.rs
@@ -0,0 +1,247 @@
+//! One attempt as the node sees it: sent to an agent, its frames read one by one.
+
+use crate::{
+    node::{connection::AgentLink, request::Call},
+    rpc::ChannelError,
+};
+use radishpin_core::request::AttemptOutcome;
+use radishpin_protocol::{
+    prelude::*,
+    wire::{
+        ExecuteReply, ExecuteRequest, Head, Refusal as WireRefusal, TombstoneRequest,
+        execute_reply::Frame,
+    },
+};
+use radishpin_core::request::TombstoneOutcome;
+use radishpin_protocol::wire::tombstone_reply;
+use radishpin_runtime::timeout;
+use std::sync::Arc;
+use tonic::{Code, Status, Streaming};
+
+/// Time past the deadline in which the agent's own refusal may still arrive.
+const DEADLINE_GRACE: Duration = Duration::from_millis(20);
+
+/// An attempt whose frames are being read; dropping it cancels the work at the endpoint.
+pub(super) struct Attempt {
+    pub(super) link: Arc<AgentLink>,
+    pub(super) number: AttemptNumber,
+    pub(super) incarnation: Incarnation,
+    started: bool,
+    frames: Streaming<ExecuteReply>,
+    _sent: SentGuard,
+}
+
+/// Counts an attempt as outstanding at its agent.
+struct SentGuard(Arc<AgentLink>);
+
+impl Drop for SentGuard {
+    fn drop(&mut self) {
+        self.0.count_ended();
+    }
+}
+
+/// A part of an answer.
+pub(super) enum Part {
+    /// Status and headers.
+    Head(Head),
+    /// A stream event, or a piece of the body, with its index.
+    Chunk(u64, Vec<u8>),
+    /// The answer is whole.
+    End,
+}
+
+/// What is left of an attempt that failed: enough to tombstone it.
+pub(super) struct FailedAttempt {
+    pub(super) outcome: AttemptOutcome,
+    pub(super) detail: String,
+    pub(super) retry_after: Duration,
+    pub(super) link: Arc<AgentLink>,
+    pub(super) number: AttemptNumber,
+    pub(super) incarnation: Incarnation,
+}
+
+impl Attempt {
+    /// Sends an attempt and returns when the agent has taken it up.
+    pub(super) async fn send(
+        call: &Call,
+        link: &Arc<AgentLink>,
+        number: AttemptNumber,
+        resume_offset: u64,
+        now: Duration,
+    ) -> Result<Self, FailedAttempt> {
+        let incarnation = link.incarnation();
+        let sent = SentGuard(Arc::clone(link));
+        link.count_sent();
+        let request = execute_request(call, link, number, resume_offset, now);
+        let limit = call.remaining(now) + DEADLINE_GRACE;
+        let failed = |outcome, detail: String| FailedAttempt {
+            outcome,
+            detail,
+            retry_after: Duration::ZERO,
+            link: Arc::clone(link),
+            number,
+            incarnation,
+        };
+        match timeout(limit, link.client().execute(request)).await {
+            Some(Ok(response)) => Ok(Self {
+                link: Arc::clone(link),
+                number,
+                incarnation,
+                started: false,
+                frames: response.into_inner(),
+                _sent: sent,
+            }),
+            Some(Err(status)) => {
+                let outcome = outcome_of_status(&status);
+                link.call_failed(now);
+                Err(failed(outcome, status.message().to_owned()))
+            }
+            None => Err(failed(
+                AttemptOutcome::NoAnswer,
+                "the agent did not answer before the deadline".to_owned(),
+            )),
+        }
+    }
+
+    /// The next part of the answer, waiting at most for `limit`.
+    pub(super) async fn next(&mut self, limit: Duration, now: Duration) -> Result<Part, FailedAttempt> {
+        let deadline_limit = limit + DEADLINE_GRACE;
+        loop {
+            let frame = match timeout(deadline_limit, self.frames.message()).await {
+                None => {
+                    let detail = "the deadline passed before the answer began";
+                    return Err(self.failed(self.no_answer(), detail.to_owned()));
+                }
+                Some(Err(status)) => {
+                    self.link.call_failed(now);
+                    return Err(self.failed(self.no_answer(), status.message().to_owned()));
+                }
+                Some(Ok(None)) => {
+                    let detail = "the agent ended the stream too early".to_owned();
+                    return Err(self.failed(self.no_answer(), detail));
+                }
+                Some(Ok(Some(frame))) => frame,
+            };
+            if let Some(load) = frame.load {
+                self.link.note_load(load, now);
+            }
+            match frame.frame {
+                Some(Frame::Started(_)) => self.started = true,
+                Some(Frame::Head(head)) => return Ok(Part::Head(head)),
+                Some(Frame::Chunk(chunk)) => return Ok(Part::Chunk(chunk.offset, chunk.data)),
+                Some(Frame::End(_)) => return Ok(Part::End),
+                Some(Frame::Refusal(refusal)) => return Err(self.refused(&refusal)),
+                None => {}
+            }
+        }
+    }
+
+    fn no_answer(&self) -> AttemptOutcome {
+        if self.started {
+            AttemptOutcome::BrokenBeforeAnswer
+        } else {
+            AttemptOutcome::NoAnswer
+        }
+    }
+
+    fn refused(&self, refusal: &WireRefusal) -> FailedAttempt {
+        let code = ResultCode::from_number(refusal.code).unwrap_or(ResultCode::Internal);
+        let outcome = match code {
+            ResultCode::AnswerCrossed => AttemptOutcome::Crossed,
+            _ => AttemptOutcome::Refused {
+                code,
+                not_run: refusal.not_run,
+            },
+        };
+        let mut failed = self.failed(outcome, refusal.detail.clone());
+        failed.retry_after = Duration::from_millis(refusal.retry_after_ms);
+        failed
+    }
+
+    fn failed(&self, outcome: AttemptOutcome, detail: String) -> FailedAttempt {
+        FailedAttempt {
+            outcome,
+            detail,
+            retry_after: Duration::ZERO,
+            link: Arc::clone(&self.link),
+            number: self.number,
+            incarnation: self.incarnation,
+        }
+    }
+}
+
+impl FailedAttempt {
+    /// Asks the agent to make sure that the attempt never starts.
+    pub(super) async fn tombstone(&self, call: &Call, limit: Duration) -> AttemptOutcome {
+        let request = TombstoneRequest {
+            request_id: call.id.clone(),
+            attempt: self.number,
+        };
+        match timeout(limit, self.link.client().tombstone(request)).await {
+            Some(Ok(reply)) => {
+                let reply = reply.into_inner();
+                let outcome = match reply.outcome() {
+                    tombstone_reply::Outcome::NeverRuns => TombstoneOutcome::NeverRuns,
+                    tombstone_reply::Outcome::Started => TombstoneOutcome::Started,
+                    tombstone_reply::Outcome::Finished => TombstoneOutcome::Finished,
+                    tombstone_reply::Outcome::Unspecified => TombstoneOutcome::Unknown,
+                };
+                AttemptOutcome::Tombstoned(outcome.between(self.incarnation, reply.incarnation))
+            }
+            Some(Err(_)) | None => AttemptOutcome::TombstoneLost,
+        }
+    }
+}
+
+fn execute_request(
+    call: &Call,
+    link: &AgentLink,
+    number: AttemptNumber,
+    resume_offset: u64,
+    now: Duration,
+) -> ExecuteRequest {
+    let (model, adapter, adapter_size_mb) = match &call.kind {
+        super::CallKind::Model { model, adapter, .. } => {
+            let (adapter, size_mb) = adapter.clone().unwrap_or_default();
+            (model.clone(), adapter, size_mb)
+        }
+        super::CallKind::Service => Default::default(),
+    };
+    ExecuteRequest {
+        request_id: call.id.clone(),
+        attempt: number,
+        service: call.service.clone(),
+        model,
+        adapter,
+        adapter_size_mb,
+        method: call.method.clone(),
+        path: call.path.clone(),
+        headers: call.headers.clone(),
+        body: call.body.clone(),
+        remaining_ms: u64::try_from(call.remaining(now).as_millis()).unwrap_or(u64::MAX),
+        priority: call.priority,
+        idempotent: call.idempotent,
+        stream: call.is_stream(),
+        resume_offset,
+        view_version: 0,
+        incarnation: link.incarnation(),
+    }
+}
+
+/// Only a failed connect, and a refusal by the agent's own checks, prove that nothing ran.
+fn outcome_of_status(status: &Status) -> AttemptOutcome {
+    let source = std::error::Error::source(status);
+    match source.and_then(|source| source.downcast_ref::<ChannelError>()) {
+        Some(ChannelError::Connect(_) | ChannelError::Malformed(_)) => AttemptOutcome::NotSent,
+        Some(ChannelError::Transport(_)) => AttemptOutcome::NoAnswer,
+        None => match status.code() {
+            Code::Unauthenticated | Code::PermissionDenied | Code::InvalidArgument => {
+                AttemptOutcome::Refused {
+                    code: ResultCode::Internal,
+                    not_run: true,
+                }
+            }
+            _ => AttemptOutcome::NoAnswer,
+        },
+    }
+}
--- /dev/null
+++ b/crates/radishpin-server/src/node/request/dispatch.rs
@@ -0,0 +1,139 @@
+//! The attempts of one request, until one of them begins its answer or no other makes sense.
+
+use super::{
+    Call, Refusal,
+    attempt::{Attempt, FailedAttempt, Part},
+};
+use crate::node::{Node, connection::AgentLink};
+use radishpin_core::request::{
+    AttemptOutcome, CallFacts, Step, TOMBSTONE_TIMEOUT, next_step, retry_after,
+};
+use radishpin_protocol::{prelude::*, wire::Head};
+use std::sync::Arc;
+
+/// An attempt whose answer has begun.
+pub(super) struct Begun {
+    /// Status and headers.
+    pub(super) head: Head,
+    /// First piece of the answer; `None` where it is empty.
+    pub(super) first: Option<Vec<u8>>,
+    /// The attempt, for the rest of the answer; `None` where there is no more.
+    pub(super) attempt: Option<Attempt>,
+}
+
+/// How far a request has come.
+pub(super) struct Progress {
+    pub(super) node: Arc<Node>,
+    pub(super) call: Call,
+    /// Attempts made.
+    pub(super) attempts: AttemptNumber,
+    /// Endpoints whose attempt failed.
+    failed_at: BTreeSet<EndpointId>,
+}
+
+impl Progress {
+    /// A request of which nothing has been tried.
+    pub(super) fn new(node: Arc<Node>, call: Call) -> Self {
+        Self {
+            node,
+            call,
+            attempts: 0,
+            failed_at: BTreeSet::new(),
+        }
+    }
+
+    /// Makes attempts until one begins its answer at `offset`.
+    ///
+    /// # Errors
+    /// No further attempt makes sense.
+    pub(super) async fn begin(&mut self, offset: u64) -> Result<Begun, Refusal> {
+        self.node.count_request(&self.call.service);
+        loop {
+            let link = self.node.route(&self.call, &self.failed_at).await?;
+            match self.attempt(&link, offset).await {
+                Ok(begun) => return Ok(begun),
+                Err(failed) => self.recover(failed).await?,
+            }
+        }
+    }
+
+    /// Decides what follows a failed attempt; returns where another is to be made.
+    ///
+    /// # Errors
+    /// The refusal for the caller.
+    pub(super) async fn recover(&mut self, failed: FailedAttempt) -> Result<(), Refusal> {
+        self.log_failure(&failed);
+        self.failed_at.insert(failed.link.endpoint().clone());
+        let mut outcome = failed.outcome;
+        loop {
+            match self.decide(outcome) {
+                Step::Retry(reason) => {
+                    self.node.metrics.retried(reason);
+                    return Ok(());
+                }
+                Step::Tombstone => {
+                    outcome = failed.tombstone(&self.call, TOMBSTONE_TIMEOUT).await;
+                }
+                Step::Refuse(code) => return Err(self.refusal(code, &failed)),
+                Step::Unknown(code) => return Err(self.refusal(code, &failed)),
+            }
+        }
+    }
+
+    async fn attempt(&mut self, link: &Arc<AgentLink>, offset: u64) -> Result<Begun, FailedAttempt> {
+        self.attempts += 1;
+        let now = self.node.clock.now();
+        let mut attempt = Attempt::send(&self.call, link, self.attempts, offset, now).await?;
+        let head = match self.next_part(&mut attempt).await? {
+            Part::Head(head) => head,
+            Part::Chunk(..) | Part::End => return Err(attempt.malformed()),
+        };
+        match self.next_part(&mut attempt).await? {
+            Part::Chunk(index, data) if index == offset => Ok(Begun {
+                head,
+                first: Some(data),
+                attempt: Some(attempt),
+            }),
+            Part::Chunk(..) | Part::Head(_) => Err(attempt.malformed()),
+            Part::End => Ok(Begun {
+                head,
+                first: None,
+                attempt: None,
+            }),
+        }
+    }
+
+    async fn next_part(&self, attempt: &mut Attempt) -> Result<Part, FailedAttempt> {
+        let now = self.node.clock.now();
+        attempt.next(self.call.remaining(now), now).await
+    }
+
+    fn decide(&self, outcome: AttemptOutcome) -> Step {
+        let remaining = self.call.remaining(self.node.clock.now());
+        let facts = CallFacts {
+            idempotent: self.call.idempotent,
+            remaining,
+            expected: Duration::ZERO,
+            attempts: self.attempts,
+            another_endpoint: self.node.has_another(&self.call, &self.failed_at),
+        };
+        next_step(outcome, facts, || self.node.take_retry(&self.call.service))
+    }
+
+    fn refusal(&self, code: ResultCode, failed: &FailedAttempt) -> Refusal {
+        let reason = format!("{} (at endpoint {})", failed.detail, failed.link.endpoint());
+        let hint = failed.retry_after.max(failed.link.expected_wait());
+        Refusal::new(code, reason).after(retry_after(hint, self.node.random()))
+    }
+
+    fn log_failure(&self, failed: &FailedAttempt) {
+        log::info!(
+            event = "attempt_failed",
+            request_id = self.call.shown_id.as_str(),
+            attempt = failed.number,
+            endpoint = failed.link.endpoint().as_str(),
+            outcome:? = failed.outcome;
+            "{}", failed.detail
+        );
+    }
+}
--- /dev/null
+++ b/crates/radishpin-server/src/node/request/events.rs
@@ -0,0 +1,237 @@
+//! Answers to callers: whole bodies, and event streams that resume after a break.
+
+use super::{
+    Call, Refusal,
+    attempt::{Attempt, FailedAttempt, Part},
+    body::PieceReader,
+    dispatch::{Begun, Progress},
+    refusal::REQUEST_ID_HEADER,
+};
+use crate::node::Node;
+use futures_lite::stream;
+use http_types::{Body, Response, StatusCode, headers::HeaderName};
+use radishpin_core::request::{AttemptOutcome, ChunkVerdict, StreamCursor};
+use radishpin_protocol::{ErrorBody, engine::STREAM_END, prelude::*, wire::Head};
+use std::{str::FromStr, sync::Arc};
+
+/// Largest answer that is read whole before the caller gets its first byte.
+const WHOLE_BODY_BYTES_MAX: usize = 1024 * 1024;
+/// Time between two parts of an answer after which it counts as broken.
+const STALL_TIMEOUT: Duration = Duration::from_secs(30);
+
+impl Node {
+    /// Serves a call: attempts, then the answer.
+    ///
+    /// # Errors
+    /// The refusal for the caller.
+    pub(in crate::node) async fn serve(self: &Arc<Self>, call: Call) -> Result<Response, Refusal> {
+        let mut progress = Progress::new(Arc::clone(self), call);
+        if progress.call.is_stream() {
+            let begun = progress.begin(0).await?;
+            return Ok(event_response(progress, begun));
+        }
+        loop {
+            let begun = progress.begin(0).await?;
+            match read_whole(begun).await {
+                Ok(answer) => return Ok(answer.into_response(&progress.call)),
+                Err(failed) => progress.recover(failed).await?,
+            }
+        }
+    }
+}
+
+/// An answer that is whole, or too large to be read whole first.
+struct Answer {
+    head: Head,
+    body: Vec<u8>,
+    rest: Option<Attempt>,
+}
+
+async fn read_whole(begun: Begun) -> Result<Answer, FailedAttempt> {
+    let mut body = begun.first.unwrap_or_default();
+    let mut rest = begun.attempt;
+    while let Some(attempt) = rest.as_mut() {
+        if body.len() > WHOLE_BODY_BYTES_MAX {
+            break;
+        }
+        match attempt.next(STALL_TIMEOUT, Duration::ZERO).await? {
+            Part::Chunk(_, data) => body.extend_from_slice(&data),
+            Part::End => rest = None,
+            Part::Head(_) => return Err(attempt.malformed()),
+        }
+    }
+    Ok(Answer {
+        head: begun.head,
+        body,
+        rest,
+    })
+}
+
+impl Answer {
+    fn into_response(self, call: &Call) -> Response {
+        let mut response = response_of(&self.head, call);
+        let Some(attempt) = self.rest else {
+            // Setting a body also sets a content type, which is the endpoint's to say.
+            let content_type = response.header("content-type").cloned();
+            response.set_body(self.body);
+            if let Some(content_type) = content_type {
+                response.insert_header("content-type", &content_type);
+            }
+            return response;
+        };
+        let first = stream::once(self.body);
+        let rest = stream::unfold(attempt, |mut attempt| async {
+            match attempt.next(STALL_TIMEOUT, Duration::ZERO).await {
+                Ok(Part::Chunk(_, data)) => Some((data, attempt)),
+                Ok(Part::End | Part::Head(_)) | Err(_) => None,
+            }
+        });
+        let reader = PieceReader::new(stream::StreamExt::chain(first, rest));
+        response.set_body(Body::from_reader(reader, None));
+        response
+    }
+}
+
+fn response_of(head: &Head, call: &Call) -> Response {
+    let status = u16::try_from(head.status).ok().and_then(|s| StatusCode::try_from(s).ok());
+    let mut response = Response::new(status.unwrap_or(StatusCode::BadGateway));
+    for header in &head.headers {
+        let name = HeaderName::from_str(&header.name);
+        let value = std::str::from_utf8(&header.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            response.append_header(name, value);
+        }
+    }
+    response.insert_header(REQUEST_ID_HEADER, call.shown_id.as_str());
+    response
+}
+
+/// The answer of a completion asked for as a stream; an answer that is no stream is passed on
+/// as it is, such as the endpoint's own refusal of the request's fields.
+fn event_response(progress: Progress, begun: Begun) -> Response {
+    let mut response = response_of(&begun.head, &progress.call);
+    let is_stream = response.content_type().is_some_and(|m| m.essence() == "text/event-stream");
+    let content_type = response.header("content-type").cloned();
+    let reader = if is_stream {
+        let pump = Pump::new(progress, begun);
+        PieceReader::new(stream::unfold(pump, |mut pump| async {
+            let piece = pump.next_piece().await?;
+            Some((piece, pump))
+        }))
+    } else {
+        PieceReader::new(stream::once(begun.first.unwrap_or_default()))
+    };
+    response.set_body(Body::from_reader(reader, None));
+    if let Some(content_type) = content_type {
+        response.insert_header("content-type", &content_type);
+    }
+    response
+}
+
+/// Moves events from attempts to the caller, each exactly once and in order.
+struct Pump {
+    progress: Progress,
+    cursor: StreamCursor,
+    first: Option<Vec<u8>>,
+    attempt: Option<Attempt>,
+}
+
+impl Pump {
+    fn new(progress: Progress, begun: Begun) -> Self {
+        let mut cursor = StreamCursor::new(progress.attempts);
+        if begun.first.is_some() {
+            cursor.accept(progress.attempts, 0);
+        }
+        Self {
+            progress,
+            cursor,
+            first: begun.first,
+            attempt: begun.attempt,
+        }
+    }
+
+    /// The next event as text; `None` after the last.
+    async fn next_piece(&mut self) -> Option<Vec<u8>> {
+        if let Some(first) = self.first.take() {
+            return Some(event(&first));
+        }
+        if self.cursor.is_ended() {
+            return None;
+        }
+        match self.next_event().await {
+            Ok(Some(data)) => Some(event(&data)),
+            Ok(None) => {
+                self.end();
+                Some(event(STREAM_END.as_bytes()))
+            }
+            Err(refusal) => {
+                self.end();
+                Some(self.last_words(&refusal))
+            }
+        }
+    }
+
+    async fn next_event(&mut self) -> Result<Option<Vec<u8>>, Refusal> {
+        loop {
+            let Some(attempt) = self.attempt.as_mut() else {
+                return Ok(None);
+            };
+            let now = self.progress.node.clock.now();
+            let number = attempt.number;
+            let failed = match attempt.next(STALL_TIMEOUT, now).await {
+                Ok(Part::Chunk(offset, data)) => match self.cursor.accept(number, offset) {
+                    ChunkVerdict::Accept => return Ok(Some(data)),
+                    ChunkVerdict::Duplicate => continue,
+                    ChunkVerdict::Gap { .. }
+                    | ChunkVerdict::Superseded
+                    | ChunkVerdict::AfterEnd => attempt.malformed(),
+                },
+                Ok(Part::End) => return Ok(None),
+                Ok(Part::Head(_)) => attempt.malformed(),
+                Err(failed) => failed,
+            };
+            if let Some(data) = self.resume(failed).await? {
+                return Ok(Some(data));
+            }
+        }
+    }
+
+    /// Goes on at another endpoint, or the same, where the caller's stream stands.
+    async fn resume(&mut self, mut failed: FailedAttempt) -> Result<Option<Vec<u8>>, Refusal> {
+        self.attempt = None;
+        let resumable = self.progress.call.idempotent;
+        failed.outcome = AttemptOutcome::BrokenInAnswer { resumable };
+        let now = self.progress.node.clock.now();
+        self.progress.call.deadline = now + self.progress.call.patience;
+        self.progress.recover(failed).await?;
+        let begun = self.progress.begin(self.cursor.expected()).await?;
+        self.cursor.resume(self.progress.attempts);
+        self.attempt = begun.attempt;
+        if begun.first.is_some() {
+            self.cursor.accept(self.progress.attempts, self.cursor.expected());
+        }
+        Ok(begun.first)
+    }
+
+    fn end(&mut self) {
+        self.attempt = None;
+        self.cursor.end(self.cursor.attempt());
+    }
+
+    /// A stream that cannot go on says so and ends without the mark of a whole one.
+    fn last_words(&self, refusal: &Refusal) -> Vec<u8> {
+        let progress = &self.progress;
+        progress.node.metrics.refused(ResultCode::AnswerBroken);
+        let shown_id = &progress.call.shown_id;
+        let body = ErrorBody::new(ResultCode::AnswerBroken, &refusal.reason, shown_id);
+        event(body.to_json().as_bytes())
+    }
+}
+
+fn event(data: &[u8]) -> Vec<u8> {
+    let mut text = Vec::with_capacity(data.len() + 8);
+    text.extend_from_slice(b"data: ");
+    text.extend_from_slice(data);
+    text.extend_from_slice(b"\n\n");
+    text
+}
--- /dev/null
+++ b/crates/radishpin-server/src/node/request/parse.rs
@@ -0,0 +1,150 @@
+//! From an HTTP request to a [`Call`].
+
+use super::{Call, CallKind, Refusal, refusal::REQUEST_ID_HEADER};
+use crate::node::Node;
+use http_types::Request;
+use radishpin_http::Received;
+use radishpin_protocol::{ServiceKind, prelude::*, wire::Header};
+use serde::Deserialize;
+
+/// Header by which a caller shortens its patience.
+const DEADLINE_HEADER: &str = "x-deadline-ms";
+/// Header by which a caller names a call that may run once only.
+const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
+/// Longest id or key that a caller may give.
+const ID_BYTES_MAX: usize = 128;
+/// Headers that stop at the node.
+const NOT_PASSED_ON: [&str; 5] = [
+    "authorization",
+    "connection",
+    "proxy-authorization",
+    DEADLINE_HEADER,
+    REQUEST_ID_HEADER,
+];
+
+/// The fields of a completion that the node itself needs.
+#[derive(Deserialize)]
+struct CompletionFields {
+    model: String,
+    #[serde(default)]
+    stream: bool,
+}
+
+/// Understands a completion request.
+///
+/// # Errors
+/// The body or a header is not understood, or the model is unknown.
+pub(in crate::node) fn model_call(node: &Node, received: Received) -> Result<Call, Refusal> {
+    let fields: CompletionFields = serde_json::from_slice(&received.body).map_err(|e| {
+        Refusal::new(ResultCode::InvalidField, format!("the body is not a completion: {e}"))
+    })?;
+    let view = node.view();
+    let Some(found) = view.resolve(&fields.model) else {
+        let reason = format!("no model or adapter is named {:?}", fields.model);
+        return Err(Refusal::new(ResultCode::UnknownModel, reason));
+    };
+    let kind = CallKind::Model {
+        model: found.model_id.clone(),
+        adapter: found.adapter.map(|(id, adapter)| (id.clone(), adapter.size_mb)),
+        stream: fields.stream,
+    };
+    let path = received.request.url().path().to_owned();
+    build(node, &view, received, kind, found.model.service.clone(), path)
+}
+
+/// Understands a call to a plain service; `path` is what follows the service's name.
+///
+/// # Errors
+/// A header is not understood, or the service is unknown.
+pub(in crate::node) fn service_call(
+    node: &Node,
+    received: Received,
+    service: &str,
+    path: &str,
+) -> Result<Call, Refusal> {
+    let view = node.view();
+    let is_plain = view.services.get(service).is_some_and(|s| s.kind == ServiceKind::Plain);
+    if !is_plain {
+        let reason = format!("no plain service is named {service:?}");
+        return Err(Refusal::new(ResultCode::UnknownService, reason));
+    }
+    let path = match received.request.url().query() {
+        Some(query) => format!("{path}?{query}"),
+        None => path.to_owned(),
+    };
+    build(node, &view, received, CallKind::Service, service.to_owned(), path)
+}
+
+fn build(
+    node: &Node,
+    view: &ClusterView,
+    received: Received,
+    kind: CallKind,
+    service: ServiceId,
+    path: String,
+) -> Result<Call, Refusal> {
+    let request = &received.request;
+    let Some(profile) = view.profile_of(&service) else {
+        let reason = format!("service {service:?} has no profile");
+        return Err(Refusal::new(ResultCode::Internal, reason));
+    };
+    let id = node.next_request_id();
+    let shown_id = bounded_header(request, REQUEST_ID_HEADER)?.unwrap_or_else(|| id.clone());
+    let patience = patience(request, profile)?;
+    let safe_method = request.method().is_safe();
+    Ok(Call {
+        id,
+        shown_id,
+        kind,
+        service,
+        method: request.method().to_string(),
+        path,
+        headers: passed_on(request),
+        priority: profile.priority,
+        idempotent: profile.idempotent || safe_method,
+        idempotency_key: bounded_header(request, IDEMPOTENCY_KEY_HEADER)?,
+        deadline: node.clock.now() + patience,
+        body: received.body,
+    })
+}
+
+/// The profile's patience, shortened by the caller's header; a longer one has no effect.
+fn patience(request: &Request, profile: &Profile) -> Result<Duration, Refusal> {
+    let Some(text) = bounded_header(request, DEADLINE_HEADER)? else {
+        return Ok(profile.patience());
+    };
+    let deadline_ms: u64 = text.parse().map_err(|_| {
+        let reason = format!("{DEADLINE_HEADER}: {text:?} is not a number of milliseconds");
+        Refusal::new(ResultCode::InvalidField, reason)
+    })?;
+    Ok(profile.patience().min(Duration::from_millis(deadline_ms)))
+}
+
+/// The value of a header that is short and visible.
+pub(in crate::node) fn bounded_header(
+    request: &Request,
+    name: &str,
+) -> Result<Option<String>, Refusal> {
+    let Some(values) = request.header(name) else {
+        return Ok(None);
+    };
+    let value = values.last().as_str();
+    let visible = value.bytes().all(|byte| byte.is_ascii_graphic());
+    if value.is_empty() || value.len() > ID_BYTES_MAX || !visible || values.iter().count() > 1 {
+        let reason = format!("{name}: one value of 1 to {ID_BYTES_MAX} visible characters is needed");
+        return Err(Refusal::new(ResultCode::InvalidField, reason));
+    }
+    Ok(Some(value.to_owned()))
+}
+
+fn passed_on(request: &Request) -> Vec<Header> {
+    request
+        .iter()
+        .filter(|(name, _)| !NOT_PASSED_ON.contains(&name.as_str()))
+        .flat_map(|(name, values)| values.iter().map(move |value| (name, value)))
+        .map(|(name, value)| Header {
+            name: name.as_str().to_owned(),
+            value: value.as_str().as_bytes().to_vec(),
+        })
+        .collect()
+}
--- a/crates/radishpin-standin/src/engine/memory.rs
+++ b/crates/radishpin-standin/src/engine/memory.rs
@@ -3,7 +3,7 @@
 use crate::lagged::Lagged;
 use radishpin_protocol::{
     ModelId, SizeMb,
-    engine::{EngineErrorKind, EngineReport, LoadTarget, Order, OrderNumber, Tier},
+    engine::{EngineErrorKind, EngineReport, LoadTarget, Order, OrderNumber, Resident, Tier},
 };
 use std::{collections::BTreeMap, time::Duration};
 
@@ -16,6 +16,7 @@
     as_of: OrderNumber,
     next_generation: u64,
     reports: u64,
+    instance: u64,
     history: Lagged<EngineReport>,
 }
 
@@ -59,6 +60,7 @@
             as_of: OrderNumber::default(),
             next_generation: 1,
             reports: 0,
+            instance: 1,
             history: Lagged::new(EngineReport::default()),
         };
         memory.history = Lagged::new(memory.current());
@@ -152,6 +154,7 @@
     pub(super) fn restart(&mut self, now: Duration) {
         self.entries.clear();
         self.as_of = OrderNumber::default();
+        self.instance += 1;
         self.note(now);
     }
 
@@ -190,6 +193,7 @@
         self.reports += 1;
         let mut report = self.history.read(now, lag).unwrap_or_default();
         report.report_sequence = self.reports;
+        report.lag_ms = u64::try_from(lag.as_millis()).unwrap_or(u64::MAX);
         report
     }
 
@@ -209,6 +213,17 @@
             .collect()
     }
 
+    fn residents(&self, loaded: bool) -> Vec<Resident> {
+        self.entries
+            .iter()
+            .filter(|(_, entry)| entry.loaded == loaded)
+            .map(|(target, entry)| Resident {
+                target: target.clone(),
+                size_mb: entry.size_mb,
+            })
+            .collect()
+    }
+
     fn note(&mut self, now: Duration) {
         let current = self.current();
         self.history.set(now, current);
@@ -219,8 +234,9 @@
             as_of: self.as_of,
             memory_mb: self.memory_mb,
             used_mb: self.used_mb(),
-            loaded: self.targets(true),
-            loading: self.targets(false),
+            instance: self.instance,
+            loaded: self.residents(true),
+            loading: self.residents(false),
             tiers: self.tiers.clone(),
             ..EngineReport::default()
         }
