--- /dev/null
+++ b/crates/radishpin-http/src/client/body.rs
@@ -0,0 +1,218 @@
+//! A response's body, read from its connection as the consumer asks for it.
+
+use super::pool::Pool;
+use crate::{
+    chunk::{ChunkScanner, Step},
+    socket::Socket,
+};
+use futures_lite::{AsyncBufRead, AsyncRead};
+use std::{
+    io,
+    net::SocketAddr,
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
+};
+
+/// How a response's body is framed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ResponseFraming {
+    /// A body of this many bytes.
+    Length(usize),
+    /// The chunked coding.
+    Chunked,
+    /// All until the peer closes.
+    UntilClose,
+}
+
+#[derive(Debug)]
+enum Left {
+    Bytes(usize),
+    // `ready` bytes at the front of the buffer are data.
+    Chunks { scanner: ChunkScanner, ready: usize },
+    UntilClose,
+    Nothing,
+}
+
+/// A connection with a body on its way.
+#[derive(Debug)]
+pub(super) struct ResponseBody {
+    // `None` after the end or a failure.
+    socket: Option<Socket>,
+    left: Left,
+    // Where the connection goes after the body, if it may be used again.
+    pool: Option<(Arc<Pool>, SocketAddr)>,
+}
+
+impl ResponseBody {
+    /// Takes a connection whose next byte is the body's first.
+    pub(super) fn new(
+        socket: Socket,
+        framing: ResponseFraming,
+        pool: Option<(Arc<Pool>, SocketAddr)>,
+    ) -> Self {
+        let left = match framing {
+            ResponseFraming::Length(length) => Left::Bytes(length),
+            ResponseFraming::Chunked => Left::Chunks {
+                scanner: ChunkScanner::new(),
+                ready: 0,
+            },
+            ResponseFraming::UntilClose => Left::UntilClose,
+        };
+        let mut body = Self {
+            socket: Some(socket),
+            left,
+            pool,
+        };
+        if framing == ResponseFraming::Length(0) {
+            body.finish();
+        }
+        body
+    }
+
+    /// Gives the connection back, if it may be used again.
+    fn finish(&mut self) {
+        self.left = Left::Nothing;
+        let Some(socket) = self.socket.take() else {
+            return;
+        };
+        if let Some((pool, address)) = self.pool.take()
+            && socket.buffered().is_empty()
+        {
+            pool.put(address, socket);
+        }
+    }
+
+    /// Bytes of data at the front of the buffer; zero at the end of the body.
+    fn poll_ready(&mut self, context: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        loop {
+            match self.ready() {
+                Ok(Some(count)) => return Poll::Ready(Ok(count)),
+                Ok(None) => {}
+                Err(error) => return Poll::Ready(Err(self.fail(error))),
+            }
+            let Some(socket) = self.socket.as_mut() else {
+                return Poll::Ready(Err(io::ErrorKind::NotConnected.into()));
+            };
+            match socket.poll_fill(context) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(Ok(0)) if matches!(self.left, Left::UntilClose) => self.finish(),
+                Poll::Ready(Ok(0)) => {
+                    let error = io::ErrorKind::UnexpectedEof.into();
+                    return Poll::Ready(Err(self.fail(error)));
+                }
+                Poll::Ready(Ok(_)) => {}
+                Poll::Ready(Err(error)) => return Poll::Ready(Err(self.fail(error))),
+            }
+        }
+    }
+
+    /// As [`Self::poll_ready`], without reading; `None` where more bytes are needed.
+    fn ready(&mut self) -> io::Result<Option<usize>> {
+        loop {
+            let buffered = self.buffered_bytes();
+            match &mut self.left {
+                Left::Nothing => return Ok(Some(0)),
+                Left::Bytes(left) => return Ok(some_bytes(buffered.min(*left))),
+                Left::UntilClose => return Ok(some_bytes(buffered)),
+                Left::Chunks { ready, .. } if *ready > 0 => return Ok(Some(*ready)),
+                Left::Chunks { scanner, ready } => {
+                    let input = self.socket.as_ref().map_or(&[][..], Socket::buffered);
+                    match scanner.next(input).map_err(|_| bad_chunk())? {
+                        Step::Need => return Ok(None),
+                        Step::Data(count) => *ready = count,
+                        Step::Skip(count) => self.skip(count),
+                        Step::End(count) => {
+                            self.skip(count);
+                            self.finish();
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    fn buffered_bytes(&self) -> usize {
+        self.socket
+            .as_ref()
+            .map_or(0, |socket| socket.buffered().len())
+    }
+
+    fn skip(&mut self, count: usize) {
+        if let Some(socket) = self.socket.as_mut() {
+            socket.consume(count);
+        }
+    }
+
+    fn fail(&mut self, error: io::Error) -> io::Error {
+        self.socket = None;
+        error
+    }
+
+    fn use_up(&mut self, count: usize) {
+        self.skip(count);
+        match &mut self.left {
+            Left::Bytes(left) => {
+                *left -= count.min(*left);
+                if *left == 0 {
+                    self.finish();
+                }
+            }
+            Left::Chunks { ready, .. } => {
+                *ready -= count.min(*ready);
+                if *ready == 0 {
+                    // Finds the end where it has arrived; a fault shows at the next read.
+                    let _ = self.ready();
+                }
+            }
+            Left::UntilClose | Left::Nothing => {}
+        }
+    }
+}
+
+fn some_bytes(count: usize) -> Option<usize> {
+    Some(count).filter(|count| *count > 0)
+}
+
+fn bad_chunk() -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, "broken chunked body")
+}
+
+impl AsyncRead for ResponseBody {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        match self.poll_ready(context) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
+            Poll::Ready(Ok(ready)) => {
+                let count = ready.min(buffer.len());
+                if let Some(socket) = &self.socket {
+                    buffer[..count].copy_from_slice(&socket.buffered()[..count]);
+                }
+                self.use_up(count);
+                Poll::Ready(Ok(count))
+            }
+        }
+    }
+}
+
+impl AsyncBufRead for ResponseBody {
+    fn poll_fill_buf(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
+        let body = self.get_mut();
+        match body.poll_ready(context) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
+            Poll::Ready(Ok(count)) => {
+                let buffered = body.socket.as_ref().map_or(&[][..], Socket::buffered);
+                Poll::Ready(Ok(&buffered[..count]))
+            }
+        }
+    }
+
+    fn consume(mut self: Pin<&mut Self>, count: usize) {
+        self.use_up(count);
+    }
+}
--- /dev/null
+++ b/crates/radishpin-http/src/client/exchange.rs
@@ -0,0 +1,211 @@
+//! One request and its response on one connection.
+
+use super::{
+    body::{ResponseBody, ResponseFraming},
+    head::{self, ResponseHead},
+    pool::Pool,
+};
+use crate::socket::Socket;
+use async_h1::client::Encoder;
+use futures_lite::{AsyncRead, future::poll_fn};
+use http_types::{
+    Body, Method, Request, Response,
+    headers::{CONTENT_LENGTH, EXPECT, TRANSFER_ENCODING},
+};
+use std::{
+    io,
+    net::SocketAddr,
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
+};
+
+/// Most bytes of a request that are encoded but not written.
+const BUFFER_BYTES: usize = 16 * 1024;
+/// Size of the buffer at first.
+const FIRST_BUFFER_BYTES: usize = 2 * 1024;
+/// Least room that the encoder is asked to fill.
+const LEAST_ROOM_BYTES: usize = 512;
+
+/// Why a request could not be written whole.
+#[derive(Debug)]
+pub(super) enum WriteError {
+    /// The connection took no byte.
+    NothingSent(io::Error),
+    /// The connection took some bytes, or the request's own body failed on the way.
+    Sent(String),
+}
+
+/// A request on its way out.
+pub(super) struct Sending {
+    method: Method,
+    encoder: Option<Encoder>,
+    buffer: Vec<u8>,
+    start: usize,
+    end: usize,
+    sent: bool,
+}
+
+impl Sending {
+    pub(super) fn new(mut request: Request) -> Self {
+        request.remove_header(TRANSFER_ENCODING);
+        // The body is sent without waiting for an interim answer.
+        request.remove_header(EXPECT);
+        if request.len().is_none() {
+            request.remove_header(CONTENT_LENGTH);
+        }
+        Self {
+            method: request.method(),
+            encoder: Some(Encoder::new(request)),
+            buffer: vec![0; FIRST_BUFFER_BYTES],
+            start: 0,
+            end: 0,
+            sent: false,
+        }
+    }
+
+    /// Writes the request; after [`WriteError::NothingSent`] it may be written elsewhere.
+    pub(super) async fn write(&mut self, socket: &mut Socket) -> Result<(), WriteError> {
+        poll_fn(|context| self.poll_send(context, socket)).await
+    }
+
+    fn poll_send(
+        &mut self,
+        context: &mut Context<'_>,
+        socket: &mut Socket,
+    ) -> Poll<Result<(), WriteError>> {
+        loop {
+            let produced = match self.poll_produce(context) {
+                Poll::Ready(Ok(())) => true,
+                Poll::Ready(Err(error)) => return Poll::Ready(Err(self.body_failed(error))),
+                Poll::Pending => false,
+            };
+            if self.start == self.end {
+                return match produced {
+                    true => Poll::Ready(Ok(())),
+                    false => self.poll_early_answer(context, socket),
+                };
+            }
+            match socket.poll_write(context, &self.buffer[self.start..self.end]) {
+                Poll::Pending => return self.poll_early_answer(context, socket),
+                Poll::Ready(Ok(count)) if count > 0 => self.wrote(count),
+                Poll::Ready(Ok(_)) => {
+                    return Poll::Ready(Err(self.write_failed(io::ErrorKind::WriteZero.into())));
+                }
+                Poll::Ready(Err(error)) => return Poll::Ready(Err(self.write_failed(error))),
+            }
+        }
+    }
+
+    /// Notices a peer that answers or closes without reading the whole request.
+    fn poll_early_answer(
+        &self,
+        context: &mut Context<'_>,
+        socket: &mut Socket,
+    ) -> Poll<Result<(), WriteError>> {
+        match socket.poll_fill(context) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(Err(error)) => Poll::Ready(Err(self.write_failed(error))),
+            Poll::Ready(Ok(_)) => {
+                let error = io::Error::other("the peer did not read the whole request");
+                Poll::Ready(Err(self.write_failed(error)))
+            }
+        }
+    }
+
+    fn poll_produce(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        loop {
+            let Some(encoder) = self.encoder.as_mut() else {
+                return Poll::Ready(Ok(()));
+            };
+            if self.buffer.len() - self.end < LEAST_ROOM_BYTES {
+                if self.buffer.len() >= BUFFER_BYTES || self.start > 0 {
+                    return Poll::Ready(Ok(()));
+                }
+                self.buffer.resize(self.buffer.len() * 2, 0);
+            }
+            match Pin::new(encoder).poll_read(context, &mut self.buffer[self.end..]) {
+                Poll::Ready(Ok(0)) => self.encoder = None,
+                Poll::Ready(Ok(count)) => self.end += count,
+                Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
+                Poll::Pending => return Poll::Pending,
+            }
+        }
+    }
+
+    fn wrote(&mut self, count: usize) {
+        self.sent = true;
+        self.start += count;
+        if self.start == self.end {
+            self.start = 0;
+            self.end = 0;
+        }
+    }
+
+    fn write_failed(&self, error: io::Error) -> WriteError {
+        match self.sent {
+            true => WriteError::Sent(error.to_string()),
+            false => WriteError::NothingSent(error),
+        }
+    }
+
+    fn body_failed(&self, error: io::Error) -> WriteError {
+        let error = io::Error::new(error.kind(), format!("the request's body failed: {error}"));
+        self.write_failed(error)
+    }
+
+    /// Reads the response's head and hands the connection to its body.
+    pub(super) async fn read_response(
+        &self,
+        mut socket: Socket,
+        pool: &Arc<Pool>,
+        address: SocketAddr,
+        reusable: bool,
+    ) -> Result<Response, String> {
+        let (head, mut response) = self.read_final_head(&mut socket).await?;
+        let home = (reusable && head.keep_alive).then(|| (Arc::clone(pool), address));
+        let length = match head.framing {
+            ResponseFraming::Length(length) => Some(length),
+            ResponseFraming::Chunked | ResponseFraming::UntilClose => None,
+        };
+        let body = ResponseBody::new(socket, head.framing, home);
+        let body = match self.method {
+            Method::Head => head::body_of_head(&response),
+            _ => Body::from_reader(body, length),
+        };
+        head::set_body(&mut response, head, body);
+        Ok(response)
+    }
+
+    async fn read_final_head(
+        &self,
+        socket: &mut Socket,
+    ) -> Result<(ResponseHead, Response), String> {
+        loop {
+            let length = read_head(socket).await?;
+            let bytes = &socket.buffered()[..length];
+            let head = head::check(bytes, self.method)?;
+            if head.is_interim() {
+                socket.consume(length);
+                continue;
+            }
+            let response = head::decode(bytes, head).await?;
+            socket.consume(length);
+            return Ok((head, response));
+        }
+    }
+}
+
+/// Reads until a whole head is buffered, and returns its length.
+async fn read_head(socket: &mut Socket) -> Result<usize, String> {
+    loop {
+        if let Some(length) = head::find_end(socket.buffered())? {
+            return Ok(length);
+        }
+        match poll_fn(|context| socket.poll_fill(context)).await {
+            Ok(0) => return Err("the peer closed before it answered".to_owned()),
+            Ok(_) => {}
+            Err(error) => return Err(error.to_string()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/radishpin-http/src/client/head.rs
@@ -0,0 +1,129 @@
+//! A response's head: its end, its framing, and the response built from it by `async-h1`.
+
+use super::body::ResponseFraming;
+use crate::{
+    headers::{MAX_HEAD_BYTES, MAX_HEADERS, head_length, names_close, parse_length, values},
+    replay::Replay,
+};
+use http_types::{
+    Body, Method, Response,
+    headers::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, DATE, TRANSFER_ENCODING},
+};
+use httparse::Header;
+
+/// Place of the minor version in `HTTP/1.1`.
+const MINOR_VERSION: usize = 7;
+
+/// What a response's head says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct ResponseHead {
+    status: u16,
+    /// How the body is framed.
+    pub(super) framing: ResponseFraming,
+    /// The peer keeps the connection.
+    pub(super) keep_alive: bool,
+    has_date: bool,
+    has_content_type: bool,
+}
+
+impl ResponseHead {
+    /// Whether this is an interim answer, after which the final one follows.
+    pub(super) fn is_interim(&self) -> bool {
+        (100..200).contains(&self.status) && self.status != 101
+    }
+}
+
+/// Length of the head at the start of `bytes`; `None` while it is incomplete.
+///
+/// # Errors
+/// The head is larger than `async-h1` takes.
+pub(super) fn find_end(bytes: &[u8]) -> Result<Option<usize>, String> {
+    match head_length(bytes) {
+        Some(length) if length <= MAX_HEAD_BYTES => Ok(Some(length)),
+        None if bytes.len() <= MAX_HEAD_BYTES => Ok(None),
+        Some(_) | None => Err(format!("the answer's head is over {MAX_HEAD_BYTES} bytes")),
+    }
+}
+
+/// Reads a whole head.
+///
+/// # Errors
+/// The head or the framing is malformed or ambiguous.
+pub(super) fn check(bytes: &[u8], method: Method) -> Result<ResponseHead, String> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut response = httparse::Response::new(&mut headers);
+    let parsed = response.parse(bytes);
+    if !matches!(parsed, Ok(httparse::Status::Complete(length)) if length == bytes.len()) {
+        return Err("the answer's head is malformed".to_owned());
+    }
+    let status = response.code.unwrap_or_default();
+    let framing = framing(response.headers, status, method)?;
+    let close = values(response.headers, "connection").any(names_close);
+    Ok(ResponseHead {
+        status,
+        framing,
+        keep_alive: !close
+            && response.version == Some(1)
+            && status != 101
+            && framing != ResponseFraming::UntilClose,
+        has_date: values(response.headers, "date").next().is_some(),
+        has_content_type: values(response.headers, "content-type").next().is_some(),
+    })
+}
+
+/// Builds the response, without its body.
+///
+/// # Errors
+/// The head holds a status or a value that `async-h1` doesn't take.
+pub(super) async fn decode(bytes: &[u8], head: ResponseHead) -> Result<Response, String> {
+    let mut bytes = bytes.to_vec();
+    // `async-h1` takes version 1.1 only; the framing has been settled already.
+    bytes[MINOR_VERSION] = b'1';
+    let mut response = async_h1::client::decode(Replay::new(&bytes))
+        .await
+        .map_err(|error| error.to_string())?;
+    if !head.has_date {
+        // `async-h1` adds one with a line break in it.
+        response.remove_header(DATE);
+    }
+    response.remove_header(CONNECTION);
+    response.remove_header(TRANSFER_ENCODING);
+    Ok(response)
+}
+
+/// Gives the response its body, and no content type that the peer didn't state.
+pub(super) fn set_body(response: &mut Response, head: ResponseHead, body: Body) {
+    response.set_body(body);
+    if !head.has_content_type {
+        response.remove_header(CONTENT_TYPE);
+    }
+}
+
+/// An empty body for the answer to HEAD, with the length that the answer to GET would have.
+pub(super) fn body_of_head(response: &Response) -> Body {
+    let length = response
+        .header(CONTENT_LENGTH)
+        .and_then(|values| values.last().as_str().parse().ok());
+    Body::from_reader(futures_lite::io::empty(), length.or(Some(0)))
+}
+
+fn framing(headers: &[Header<'_>], status: u16, method: Method) -> Result<ResponseFraming, String> {
+    let lengths: Vec<&[u8]> = values(headers, "content-length").collect();
+    let codings: Vec<&[u8]> = values(headers, "transfer-encoding").collect();
+    if method == Method::Head || status < 200 || status == 204 || status == 304 {
+        return Ok(ResponseFraming::Length(0));
+    }
+    match (lengths.as_slice(), codings.as_slice()) {
+        ([], []) => Ok(ResponseFraming::UntilClose),
+        ([length], []) => stated_length(length),
+        ([], [coding]) if coding.eq_ignore_ascii_case(b"chunked") => Ok(ResponseFraming::Chunked),
+        _ => Err("the answer's framing is ambiguous".to_owned()),
+    }
+}
+
+fn stated_length(value: &[u8]) -> Result<ResponseFraming, String> {
+    parse_length(value)
+        .and_then(|length| usize::try_from(length).ok())
+        .map(ResponseFraming::Length)
+        .ok_or_else(|| "the answer's Content-Length is malformed".to_owned())
+}
--- a/crates/radishpin-http/src/lib.rs
+++ b/crates/radishpin-http/src/lib.rs
@@ -1,8 +1,12 @@
 //! HTTP server and client over `async-h1` and `smol`, with the guards that callers need.
 
+mod chunk;
 mod client;
 mod fault;
+mod headers;
+mod replay;
 mod server;
+mod socket;
 
 pub use client::{Client, ClientError, ClientLimits};
 pub use fault::HttpFault;
--- /dev/null
+++ b/crates/radishpin-http/src/replay.rs
@@ -0,0 +1,58 @@
+//! Hands a head that was read and checked before to `async-h1`.
+
+use futures_lite::io::{AsyncRead, AsyncWrite};
+use std::{
+    io,
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
+};
+
+/// A reader over the bytes of one head; writes go nowhere.
+#[derive(Clone, Debug)]
+pub(crate) struct Replay {
+    head: Arc<[u8]>,
+    start: usize,
+}
+
+impl Replay {
+    /// A reader that starts at the head's first byte.
+    pub(crate) fn new(head: &[u8]) -> Self {
+        Self {
+            head: Arc::from(head),
+            start: 0,
+        }
+    }
+}
+
+impl AsyncRead for Replay {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        _context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let rest = &self.head[self.start..];
+        let count = rest.len().min(buffer.len());
+        buffer[..count].copy_from_slice(&rest[..count]);
+        self.start += count;
+        Poll::Ready(Ok(count))
+    }
+}
+
+impl AsyncWrite for Replay {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        _context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Poll::Ready(Ok(bytes.len()))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_close(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
--- a/crates/radishpin-http/src/server.rs
+++ b/crates/radishpin-http/src/server.rs
@@ -1,15 +1,34 @@
 //! HTTP server: one task a connection, bodies read whole within limits, hang-ups noticed.
 
-use crate::HttpFault;
+mod accept;
+mod body;
+mod connection;
+mod head;
+mod registry;
+mod response;
+mod shutdown;
+
+pub use shutdown::Shutdown;
+
+use crate::{HttpFault, headers::MAX_HEAD_BYTES};
+use accept::Acceptor;
 use http_types::{Request, Response};
 use radishpin_runtime::Runtime;
+use registry::Registry;
 use smol::net::TcpListener;
 use std::{future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
 
+/// Longest time between two looks at the connections' deadlines.
+const LONGEST_TICK: Duration = Duration::from_millis(250);
+/// Shortest time between two looks.
+const SHORTEST_TICK: Duration = Duration::from_millis(5);
+/// Looks within the shortest timeout.
+const TICKS_PER_TIMEOUT: u32 = 8;
+
 /// Bounds on what one connection may take.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerLimits {
-    /// Largest head (request line and headers).
+    /// Largest head (request line and headers); at most 8191, which is what `async-h1` takes.
     pub head_bytes: usize,
     /// Largest body.
     pub body_bytes: usize,
@@ -28,7 +47,7 @@
 impl Default for ServerLimits {
     fn default() -> Self {
         Self {
-            head_bytes: 16 * 1024,
+            head_bytes: MAX_HEAD_BYTES,
             body_bytes: 8 * 1024 * 1024,
             head_timeout: Duration::from_secs(10),
             body_timeout: Duration::from_secs(30),
@@ -39,6 +58,24 @@
     }
 }
 
+impl ServerLimits {
+    fn clamped(mut self) -> Self {
+        self.head_bytes = self.head_bytes.min(MAX_HEAD_BYTES);
+        self.connections = self.connections.max(1);
+        self
+    }
+
+    /// Time between two looks at the deadlines: a deadline is noticed at most this late.
+    fn tick(&self) -> Duration {
+        let shortest = self
+            .head_timeout
+            .min(self.body_timeout)
+            .min(self.idle_timeout)
+            .min(self.write_timeout);
+        (shortest / TICKS_PER_TIMEOUT).clamp(SHORTEST_TICK, LONGEST_TICK)
+    }
+}
+
 /// A whole request: head and body.
 #[derive(Debug)]
 pub struct Received {
@@ -59,22 +96,6 @@
     fn refuse(&self, fault: HttpFault) -> Response;
 }
 
-/// Tells a server to stop: no new connections or requests, running ones end.
-#[derive(Clone, Debug, Default)]
-pub struct Shutdown {}
-
-impl Shutdown {
-    /// Starts the stop; idempotent.
-    pub fn begin(&self) {
-        todo!()
-    }
-
-    /// Waits until the stop has begun.
-    pub async fn begun(&self) {
-        todo!()
-    }
-}
-
 /// A listening HTTP server.
 #[derive(Debug)]
 pub struct Server {}
@@ -82,15 +103,51 @@
 impl Server {
     /// Accepts connections until `shutdown` begins, then waits for the running requests.
     ///
+    /// Where all connections are taken, one that rests gives way to a new one; where none rests,
+    /// new ones wait in the listener's backlog.
+    ///
     /// # Errors
     /// The listener fails for good.
     pub async fn serve<H: Handler>(
-        _runtime: Runtime,
-        _listener: TcpListener,
-        _handler: Arc<H>,
-        _limits: ServerLimits,
-        _shutdown: Shutdown,
+        runtime: Runtime,
+        listener: TcpListener,
+        handler: Arc<H>,
+        limits: ServerLimits,
+        shutdown: Shutdown,
     ) -> io::Result<()> {
-        todo!()
+        let limits = limits.clamped();
+        let registry = Arc::new(Registry::new(limits.tick()));
+        // Where this future is dropped, the connections end as in a shutdown.
+        let _stop = StopOnDrop(Arc::clone(&registry));
+        let _ticker = runtime.spawn(tick(Arc::clone(&registry), limits.tick()));
+        let acceptor = Acceptor {
+            runtime,
+            listener,
+            handler,
+            limits,
+            registry: Arc::clone(&registry),
+        };
+        acceptor.run(&shutdown).await?;
+        registry.stop();
+        while registry.open() > 0 {
+            registry.one_closed().await;
+        }
+        Ok(())
+    }
+}
+
+struct StopOnDrop(Arc<Registry>);
+
+impl Drop for StopOnDrop {
+    fn drop(&mut self) {
+        self.0.stop();
+    }
+}
+
+/// Advances the registry's clock for as long as the server runs.
+async fn tick(registry: Arc<Registry>, every: Duration) {
+    loop {
+        Runtime::sleep(every).await;
+        registry.tick();
     }
 }
--- /dev/null
+++ b/crates/radishpin-http/src/server/accept.rs
@@ -0,0 +1,98 @@
+//! Accepts connections and starts a task for each.
+
+use super::{Handler, ServerLimits, Shutdown, connection::Connection, registry::Registry};
+use crate::socket::Socket;
+use futures_lite::{FutureExt, future};
+use radishpin_runtime::Runtime;
+use smol::net::{TcpListener, TcpStream};
+use std::{io, net::SocketAddr, panic::AssertUnwindSafe, sync::Arc, time::Duration};
+
+/// Pause after a failed accept, for example where no file descriptor is free.
+const PAUSE: Duration = Duration::from_millis(50);
+/// Failures in a row after which the listener is given up.
+const MOST_FAILURES: u32 = 200;
+
+/// What accepting needs.
+pub(super) struct Acceptor<H> {
+    pub(super) runtime: Runtime,
+    pub(super) listener: TcpListener,
+    pub(super) handler: Arc<H>,
+    pub(super) limits: ServerLimits,
+    pub(super) registry: Arc<Registry>,
+}
+
+impl<H: Handler> Acceptor<H> {
+    /// Accepts until the shutdown begins; the listener closes on return.
+    ///
+    /// # Errors
+    /// Accepting failed many times in a row.
+    pub(super) async fn run(self, shutdown: &Shutdown) -> io::Result<()> {
+        let mut failures = 0;
+        loop {
+            let accepted = async { Some(self.accept().await) };
+            let stopped = async {
+                shutdown.begun().await;
+                None
+            };
+            match accepted.or(stopped).await {
+                None => break,
+                Some(Ok((stream, peer))) => {
+                    failures = 0;
+                    self.start(stream, peer);
+                }
+                Some(Err(error)) => {
+                    failures += 1;
+                    if failures > MOST_FAILURES {
+                        return Err(error);
+                    }
+                    log::warn!(error:%; "cannot accept a connection");
+                    Runtime::sleep(PAUSE).await;
+                }
+            }
+        }
+        self.accept_backlog().await;
+        Ok(())
+    }
+
+    async fn accept(&self) -> io::Result<(TcpStream, SocketAddr)> {
+        while self.registry.open() >= self.limits.connections {
+            self.registry.evict_one();
+            // The one asked may have got a request meanwhile, so another is asked after a tick.
+            let tick = Runtime::sleep(self.limits.tick());
+            self.registry.one_closed().or(tick).await;
+        }
+        loop {
+            match self.listener.accept().await {
+                // The caller left before it was accepted.
+                Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+                result => return result,
+            }
+        }
+    }
+
+    /// Takes what the kernel has accepted already, so that its requests are not lost.
+    async fn accept_backlog(&self) {
+        while let Some(Ok((stream, peer))) = future::poll_once(self.listener.accept()).await {
+            self.start(stream, peer);
+        }
+    }
+
+    fn start(&self, stream: TcpStream, peer: SocketAddr) {
+        let socket = match Socket::new(stream.into()) {
+            Ok(socket) => socket,
+            Err(error) => {
+                log::debug!(peer:%, error:%; "connection ended at once");
+                return;
+            }
+        };
+        let entry = self.registry.enter();
+        let connection = Connection::new(socket, peer, self.limits, entry);
+        let run = connection.run(Arc::clone(&self.handler));
+        self.runtime.spawn_detached(async move {
+            // A panic in a handler must end its own connection only.
+            if AssertUnwindSafe(run).catch_unwind().await.is_err() {
+                log::error!(peer:%; "a handler panicked");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/radishpin-http/src/server/body.rs
@@ -0,0 +1,118 @@
+//! Reads a request's body whole, within its limit.
+
+use super::head::Framing;
+use crate::{
+    HttpFault,
+    chunk::{ChunkScanner, Step},
+};
+
+/// Memory taken for a body before any of it has arrived.
+const FIRST_CAPACITY_BYTES: usize = 64 * 1024;
+
+/// What is still to come.
+#[derive(Clone, Copy, Debug)]
+enum Left {
+    Bytes(usize),
+    Chunks(ChunkScanner),
+    Nothing,
+}
+
+/// A body on its way.
+#[derive(Debug)]
+pub(super) struct BodyReader {
+    bytes: Vec<u8>,
+    limit_bytes: usize,
+    left: Left,
+}
+
+impl BodyReader {
+    /// A reader for a body framed so.
+    ///
+    /// # Errors
+    /// The stated length is over the limit.
+    pub(super) fn new(framing: Framing, limit_bytes: usize) -> Result<Self, HttpFault> {
+        let left = match framing {
+            Framing::Length(0) => Left::Nothing,
+            Framing::Length(length) => Left::Bytes(within(length, limit_bytes)?),
+            Framing::Chunked => Left::Chunks(ChunkScanner::new()),
+        };
+        let capacity = match left {
+            Left::Bytes(length) => length.min(FIRST_CAPACITY_BYTES),
+            Left::Chunks(_) | Left::Nothing => 0,
+        };
+        Ok(Self {
+            bytes: Vec::with_capacity(capacity),
+            limit_bytes,
+            left,
+        })
+    }
+
+    /// Takes what belongs to the body from the front of `input`, and returns how much that was.
+    ///
+    /// # Errors
+    /// The chunked coding is broken, or the body is over its limit.
+    pub(super) fn take(&mut self, input: &[u8]) -> Result<usize, HttpFault> {
+        match self.left {
+            Left::Nothing => Ok(0),
+            Left::Bytes(left) => Ok(self.take_plain(left, input)),
+            Left::Chunks(scanner) => self.take_chunks(scanner, input),
+        }
+    }
+
+    fn take_plain(&mut self, left: usize, input: &[u8]) -> usize {
+        let count = left.min(input.len());
+        self.bytes.extend_from_slice(&input[..count]);
+        self.left = match left - count {
+            0 => Left::Nothing,
+            left => Left::Bytes(left),
+        };
+        count
+    }
+
+    fn take_chunks(&mut self, mut scanner: ChunkScanner, input: &[u8]) -> Result<usize, HttpFault> {
+        let mut used = 0;
+        loop {
+            let rest = &input[used..];
+            match scanner.next(rest).map_err(|_| HttpFault::Malformed)? {
+                Step::Need => {
+                    self.left = Left::Chunks(scanner);
+                    return Ok(used);
+                }
+                Step::Skip(count) => used += count,
+                Step::Data(count) => {
+                    self.append(&rest[..count])?;
+                    used += count;
+                }
+                Step::End(count) => {
+                    self.left = Left::Nothing;
+                    return Ok(used + count);
+                }
+            }
+        }
+    }
+
+    fn append(&mut self, data: &[u8]) -> Result<(), HttpFault> {
+        if self.bytes.len() + data.len() > self.limit_bytes {
+            return Err(HttpFault::BodyTooLarge);
+        }
+        self.bytes.extend_from_slice(data);
+        Ok(())
+    }
+
+    /// Whether the body is whole.
+    pub(super) fn is_done(&self) -> bool {
+        matches!(self.left, Left::Nothing)
+    }
+
+    /// The body's bytes.
+    pub(super) fn into_bytes(self) -> Vec<u8> {
+        self.bytes
+    }
+}
+
+fn within(length: u64, limit_bytes: usize) -> Result<usize, HttpFault> {
+    usize::try_from(length)
+        .ok()
+        .filter(|length| *length <= limit_bytes)
+        .ok_or(HttpFault::BodyTooLarge)
+}
--- /dev/null
+++ b/crates/radishpin-http/src/server/connection.rs
@@ -0,0 +1,356 @@
+//! One connection: requests one after another, until either side closes.
+
+use super::{
+    Handler, Received, ServerLimits,
+    body::BodyReader,
+    head::{self, Framing, Head},
+    registry::Entry,
+    response::Outgoing,
+};
+use crate::{HttpFault, socket::Socket};
+use futures_lite::future::poll_fn;
+use http_types::{Method, Request, Response};
+use std::{
+    future::Future,
+    io,
+    net::SocketAddr,
+    pin::pin,
+    sync::Arc,
+    task::{Context, Poll, Waker},
+    time::Duration,
+};
+
+/// Time that a refused caller has to read the answer before the connection closes.
+const LINGER: Duration = Duration::from_secs(2);
+/// Most bytes that are read and dropped while a refused caller still sends.
+const LINGER_BYTES: usize = 64 * 1024 * 1024;
+/// Interim answer that lets a caller send its body.
+const CONTINUE_RESPONSE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
+/// Why a connection ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum End {
+    /// Closed by either side, or broken; nobody is left to answer.
+    Closed,
+    /// To be answered by `Handler::refuse`, then closed.
+    Fault(HttpFault),
+}
+
+/// A connection and what lives as long as it.
+#[derive(Debug)]
+pub(super) struct Connection {
+    socket: Socket,
+    peer: SocketAddr,
+    limits: ServerLimits,
+    entry: Entry,
+    // Wakes the task through the signal, so that it knows that the socket is ready.
+    io_waker: Waker,
+    // A read was left pending, and its waker is registered.
+    watching: bool,
+    outgoing: Outgoing,
+}
+
+impl Connection {
+    pub(super) fn new(
+        socket: Socket,
+        peer: SocketAddr,
+        limits: ServerLimits,
+        entry: Entry,
+    ) -> Self {
+        let io_waker = Waker::from(Arc::clone(entry.signal()));
+        Self {
+            socket,
+            peer,
+            limits,
+            entry,
+            io_waker,
+            watching: false,
+            outgoing: Outgoing::new(),
+        }
+    }
+
+    /// Serves requests until the connection ends.
+    pub(super) async fn run<H: Handler>(mut self, handler: Arc<H>) {
+        loop {
+            match self.serve_one(handler.as_ref()).await {
+                Ok(()) => {}
+                Err(End::Closed) => return,
+                Err(End::Fault(fault)) => return self.refuse(handler.as_ref(), fault).await,
+            }
+        }
+    }
+
+    async fn serve_one<H: Handler>(&mut self, handler: &H) -> Result<(), End> {
+        let length = self.read_head().await?;
+        let bytes = &self.socket.buffered()[..length];
+        let head = head::check(bytes).map_err(End::Fault)?;
+        let request = head::decode(bytes, head).await.map_err(End::Fault)?;
+        self.socket.consume(length);
+        let body = self.read_body(head).await?;
+        self.entry.clear_deadline();
+        self.answer(handler, head, request, body).await
+    }
+
+    async fn answer<H: Handler>(
+        &mut self,
+        handler: &H,
+        head: Head,
+        request: Request,
+        body: Vec<u8>,
+    ) -> Result<(), End> {
+        let method = request.method();
+        let received = Received {
+            request,
+            body,
+            peer: self.peer,
+        };
+        let response = self.run_handler(handler, received).await?;
+        let close = head.close || self.entry.is_stopping();
+        match self.respond(response, method, close).await? {
+            true => Err(End::Closed),
+            false => Ok(()),
+        }
+    }
+
+    /// Runs the handler while watching for a hang-up.
+    async fn run_handler<H: Handler>(
+        &mut self,
+        handler: &H,
+        received: Received,
+    ) -> Result<Response, End> {
+        let mut work = pin!(handler.handle(received));
+        poll_fn(|context| {
+            self.entry.signal().set_task(context.waker());
+            if let Poll::Ready(response) = work.as_mut().poll(context) {
+                return Poll::Ready(Ok(response));
+            }
+            self.poll_hang_up()
+        })
+        .await
+    }
+
+    /// Writes a response; true where the connection must close.
+    async fn respond(
+        &mut self,
+        response: Response,
+        method: Method,
+        close: bool,
+    ) -> Result<bool, End> {
+        let must_close = self.outgoing.start(response, method, close);
+        let result = poll_fn(|context| {
+            self.entry.signal().set_task(context.waker());
+            self.poll_respond(context)
+        })
+        .await;
+        self.outgoing.finish();
+        self.entry.clear_deadline();
+        result.map(|whole| must_close || !whole)
+    }
+
+    fn poll_respond(&mut self, context: &mut Context<'_>) -> Poll<Result<bool, End>> {
+        loop {
+            let produced = match self.outgoing.poll_produce(context) {
+                Poll::Ready(Ok(())) => true,
+                Poll::Ready(Err(error)) => {
+                    log::debug!(peer:% = self.peer, error:%; "response body failed");
+                    return Poll::Ready(Err(End::Closed));
+                }
+                Poll::Pending => false,
+            };
+            if self.outgoing.pending().is_empty() {
+                if produced {
+                    return Poll::Ready(Ok(self.outgoing.is_whole()));
+                }
+                return self.poll_hang_up();
+            }
+            match self.poll_write_pending() {
+                Poll::Ready(Ok(())) => {}
+                Poll::Ready(Err(end)) => return Poll::Ready(Err(end)),
+                Poll::Pending => return self.poll_hang_up(),
+            }
+        }
+    }
+
+    /// Writes what is pending; the write deadline runs while the caller doesn't read.
+    fn poll_write_pending(&mut self) -> Poll<Result<(), End>> {
+        let mut context = Context::from_waker(&self.io_waker);
+        while !self.outgoing.pending().is_empty() {
+            match self
+                .socket
+                .poll_write(&mut context, self.outgoing.pending())
+            {
+                Poll::Ready(Ok(count)) if count > 0 => {
+                    self.outgoing.wrote(count);
+                    self.entry.clear_deadline();
+                }
+                Poll::Ready(_) => return Poll::Ready(Err(End::Closed)),
+                Poll::Pending if self.entry.is_expired() => {
+                    return Poll::Ready(Err(End::Closed));
+                }
+                Poll::Pending => {
+                    if !self.entry.has_deadline() {
+                        self.entry.set_deadline(self.limits.write_timeout);
+                    }
+                    return Poll::Pending;
+                }
+            }
+        }
+        Poll::Ready(Ok(()))
+    }
+
+    /// Ready when the caller has hung up; keeps pipelined bytes up to the head's limit.
+    fn poll_hang_up<T>(&mut self) -> Poll<Result<T, End>> {
+        if self.watching && !self.entry.signal().take_io_ready() {
+            return Poll::Pending;
+        }
+        while self.socket.buffered().len() < self.limits.head_bytes {
+            match self.poll_fill() {
+                Poll::Ready(Ok(_)) => {}
+                Poll::Ready(Err(end)) => return Poll::Ready(Err(end)),
+                Poll::Pending => return Poll::Pending,
+            }
+        }
+        Poll::Pending
+    }
+
+    fn poll_fill(&mut self) -> Poll<Result<usize, End>> {
+        let mut context = Context::from_waker(&self.io_waker);
+        let result = self.socket.poll_fill(&mut context);
+        self.watching = result.is_pending();
+        match result {
+            Poll::Ready(Ok(0) | Err(_)) => Poll::Ready(Err(End::Closed)),
+            Poll::Ready(Ok(count)) => Poll::Ready(Ok(count)),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+
+    /// Reads until a whole head is buffered, and returns its length.
+    async fn read_head(&mut self) -> Result<usize, End> {
+        self.outgoing.shrink();
+        self.socket.shrink();
+        let mut started = false;
+        loop {
+            self.skip_empty_lines();
+            if !self.socket.buffered().is_empty() {
+                if let Some(length) = self.find_head_end()? {
+                    self.entry.signal().set_idle(false);
+                    return Ok(length);
+                }
+                if !started {
+                    started = true;
+                    self.entry.signal().set_idle(false);
+                    self.entry.set_deadline(self.limits.head_timeout);
+                }
+                self.fill(HttpFault::Malformed).await?;
+            } else {
+                self.entry.signal().set_idle(true);
+                self.entry.set_deadline(self.limits.idle_timeout);
+                self.fill_idle().await?;
+            }
+        }
+    }
+
+    fn find_head_end(&self) -> Result<Option<usize>, End> {
+        head::find_end(self.socket.buffered(), self.limits.head_bytes).map_err(End::Fault)
+    }
+
+    /// Drops empty lines before a request line, as RFC 9112 (2.2) advises.
+    fn skip_empty_lines(&mut self) {
+        while self.socket.buffered().starts_with(b"\r\n") {
+            self.socket.consume(2);
+        }
+    }
+
+    /// Waits for more bytes of a request that has begun.
+    async fn fill(&mut self, on_end: HttpFault) -> Result<(), End> {
+        poll_fn(|context| {
+            self.entry.signal().set_task(context.waker());
+            match self.poll_fill() {
+                Poll::Ready(Ok(_)) => Poll::Ready(Ok(())),
+                Poll::Ready(Err(_)) => Poll::Ready(Err(End::Fault(on_end))),
+                Poll::Pending if self.entry.is_expired() => {
+                    Poll::Ready(Err(End::Fault(HttpFault::Slow)))
+                }
+                Poll::Pending => Poll::Pending,
+            }
+        })
+        .await
+    }
+
+    /// Waits for the first byte of the next request.
+    async fn fill_idle(&mut self) -> Result<(), End> {
+        poll_fn(|context| {
+            self.entry.signal().set_task(context.waker());
+            // Bytes that have arrived are served even where the connection should close.
+            match self.poll_fill() {
+                Poll::Ready(result) => Poll::Ready(result.map(|_| ())),
+                Poll::Pending if self.should_leave() => Poll::Ready(Err(End::Closed)),
+                Poll::Pending => Poll::Pending,
+            }
+        })
+        .await
+    }
+
+    fn should_leave(&self) -> bool {
+        let signal = self.entry.signal();
+        self.entry.is_stopping() || signal.is_evicted() || self.entry.is_expired()
+    }
+
+    async fn read_body(&mut self, head: Head) -> Result<Vec<u8>, End> {
+        if head.framing == Framing::Length(0) {
+            return Ok(Vec::new());
+        }
+        let mut body = BodyReader::new(head.framing, self.limits.body_bytes).map_err(End::Fault)?;
+        self.entry.set_deadline(self.limits.body_timeout);
+        if head.expects_continue && self.socket.buffered().is_empty() {
+            self.write_continue().await?;
+        }
+        loop {
+            let used = body.take(self.socket.buffered()).map_err(End::Fault)?;
+            self.socket.consume(used);
+            if body.is_done() {
+                return Ok(body.into_bytes());
+            }
+            self.fill(HttpFault::Malformed).await?;
+        }
+    }
+
+    async fn write_continue(&mut self) -> Result<(), End> {
+        self.outgoing.start_raw(CONTINUE_RESPONSE);
+        poll_fn(|context| {
+            self.entry.signal().set_task(context.waker());
+            self.poll_write_pending()
+        })
+        .await?;
+        self.entry.set_deadline(self.limits.body_timeout);
+        Ok(())
+    }
+
+    /// Answers a fault, then closes so that the caller can read the answer.
+    async fn refuse<H: Handler>(&mut self, handler: &H, fault: HttpFault) {
+        self.entry.clear_deadline();
+        let response = handler.refuse(fault);
+        if self.respond(response, Method::Get, true).await.is_err() {
+            return;
+        }
+        self.socket.shut_down_writing();
+        self.entry.set_deadline(LINGER);
+        let mut left_bytes = LINGER_BYTES;
+        while let Ok(count) = self.discard().await {
+            left_bytes = left_bytes.saturating_sub(count);
+            if left_bytes == 0 {
+                return;
+            }
+        }
+    }
+
+    /// Reads and drops bytes of a caller that was refused.
+    async fn discard(&mut self) -> io::Result<usize> {
+        let count = self.socket.buffered().len();
+        self.socket.consume(count);
+        match self.fill(HttpFault::Slow).await {
+            Ok(()) => Ok(self.socket.buffered().len()),
+            Err(_) => Err(io::ErrorKind::ConnectionAborted.into()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/radishpin-http/src/socket.rs
@@ -0,0 +1,153 @@
+//! A non-blocking TCP stream with its read buffer.
+
+use smol::Async;
+use std::{
+    io::{self, Read, Write},
+    net::TcpStream,
+    sync::Arc,
+    task::{Context, Poll},
+};
+
+/// Size of a read buffer at rest.
+const SMALL_BUFFER_BYTES: usize = 4 * 1024;
+/// Largest read buffer.
+pub(crate) const LARGE_BUFFER_BYTES: usize = 64 * 1024;
+
+/// A connected stream and the bytes that were read from it but not used yet.
+#[derive(Debug)]
+pub(crate) struct Socket {
+    io: Arc<Async<TcpStream>>,
+    buffer: Vec<u8>,
+    start: usize,
+    end: usize,
+    // The last read left the kernel's buffer empty, so that the next one would be in vain.
+    drained: bool,
+}
+
+impl Socket {
+    /// Takes over a connected stream and sets `TCP_NODELAY`.
+    ///
+    /// # Errors
+    /// The stream is no longer connected.
+    pub(crate) fn new(io: Arc<Async<TcpStream>>) -> io::Result<Self> {
+        io.get_ref().set_nodelay(true)?;
+        Ok(Self {
+            io,
+            buffer: vec![0; SMALL_BUFFER_BYTES],
+            start: 0,
+            end: 0,
+            drained: false,
+        })
+    }
+
+    /// The bytes that were read but not used.
+    pub(crate) fn buffered(&self) -> &[u8] {
+        &self.buffer[self.start..self.end]
+    }
+
+    /// Marks the first `count` buffered bytes as used.
+    pub(crate) fn consume(&mut self, count: usize) {
+        self.start = (self.start + count).min(self.end);
+        if self.start == self.end {
+            self.start = 0;
+            self.end = 0;
+        }
+    }
+
+    /// Gives back a buffer that has grown, where nothing is in it.
+    pub(crate) fn shrink(&mut self) {
+        if self.start == self.end && self.buffer.len() > SMALL_BUFFER_BYTES {
+            self.buffer = vec![0; SMALL_BUFFER_BYTES];
+        }
+    }
+
+    /// Reads more bytes into the buffer; zero means that the peer has closed.
+    ///
+    /// # Errors
+    /// The connection failed, or the buffer is full at its largest size.
+    pub(crate) fn poll_fill(&mut self, context: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        self.make_room()?;
+        loop {
+            if !self.drained {
+                match self.try_read() {
+                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                    Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+                    result => return Poll::Ready(result),
+                }
+            }
+            self.drained = false;
+            match self.io.poll_readable(context) {
+                Poll::Ready(Ok(())) => {}
+                Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
+                Poll::Pending => return Poll::Pending,
+            }
+        }
+    }
+
+    fn try_read(&mut self) -> io::Result<usize> {
+        let space = &mut self.buffer[self.end..];
+        let room = space.len();
+        let count = self.io.get_ref().read(space)?;
+        self.end += count;
+        self.drained = count > 0 && count < room;
+        Ok(count)
+    }
+
+    fn make_room(&mut self) -> io::Result<()> {
+        if self.end < self.buffer.len() {
+            return Ok(());
+        }
+        if self.start > 0 {
+            self.buffer.copy_within(self.start..self.end, 0);
+            self.end -= self.start;
+            self.start = 0;
+            return Ok(());
+        }
+        if self.buffer.len() >= LARGE_BUFFER_BYTES {
+            return Err(io::Error::other("read buffer is full"));
+        }
+        self.buffer.resize(self.buffer.len() * 2, 0);
+        Ok(())
+    }
+
+    /// Writes some of `bytes`.
+    ///
+    /// # Errors
+    /// The connection failed.
+    pub(crate) fn poll_write(
+        &self,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            match self.io.get_ref().write(bytes) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+                result => return Poll::Ready(result),
+            }
+            match self.io.poll_writable(context) {
+                Poll::Ready(Ok(())) => {}
+                Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
+                Poll::Pending => return Poll::Pending,
+            }
+        }
+    }
+
+    /// Whether the peer has closed the resting connection or sent bytes that nobody asked for.
+    pub(crate) fn is_stale(&self) -> bool {
+        if self.start != self.end {
+            return true;
+        }
+        let mut byte = [0_u8];
+        match self.io.get_ref().peek(&mut byte) {
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+            Ok(_) => true,
+        }
+    }
+
+    /// Tells the peer that nothing more will be written.
+    pub(crate) fn shut_down_writing(&self) {
+        // An error means that the connection is gone already.
+        let _ = self.io.get_ref().shutdown(std::net::Shutdown::Write);
+    }
+}
--- /dev/null
+++ b/crates/radishpin-http/tests/http/client.rs
@@ -0,0 +1,300 @@
+//! The client: reuse, stale connections, framing of answers, and what was sent.
+
+use crate::support::{Caller, Event, FAILSAFE, TestServer, body_text};
+use futures_lite::AsyncReadExt;
+use http_types::{Body, Method, Request, Response, Url};
+use insta::assert_snapshot;
+use radishpin_http::{Client, ClientError, ClientLimits, ServerLimits};
+use std::{
+    io::Write,
+    net::{SocketAddr, TcpListener},
+    thread,
+};
+
+/// A peer that answers each accepted connection with fixed bytes, one answer a request.
+struct Peer {
+    listener: TcpListener,
+    address: SocketAddr,
+}
+
+impl Peer {
+    fn bind() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        Self { listener, address }
+    }
+
+    fn accept(&self) -> Caller {
+        let (stream, _) = self.listener.accept().unwrap();
+        stream.set_read_timeout(Some(FAILSAFE)).unwrap();
+        Caller { stream }
+    }
+
+    fn url(&self) -> Url {
+        Url::parse(&format!("http://{}/x", self.address)).unwrap()
+    }
+
+    /// Sends one request and answers it with `answer`, then closes.
+    fn answer(&self, method: Method, answer: &str) -> Result<Response, ClientError> {
+        thread::scope(|scope| {
+            scope.spawn(|| {
+                let mut caller = self.accept();
+                caller.until("\r\n\r\n");
+                caller.send(answer.as_bytes());
+            });
+            let client = Client::new(ClientLimits::default());
+            smol::block_on(client.send(self.address, Request::new(method, self.url())))
+        })
+    }
+}
+
+fn shown(response: &Response) -> String {
+    let mut lines: Vec<String> = response
+        .iter()
+        .map(|(name, value)| format!("{name}: {value}"))
+        .collect();
+    lines.sort();
+    format!("{}\n{}", response.status(), lines.join("\n"))
+}
+
+#[test]
+fn connections_are_reused() {
+    let server = TestServer::start(ServerLimits {
+        connections: 1,
+        ..ServerLimits::default()
+    });
+    let client = Client::new(ClientLimits::default());
+    for text in ["one", "two", ""] {
+        let mut request = Request::new(Method::Post, server.url("/x"));
+        request.set_body(text);
+        let mut response = smol::block_on(client.send(server.address, request)).unwrap();
+        assert_eq!(smol::block_on(body_text(&mut response)), text);
+    }
+}
+
+#[test]
+fn a_streamed_answer_returns_its_connection() {
+    let peer = Peer::bind();
+    let client = Client::new(ClientLimits::default());
+    thread::scope(|scope| {
+        scope.spawn(|| {
+            let mut caller = peer.accept();
+            for _ in 0..2 {
+                caller.until("\r\n\r\n");
+                // The end comes in pieces, which must not stall the reader.
+                for part in [
+                    "HTTP/1.1 200 OK\r\ntransfer-enc",
+                    "oding: chunked\r\n\r\n4\r\nab",
+                    "cd\r",
+                    "\n0\r\n",
+                    "\r",
+                    "\n",
+                ] {
+                    caller.send(part.as_bytes());
+                    thread::sleep(std::time::Duration::from_millis(5));
+                }
+            }
+        });
+        for _ in 0..2 {
+            let request = Request::new(Method::Get, peer.url());
+            let mut response = smol::block_on(client.send(peer.address, request)).unwrap();
+            assert_eq!(smol::block_on(body_text(&mut response)), "abcd");
+        }
+    });
+}
+
+#[test]
+fn a_stale_connection_is_replaced_before_anything_is_sent() {
+    let peer = Peer::bind();
+    let client = Client::new(ClientLimits::default());
+    let mut requests = 0;
+    thread::scope(|scope| {
+        let served = scope.spawn(|| {
+            let mut heads = 0;
+            for _ in 0..3 {
+                let mut caller = peer.accept();
+                heads += usize::from(caller.until("\r\n\r\n").contains("/x"));
+                caller.send(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+                // Says that it keeps the connection, and closes it all the same.
+            }
+            heads
+        });
+        for _ in 0..3 {
+            let request = Request::new(Method::Post, peer.url());
+            let mut response = smol::block_on(client.send(peer.address, request)).unwrap();
+            assert_eq!(smol::block_on(body_text(&mut response)), "ok");
+            thread::sleep(std::time::Duration::from_millis(50));
+        }
+        requests = served.join().unwrap();
+    });
+    assert_eq!(requests, 3);
+}
+
+#[test]
+fn a_connection_broken_after_sending_is_not_tried_again() {
+    let peer = Peer::bind();
+    let client = Client::new(ClientLimits::default());
+    thread::scope(|scope| {
+        scope.spawn(|| {
+            let mut caller = peer.accept();
+            caller.until("\r\n\r\n");
+            caller.send(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
+            caller.until("\r\n\r\n");
+        });
+        let send =
+            || smol::block_on(client.send(peer.address, Request::new(Method::Post, peer.url())));
+        drop(send().unwrap());
+        let error = send().unwrap_err();
+        assert!(matches!(error, ClientError::Broken(_)), "{error}");
+    });
+    peer.listener.set_nonblocking(true).unwrap();
+    assert!(peer.listener.accept().is_err());
+}
+
+#[test]
+fn no_listener_means_that_nothing_was_sent() {
+    let peer = Peer::bind();
+    let (address, url) = (peer.address, peer.url());
+    drop(peer);
+    let client = Client::new(ClientLimits::default());
+    let error = smol::block_on(client.send(address, Request::new(Method::Get, url))).unwrap_err();
+    assert!(matches!(error, ClientError::Connect(_)), "{error}");
+}
+
+#[test]
+fn answers_are_framed_by_their_heads() {
+    let peer = Peer::bind();
+    let cases = [
+        (
+            Method::Head,
+            "HTTP/1.1 200 OK\r\ncontent-length: 9\r\nconnection: keep-alive\r\n\r\n",
+        ),
+        (Method::Get, "HTTP/1.1 204 No Content\r\n\r\n"),
+        (
+            Method::Get,
+            "HTTP/1.1 304 Not Modified\r\ncontent-length: 9\r\n\r\n",
+        ),
+        (
+            Method::Get,
+            "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\na",
+        ),
+        (Method::Get, "HTTP/1.0 200 OK\r\n\r\nuntil the end"),
+        (
+            Method::Get,
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n1\r\na\r\n0\r\nt: u\r\n\r\n",
+        ),
+    ];
+    let mut seen = Vec::new();
+    for (method, answer) in cases {
+        let mut response = peer.answer(method, answer).unwrap();
+        let shown = shown(&response);
+        let body = smol::block_on(body_text(&mut response));
+        seen.push(format!("{shown}\n[{body}]\n"));
+    }
+    assert_snapshot!(seen.join("\n"));
+}
+
+#[test]
+fn broken_answers_are_told_apart() {
+    let peer = Peer::bind();
+    let long = format!("HTTP/1.1 200 OK\r\nb: {}\r\n\r\n", "c".repeat(9000));
+    let cases = [
+        "",
+        "HTTP/1.1 200 OK\r\n",
+        "junk\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nab",
+        "HTTP/1.1 200 OK\r\ncontent-length: 1\r\ntransfer-encoding: chunked\r\n\r\na",
+        "HTTP/1.1 200 OK\r\ncontent-length: -1\r\n\r\na",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\na",
+        &long,
+    ];
+    let seen: Vec<String> = cases
+        .iter()
+        .map(|answer| peer.answer(Method::Get, answer).unwrap_err().to_string())
+        .collect();
+    assert_snapshot!(seen.join("\n"));
+}
+
+#[test]
+fn a_body_cut_short_is_an_error() {
+    let peer = Peer::bind();
+    let cases = [
+        "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nab",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nab",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nabXX",
+    ];
+    for answer in cases {
+        let mut response = peer.answer(Method::Get, answer).unwrap();
+        let mut bytes = Vec::new();
+        let mut body = response.take_body();
+        let error = smol::block_on(body.read_to_end(&mut bytes)).unwrap_err();
+        assert_ne!(
+            error.kind(),
+            std::io::ErrorKind::Other,
+            "{answer:?}: {error}"
+        );
+    }
+}
+
+#[test]
+fn dropping_the_call_cancels_it_at_the_peer() {
+    let server = TestServer::start(ServerLimits::default());
+    let client = Client::new(ClientLimits::default());
+    let (address, request) = (
+        server.address,
+        Request::new(Method::Get, server.url("/gate")),
+    );
+    let call = server
+        .runtime
+        .spawn(async move { client.send(address, request).await.map(|_| ()) });
+    assert_eq!(server.next_event(), Event::Handled("GET /gate".to_owned()));
+    smol::block_on(call.cancel());
+    assert_eq!(server.next_event(), Event::HandlerDropped);
+}
+
+#[test]
+fn dropping_the_response_cancels_its_stream_at_the_peer() {
+    let server = TestServer::start(ServerLimits::default());
+    let client = Client::new(ClientLimits::default());
+    let request = Request::new(Method::Get, server.url("/stream"));
+    let response = smol::block_on(client.send(server.address, request)).unwrap();
+    assert_eq!(
+        server.next_event(),
+        Event::Handled("GET /stream".to_owned())
+    );
+    drop(response);
+    assert_eq!(server.next_event(), Event::BodyDropped);
+}
+
+#[test]
+fn a_body_without_length_is_sent_in_chunks() {
+    let server = TestServer::start(ServerLimits::default());
+    let client = Client::new(ClientLimits::default());
+    let text = "long ".repeat(20_000);
+    let reader = futures_lite::io::Cursor::new(text.clone());
+    let mut request = Request::new(Method::Post, server.url("/x"));
+    request.set_body(Body::from_reader(reader, None));
+    let mut response = smol::block_on(client.send(server.address, request)).unwrap();
+    assert_eq!(smol::block_on(body_text(&mut response)), text);
+}
+
+#[test]
+fn an_answer_before_the_whole_request_is_read() {
+    let peer = Peer::bind();
+    let client = Client::new(ClientLimits::default());
+    thread::scope(|scope| {
+        scope.spawn(|| {
+            let mut caller = peer.accept();
+            caller.until("\r\n\r\n");
+            caller.send(b"HTTP/1.1 413 Payload Too Large\r\ncontent-length: 0\r\n\r\n");
+            caller.stream.flush().unwrap();
+            // Reads nothing more and keeps the connection open until the caller is done.
+            caller.rest();
+        });
+        let mut request = Request::new(Method::Post, peer.url());
+        request.set_body(vec![b'x'; 32 * 1024 * 1024]);
+        let response = smol::block_on(client.send(peer.address, request)).unwrap();
+        assert_eq!(response.status(), 413);
+    });
+}
--- /dev/null
+++ b/crates/radishpin-http/tests/http/limits.rs
@@ -0,0 +1,76 @@
+//! Number of connections, and shutdown.
+
+use crate::support::{Event, TestServer};
+use insta::assert_snapshot;
+use radishpin_http::ServerLimits;
+
+fn one_connection() -> ServerLimits {
+    ServerLimits {
+        connections: 1,
+        ..ServerLimits::default()
+    }
+}
+
+#[test]
+fn a_resting_connection_gives_way_to_a_new_one() {
+    let server = TestServer::start(one_connection());
+    let mut first = server.connect();
+    first.send(b"GET /1 HTTP/1.1\r\nhost: a\r\n\r\n");
+    assert_eq!(
+        first.until("\r\n\r\n").lines().next(),
+        Some("HTTP/1.1 200 OK")
+    );
+    let request = b"GET /2 HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+    assert!(server.exchange(request).starts_with("HTTP/1.1 200 OK"));
+    assert_eq!(first.rest(), "");
+}
+
+#[test]
+fn a_busy_connection_makes_a_new_one_wait() {
+    let server = TestServer::start(one_connection());
+    let mut first = server.connect();
+    first.send(b"GET /gate HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
+    assert_eq!(server.next_event(), Event::Handled("GET /gate".to_owned()));
+    let mut second = server.connect();
+    second.send(b"GET /2 HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
+    server.gate.send_blocking(()).unwrap();
+    assert!(first.rest().starts_with("HTTP/1.1 200 OK"));
+    assert!(second.rest().starts_with("HTTP/1.1 200 OK"));
+    assert_eq!(server.next_event(), Event::Handled("GET /2".to_owned()));
+}
+
+#[test]
+fn shutdown_closes_resting_connections_and_ends_running_requests() {
+    let mut server = TestServer::start(ServerLimits::default());
+    let mut resting = server.connect();
+    resting.send(b"GET /1 HTTP/1.1\r\nhost: a\r\n\r\n");
+    assert!(resting.until("\r\n\r\n").starts_with("HTTP/1.1 200 OK"));
+    assert_eq!(server.next_event(), Event::Handled("GET /1".to_owned()));
+    let mut running = server.connect();
+    running.send(b"GET /gate HTTP/1.1\r\nhost: a\r\n\r\n");
+    assert_eq!(server.next_event(), Event::Handled("GET /gate".to_owned()));
+    server.shutdown.begin();
+    server.shutdown.begin();
+    assert_eq!(resting.rest(), "");
+    server.gate.send_blocking(()).unwrap();
+    assert_snapshot!(running.rest());
+    server.join();
+    assert!(std::net::TcpStream::connect(server.address).is_err());
+}
+
+#[test]
+fn shutdown_serves_a_request_that_has_begun() {
+    let mut server = TestServer::start(ServerLimits::default());
+    let mut caller = server.connect();
+    caller.send(b"GET /1 HTTP/1.1\r\nhost: a\r\n\r\nGET /2 HTTP/1.1\r\n");
+    assert!(caller.until("\r\n\r\n").starts_with("HTTP/1.1 200 OK"));
+    assert_eq!(server.next_event(), Event::Handled("GET /1".to_owned()));
+    server.shutdown.begin();
+    caller.send(b"host: a\r\n\r\n");
+    assert!(
+        caller
+            .rest()
+            .starts_with("HTTP/1.1 200 OK\nconnection: close")
+    );
+    server.join();
+}
--- /dev/null
+++ b/crates/radishpin-http/tests/http/main.rs
@@ -0,0 +1,11 @@
+//! Server and client over loopback sockets.
+
+#![allow(clippy::unwrap_used, reason = "a failed test tells where")]
+
+mod client;
+mod framing;
+mod hang_up;
+mod keep_alive;
+mod limits;
+mod random_bytes;
+mod support;
--- /dev/null
+++ b/crates/radishpin-http/tests/http/random_bytes.rs
@@ -0,0 +1,63 @@
+//! Random and mutated bytes never panic the server and always end in an answer or a close.
+
+use crate::support::TestServer;
+use proptest::prelude::*;
+use radishpin_http::ServerLimits;
+use std::time::Duration;
+
+const VALID: &[u8] = b"POST /x HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n\
+    5\r\nhello\r\n0\r\n\r\nGET /y HTTP/1.1\r\nhost: b\r\ncontent-length: 3\r\n\r\nabc";
+
+fn limits() -> ServerLimits {
+    ServerLimits {
+        head_bytes: 512,
+        body_bytes: 512,
+        head_timeout: Duration::from_millis(40),
+        body_timeout: Duration::from_millis(40),
+        idle_timeout: Duration::from_millis(40),
+        ..ServerLimits::default()
+    }
+}
+
+fn mutated() -> impl Strategy<Value = Vec<u8>> {
+    let changes = prop::collection::vec((0..VALID.len(), any::<u8>()), 1..6);
+    (changes, 0..=VALID.len()).prop_map(|(changes, length)| {
+        let mut bytes = VALID.to_vec();
+        for (place, byte) in changes {
+            bytes[place] = byte;
+        }
+        bytes.truncate(length);
+        bytes
+    })
+}
+
+/// Writes bytes, half-closes or not, and waits for the close; then the server must still serve.
+fn survives(server: &TestServer, bytes: &[u8], half_close: bool) -> Result<(), TestCaseError> {
+    let mut caller = server.connect();
+    caller.send(bytes);
+    if half_close {
+        let _ = caller.stream.shutdown(std::net::Shutdown::Write);
+    }
+    let answer = caller.rest();
+    prop_assert!(
+        answer.is_empty() || answer.starts_with("HTTP/1.1 "),
+        "{answer:?}"
+    );
+    let request = b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+    let next = server.exchange(request);
+    prop_assert!(next.starts_with("HTTP/1.1 200 OK"), "{next:?}");
+    Ok(())
+}
+
+#[test]
+fn any_bytes_end_in_an_answer_or_a_close() {
+    let server = TestServer::start(limits());
+    let bytes = prop_oneof![prop::collection::vec(any::<u8>(), 0..700), mutated()];
+    let config = ProptestConfig {
+        cases: 192,
+        ..ProptestConfig::default()
+    };
+    proptest!(config, |(bytes in bytes, half_close in any::<bool>())| {
+        survives(&server, &bytes, half_close)?;
+    });
+}
