Evict a resting connection only for one that waits

Cause: at the connection limit the acceptor asked a resting connection to close before any caller waited, so that a kept-alive connection could close under its next request (connections_are_reused failed in 2 of 8 runs). Change: a connection is accepted first, then room is made for it. Conclusion: only a waiting caller makes a resting connection close.

--- a/crates/radishpin-http/src/server/accept.rs
+++ b/crates/radishpin-http/src/server/accept.rs
@@ -28,23 +28,17 @@
     /// Accepting failed many times in a row.
     pub(super) async fn run(self, shutdown: &Shutdown) -> io::Result<()> {
         let mut failures = 0;
-        loop {
-            let accepted = async { Some(self.accept().await) };
-            let stopped = async {
-                shutdown.begun().await;
-                None
-            };
-            match accepted.or(stopped).await {
-                None => break,
-                Some(Ok((stream, peer))) => {
+        while let Some(accepted) = until(shutdown, self.accept()).await {
+            match accepted {
+                Ok((stream, peer)) => {
                     failures = 0;
+                    // Held beyond the limit alone; where the stop begins it is served at once.
+                    until(shutdown, self.make_room()).await;
                     self.start(stream, peer);
                 }
-                Some(Err(error)) => {
+                Err(error) if failures > MOST_FAILURES => return Err(error),
+                Err(error) => {
                     failures += 1;
-                    if failures > MOST_FAILURES {
-                        return Err(error);
-                    }
                     log::warn!(error:%; "cannot accept a connection");
                     Runtime::sleep(PAUSE).await;
                 }
@@ -55,12 +49,6 @@
     }
 
     async fn accept(&self) -> io::Result<(TcpStream, SocketAddr)> {
-        while self.registry.open() >= self.limits.connections {
-            self.registry.evict_one();
-            // The one asked may have got a request meanwhile, so another is asked after a tick.
-            let tick = Runtime::sleep(self.limits.tick());
-            self.registry.one_closed().or(tick).await;
-        }
         loop {
             match self.listener.accept().await {
                 // The caller left before it was accepted.
@@ -70,6 +58,16 @@
         }
     }
 
+    /// Waits until there is room for a connection, and asks resting ones to give way.
+    async fn make_room(&self) {
+        while self.registry.open() >= self.limits.connections {
+            self.registry.evict_one();
+            // The one asked may have got a request meanwhile, so another is asked after a tick.
+            let tick = Runtime::sleep(self.limits.tick());
+            self.registry.one_closed().or(tick).await;
+        }
+    }
+
     /// Takes what the kernel has accepted already, so that its requests are not lost.
     async fn accept_backlog(&self) {
         while let Some(Ok((stream, peer))) = future::poll_once(self.listener.accept()).await {
@@ -96,3 +94,13 @@
         });
     }
 }
+
+/// The output of `work`, or `None` if the shutdown begins first.
+async fn until<T>(shutdown: &Shutdown, work: impl Future<Output = T>) -> Option<T> {
+    let work = async { Some(work.await) };
+    let stopped = async {
+        shutdown.begun().await;
+        None
+    };
+    work.or(stopped).await
+}
