--- a/crates/radishpin-http/src/client/exchange.rs
+++ b/crates/radishpin-http/src/client/exchange.rs
@@ -5,9 +5,12 @@
     head::{self, ResponseHead},
     pool::Pool,
 };
-use crate::socket::Socket;
+use crate::{
+    encoding::{Encoded, Encoding},
+    socket::Socket,
+};
 use async_h1::client::Encoder;
-use futures_lite::{AsyncRead, future::poll_fn};
+use futures_lite::future::poll_fn;
 use http_types::{
     Body, Method, Request, Response,
     headers::{CONTENT_LENGTH, EXPECT, TRANSFER_ENCODING},
@@ -15,18 +18,10 @@
 use std::{
     io,
     net::SocketAddr,
-    pin::Pin,
     sync::Arc,
     task::{Context, Poll},
 };
 
-/// Most bytes of a request that are encoded but not written.
-const BUFFER_BYTES: usize = 16 * 1024;
-/// Size of the buffer at first.
-const FIRST_BUFFER_BYTES: usize = 2 * 1024;
-/// Least room that the encoder is asked to fill.
-const LEAST_ROOM_BYTES: usize = 512;
-
 /// Why a request could not be written whole.
 #[derive(Debug)]
 pub(super) enum WriteError {
@@ -40,9 +35,7 @@
 pub(super) struct Sending {
     method: Method,
     encoder: Option<Encoder>,
-    buffer: Vec<u8>,
-    start: usize,
-    end: usize,
+    encoding: Encoding,
     sent: bool,
 }
 
@@ -57,9 +50,7 @@
         Self {
             method: request.method(),
             encoder: Some(Encoder::new(request)),
-            buffer: vec![0; FIRST_BUFFER_BYTES],
-            start: 0,
-            end: 0,
+            encoding: Encoding::new(),
             sent: false,
         }
     }
@@ -80,13 +71,13 @@
                 Poll::Ready(Err(error)) => return Poll::Ready(Err(self.body_failed(error))),
                 Poll::Pending => false,
             };
-            if self.start == self.end {
+            if self.encoding.pending().is_empty() {
                 return match produced {
                     true => Poll::Ready(Ok(())),
                     false => self.poll_early_answer(context, socket),
                 };
             }
-            match socket.poll_write(context, &self.buffer[self.start..self.end]) {
+            match socket.poll_write(context, self.encoding.pending()) {
                 Poll::Pending => return self.poll_early_answer(context, socket),
                 Poll::Ready(Ok(count)) if count > 0 => self.wrote(count),
                 Poll::Ready(Ok(_)) => {
@@ -114,32 +105,21 @@
     }
 
     fn poll_produce(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        loop {
-            let Some(encoder) = self.encoder.as_mut() else {
-                return Poll::Ready(Ok(()));
-            };
-            if self.buffer.len() - self.end < LEAST_ROOM_BYTES {
-                if self.buffer.len() >= BUFFER_BYTES || self.start > 0 {
-                    return Poll::Ready(Ok(()));
-                }
-                self.buffer.resize(self.buffer.len() * 2, 0);
-            }
-            match Pin::new(encoder).poll_read(context, &mut self.buffer[self.end..]) {
-                Poll::Ready(Ok(0)) => self.encoder = None,
-                Poll::Ready(Ok(count)) => self.end += count,
+        while let Some(encoder) = self.encoder.as_mut() {
+            match self.encoding.poll_encode(context, encoder) {
+                Poll::Ready(Ok(Encoded::Some(_))) => {}
+                Poll::Ready(Ok(Encoded::End)) => self.encoder = None,
+                Poll::Ready(Ok(Encoded::NoRoom)) => break,
                 Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
                 Poll::Pending => return Poll::Pending,
             }
         }
+        Poll::Ready(Ok(()))
     }
 
     fn wrote(&mut self, count: usize) {
         self.sent = true;
-        self.start += count;
-        if self.start == self.end {
-            self.start = 0;
-            self.end = 0;
-        }
+        self.encoding.wrote(count);
     }
 
     fn write_failed(&self, error: io::Error) -> WriteError {
--- a/crates/radishpin-http/src/lib.rs
+++ b/crates/radishpin-http/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod chunk;
 mod client;
+mod encoding;
 mod fault;
 mod headers;
 mod replay;
--- a/crates/radishpin-http/src/server/response.rs
+++ b/crates/radishpin-http/src/server/response.rs
@@ -1,32 +1,24 @@
 //! A response on its way out: encoded by `async-h1` into one small buffer.
 
-use crate::headers::names_close;
+use crate::{
+    encoding::{Encoded, Encoding},
+    headers::names_close,
+};
 use async_h1::server::Encoder;
-use futures_lite::AsyncRead;
 use http_types::{
     Method, Response,
     headers::{CONNECTION, CONTENT_LENGTH, HeaderName, TRANSFER_ENCODING},
 };
 use std::{
     io,
-    pin::Pin,
     task::{Context, Poll},
 };
 
-/// Size of the buffer at rest.
-const SMALL_BUFFER_BYTES: usize = 4 * 1024;
-/// Largest buffer, and so the most that is held for a caller that doesn't read.
-const LARGE_BUFFER_BYTES: usize = 16 * 1024;
-/// Least room that the encoder is asked to fill.
-const LEAST_ROOM_BYTES: usize = 512;
-
 /// The encoder of the running response and its buffer.
 #[derive(Debug)]
 pub(super) struct Outgoing {
     encoder: Option<Encoder>,
-    buffer: Vec<u8>,
-    start: usize,
-    end: usize,
+    encoding: Encoding,
     produced_bytes: u64,
     // Bytes that the body must have; `None` where it needn't be counted.
     body_bytes: Option<u64>,
@@ -37,9 +29,7 @@
     pub(super) fn new() -> Self {
         Self {
             encoder: None,
-            buffer: vec![0; SMALL_BUFFER_BYTES],
-            start: 0,
-            end: 0,
+            encoding: Encoding::new(),
             produced_bytes: 0,
             body_bytes: None,
             head_bytes: None,
@@ -55,17 +45,14 @@
         };
         self.head_bytes = None;
         self.produced_bytes = 0;
-        self.start = 0;
-        self.end = 0;
+        self.encoding.clear();
         self.encoder = Some(Encoder::new(response, method));
         close
     }
 
     /// Starts bytes that are encoded already.
     pub(super) fn start_raw(&mut self, bytes: &[u8]) {
-        self.buffer[..bytes.len()].copy_from_slice(bytes);
-        self.start = 0;
-        self.end = bytes.len();
+        self.encoding.append(bytes);
     }
 
     /// Drops the response and its body.
@@ -75,58 +62,42 @@
 
     /// Gives back a buffer that has grown.
     pub(super) fn shrink(&mut self) {
-        if self.buffer.len() > SMALL_BUFFER_BYTES {
-            self.buffer = vec![0; SMALL_BUFFER_BYTES];
-        }
+        self.encoding.shrink();
     }
 
     /// Bytes that are encoded but not written.
     pub(super) fn pending(&self) -> &[u8] {
-        &self.buffer[self.start..self.end]
+        self.encoding.pending()
     }
 
     /// Marks the first `count` pending bytes as written.
     pub(super) fn wrote(&mut self, count: usize) {
-        self.start += count;
-        if self.start == self.end {
-            self.start = 0;
-            self.end = 0;
-        }
+        self.encoding.wrote(count);
     }
 
     /// Encodes as much as there is room for; ready when all is encoded or there is no room.
     ///
     /// Everything is encoded when this is ready and nothing is pending.
     pub(super) fn poll_produce(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        loop {
-            let Some(encoder) = self.encoder.as_mut() else {
-                return Poll::Ready(Ok(()));
-            };
-            if self.buffer.len() - self.end < LEAST_ROOM_BYTES {
-                if self.buffer.len() >= LARGE_BUFFER_BYTES || self.start > 0 {
-                    return Poll::Ready(Ok(()));
-                }
-                self.buffer.resize(self.buffer.len() * 2, 0);
-            }
-            match Pin::new(encoder).poll_read(context, &mut self.buffer[self.end..]) {
-                Poll::Ready(Ok(0)) => self.encoder = None,
-                Poll::Ready(Ok(count)) => self.produced(count),
+        while let Some(encoder) = self.encoder.as_mut() {
+            match self.encoding.poll_encode(context, encoder) {
+                Poll::Ready(Ok(Encoded::Some(count))) => self.produced(count),
+                Poll::Ready(Ok(Encoded::End)) => self.encoder = None,
+                Poll::Ready(Ok(Encoded::NoRoom)) => break,
                 Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
                 Poll::Pending => return Poll::Pending,
             }
         }
+        Poll::Ready(Ok(()))
     }
 
     fn produced(&mut self, count: usize) {
         self.produced_bytes += count as u64;
-        if self.head_bytes.is_none() && self.body_bytes.is_some() {
-            // The encoder yields the head apart from the body, in as many reads as it needs.
-            let new = &self.buffer[..self.end + count];
-            if new.ends_with(b"\r\n\r\n") {
-                self.head_bytes = Some(self.produced_bytes);
-            }
+        // The encoder yields the head apart from the body, in as many reads as it needs.
+        let in_head = self.head_bytes.is_none() && self.body_bytes.is_some();
+        if in_head && self.encoding.pending().ends_with(b"\r\n\r\n") {
+            self.head_bytes = Some(self.produced_bytes);
         }
-        self.end += count;
     }
 
     /// Whether the body had the length that the head stated.
