Plan grants, leases, membership and monotone versions

Cause: control work needs pure decisions that nodes race on safely. Change: version::plan makes the next record of a model (spread over availability zones and hosts, revoke before lower, drop only when confirmed under the row that is replaced or when the host is gone, move on demand); process gets leases whose row version conditions every write, and suspicion with hysteresis; version gets Monotone and the choice of a starting node's view.

--- a/crates/radishpin-core/src/lib.rs
+++ b/crates/radishpin-core/src/lib.rs
@@ -10,3 +10,4 @@
 #[cfg(not(feature = "mutations"))]
 mod mutation;
 pub mod process;
+pub mod version;
--- a/crates/radishpin-core/src/mutation.rs
+++ b/crates/radishpin-core/src/mutation.rs
@@ -5,14 +5,26 @@
 pub enum Mutation {
     /// The agent applies a view older than the one in force.
     ApplyOlderView,
+    /// Grants that are being revoked do not count as replicas.
+    CountHeldOnly,
+    /// A grant being revoked is dropped without the agent's confirmation.
+    DropUnconfirmed,
     /// The agent loads a model whose grant is being revoked.
     LoadWhileRevoking,
+    /// The decided count is lowered before the grants have gone.
+    LowerReplicasFirst,
     /// Memory counts as free as soon as the unload is ordered.
     ReleaseMemoryAtUnloadOrder,
     /// A report settles orders without a known outcome even where it is older than them.
     SettleUnknownByAnyReport,
+    /// An endpoint under suspicion counts as gone.
+    SuspectIsGone,
     /// A late report is taken for the newest one.
     TakeLateReports,
+    /// A confirmation made before the row was written counts.
+    TakeOlderConfirmation,
+    /// A confirmation by an agent that is no longer registered counts.
+    TakeWordOfPredecessor,
     /// A new incarnation trusts a report that orders of its predecessor may outlive.
     TrustFirstReport,
 }
--- a/crates/radishpin-core/src/process.rs
+++ b/crates/radishpin-core/src/process.rs
@@ -1,9 +1,20 @@
 //! Decisions whose state lives as long as a process.
 
+mod lease;
+mod membership;
 mod memory;
 mod order;
 mod replica_ledger;
 
+pub use lease::{
+    HOLDER_VALID, LeaseDecision, LeaseRecord, LeaseWatch, READ_GAP, RENEW_EVERY, SPARE_CANDIDATES,
+    TAKEOVER_AFTER, TAKEOVER_STAGGER, candidate_rank,
+};
+pub use membership::{
+    FORGET_RELAPSES_AFTER, GONE_AFTER, GONE_AFTER_LISTS, Listed, Membership,
+    NEVER_LISTED_GONE_AFTER, SUSPECT_AFTER_FAILURES, SUSPECT_AT_LEAST, SUSPECT_AT_MOST, Standing,
+    TRUST_AFTER_SUCCESSES,
+};
 pub use memory::MemoryAccount;
 pub use order::{
     DEFAULT_ORDER_LIFE, EngineReport, FENCE_MODEL, Fencing, Order, OrderKind, OrderNumber,
