Add the operators' API and the commands that use it

Cause: operators drive the system by profiles and planned stops, with conditional changes that are accepted only when durable.

Change: the node's operators' API as a handler (profiles with history, services, stops with warnings, status), its typed documents, a board that the node's loops write for the status report, and `radishpin profile`, `stop` and `status` with tables or JSON over it. Strict reading of documents has one place.

--- a/crates/radishpin-protocol/src/lib.rs
+++ b/crates/radishpin-protocol/src/lib.rs
@@ -1,6 +1,7 @@
 //! Ids, messages, durable records and result codes shared by every part of radishpin.
 
 mod code;
+mod document;
 mod error_body;
 mod id;
 mod profile;
@@ -16,6 +17,7 @@
 pub mod prelude;
 
 pub use code::{Ran, ResultCode};
+pub use document::{DocumentFault, read_document};
 pub use error_body::{ErrorBody, ErrorDetail};
 pub use id::*;
 pub use profile::{Class, PROFILE_FORMAT, Profile, ProfileError};
--- a/crates/radishpin-protocol/src/profile.rs
+++ b/crates/radishpin-protocol/src/profile.rs
@@ -1,5 +1,6 @@
 //! The profile document: how a class of model is kept ready and how patiently its callers wait.
 
+use crate::{DocumentFault, read_document};
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 use std::{ops::RangeInclusive, time::Duration};
@@ -50,8 +51,10 @@
     #[allow(missing_docs)]
     pub enum ProfileError {
         /// The document cannot be read as a profile.
-        Malformed { path: String, cause: String } {
-            display("{path}: {cause}; see `radishpin profile set --help` for a whole document")
+        Malformed(fault: DocumentFault) {
+            display("{fault}; see `radishpin profile set --help` for a whole document")
+            source(fault)
+            from()
         }
         /// A field lies outside its range.
         OutOfRange { path: &'static str, value: u64, min: u64, max: u64 } {
@@ -70,27 +73,7 @@
     /// # Errors
     /// All faults found: one where the text is malformed, else one for each field out of range.
     pub fn parse(text: &str) -> Result<Self, Vec<ProfileError>> {
-        // A derived reader would also take an array of the fields in order.
-        if !text.trim_start().starts_with('{') {
-            return Err(vec![ProfileError::Malformed {
-                path: ".".into(),
-                cause: "expected an object".into(),
-            }]);
-        }
-        let mut deserializer = serde_json::Deserializer::from_str(text);
-        let profile: Self = serde_path_to_error::deserialize(&mut deserializer).map_err(|e| {
-            let cause = e.inner().to_string();
-            vec![ProfileError::Malformed {
-                path: field_path(e.path().to_string(), &cause),
-                cause,
-            }]
-        })?;
-        deserializer.end().map_err(|e| {
-            vec![ProfileError::Malformed {
-                path: ".".into(),
-                cause: e.to_string(),
-            }]
-        })?;
+        let profile: Self = read_document(text).map_err(|fault| vec![fault.into()])?;
         let faults = profile.faults();
         if faults.is_empty() {
             Ok(profile)
@@ -132,18 +115,6 @@
     }
 }
 
-/// The path of the field at fault; `serde` names a missing or repeated field in its message alone.
-fn field_path(path: String, cause: &str) -> String {
-    let named = ["missing field `", "duplicate field `"]
-        .iter()
-        .find_map(|lead| cause.strip_prefix(lead)?.split('`').next());
-    match named {
-        Some(field) if path == "." => field.to_owned(),
-        Some(field) => format!("{path}.{field}"),
-        None => path,
-    }
-}
-
 fn widen(range: &RangeInclusive<u32>) -> RangeInclusive<u64> {
     u64::from(*range.start())..=u64::from(*range.end())
 }
--- a/crates/radishpin-server/src/lib.rs
+++ b/crates/radishpin-server/src/lib.rs
@@ -1,5 +1,6 @@
 //! Node and agent processes.
 
+pub mod operator;
 mod settings;
 mod token;
 
--- /dev/null
+++ b/crates/radishpin-server/src/operator.rs
@@ -0,0 +1,41 @@
+//! Operators' HTTP API of a node.
+//!
+//! | method and path | what it does |
+//! |---|---|
+//! | `GET /v1/profiles` | lists the profiles |
+//! | `GET /v1/profiles/NAME` | shows a profile with its version |
+//! | `PUT /v1/profiles/NAME` | creates or replaces it |
+//! | `DELETE /v1/profiles/NAME` | deletes it, unless a service uses it |
+//! | `GET /v1/profiles/NAME/history` | shows its earlier documents |
+//! | `GET /v1/services/NAME` | shows a service with its version |
+//! | `PUT /v1/services/NAME` | lets a service pick a profile, or creates the service |
+//! | `GET /v1/stops`, `GET /v1/stops/ID` | shows planned stops with warnings |
+//! | `POST /v1/stops` | plans a stop; the same plan again changes nothing |
+//! | `DELETE /v1/stops/ID` | cancels a stop |
+//! | `GET /v1/status` | shows the cluster as this node knows it |
+//!
+//! Every order presents `Authorization: Bearer TOKEN`. `PUT` and the deletion of a profile are
+//! conditional: `If-Match: VERSION` names the version that the operator saw; without it, or with
+//! 0, the document must not exist yet. An order is answered as accepted only when it is durable in
+//! the platform's table.
+
+mod api;
+mod auth;
+mod board;
+mod change;
+pub mod document;
+mod name;
+mod profiles;
+mod read;
+mod refusal;
+mod route;
+mod services;
+mod status;
+mod stops;
+mod table;
+mod warning;
+
+pub use api::{OperatorApi, OperatorContext, ViewSource, operator_limits};
+pub use board::StatusBoard;
+pub use name::{NAME_CHARACTERS, is_name};
+pub use table::Table;
--- /dev/null
+++ b/crates/radishpin-server/src/operator/api.rs
@@ -0,0 +1,163 @@
+//! The handler of the operators' listener.
+
+use super::{
+    StatusBoard, auth, is_name, name::random_id, profiles, refusal::Refusal, route::Route,
+    services, status, stops, table::Table,
+};
+use crate::Token;
+use http_types::{Request, Response};
+use prometheus::{IntCounterVec, Opts, Registry};
+use radishpin_http::{Handler, HttpFault, Received, ServerLimits};
+use radishpin_protocol::{ClusterView, NodeId, RequestId, ResultCode, UnixMs};
+use std::{
+    fmt,
+    sync::Arc,
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+/// Header that carries the request id.
+const REQUEST_ID: &str = "x-request-id";
+/// Largest body of an order.
+const BODY_BYTES: usize = 64 * 1024;
+/// Operators' connections open at once.
+const CONNECTIONS: usize = 256;
+
+/// Gives the view in force at the node.
+pub type ViewSource = Arc<dyn Fn() -> Arc<ClusterView> + Send + Sync>;
+
+/// What the API needs of its node.
+#[derive(Clone)]
+pub struct OperatorContext {
+    /// Name of the node.
+    pub node: NodeId,
+    /// Token that operators present.
+    pub token: Token,
+    /// The view in force at the node.
+    pub view: ViewSource,
+    /// The platform's table.
+    pub table: Table,
+    /// Last words of agents and other nodes.
+    pub board: Arc<StatusBoard>,
+    /// Wall clock, for the windows of planned stops.
+    pub clock: fn() -> SystemTime,
+}
+
+impl OperatorContext {
+    /// Milliseconds since the Unix epoch.
+    pub(super) fn now_unix_ms(&self) -> UnixMs {
+        let since_epoch = (self.clock)().duration_since(UNIX_EPOCH);
+        let millis = since_epoch.unwrap_or_default().as_millis();
+        UnixMs::try_from(millis).unwrap_or(UnixMs::MAX)
+    }
+}
+
+impl fmt::Debug for OperatorContext {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("OperatorContext")
+            .field("node", &self.node)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Bounds of the operators' listener.
+pub fn operator_limits() -> ServerLimits {
+    ServerLimits {
+        body_bytes: BODY_BYTES,
+        connections: CONNECTIONS,
+        ..ServerLimits::default()
+    }
+}
+
+/// The handler of the operators' listener.
+#[derive(Debug)]
+pub struct OperatorApi {
+    context: OperatorContext,
+    refusals: IntCounterVec,
+}
+
+impl OperatorApi {
+    /// Builds the handler and registers its counter of refusals.
+    ///
+    /// # Errors
+    /// The registry has a metric of that name already.
+    pub fn new(context: OperatorContext, registry: &Registry) -> Result<Self, prometheus::Error> {
+        let opts = Opts::new(
+            "radishpin_operator_refusals_total",
+            "Operators' orders refused, by result code.",
+        );
+        let refusals = IntCounterVec::new(opts, &["code"])?;
+        registry.register(Box::new(refusals.clone()))?;
+        Ok(Self { context, refusals })
+    }
+
+    async fn answer(&self, received: &Received) -> Result<Response, Refusal> {
+        let request = &received.request;
+        auth::check(request, &self.context.token)?;
+        let route = Route::find(request.method(), request.url().path())?;
+        let context = &self.context;
+        match route {
+            Route::ListProfiles => profiles::list(context).await,
+            Route::ShowProfile(name) => profiles::show(context, &name).await,
+            Route::PutProfile(name) => profiles::put(context, &name, received).await,
+            Route::DeleteProfile(name) => profiles::delete(context, &name, request).await,
+            Route::ProfileHistory(name) => profiles::history(context, &name).await,
+            Route::ShowService(name) => services::show(context, &name).await,
+            Route::PutService(name) => services::put(context, &name, received).await,
+            Route::ListStops => stops::list(context).await,
+            Route::PlanStop => stops::plan(context, received).await,
+            Route::ShowStop(id) => stops::show(context, &id).await,
+            Route::CancelStop(id) => stops::cancel(context, &id).await,
+            Route::Status => status::show(context),
+        }
+    }
+
+    fn refusal_response(&self, refusal: &Refusal, request_id: &str) -> Response {
+        let code = refusal.code();
+        self.refusals.with_label_values(&[code.name()]).inc();
+        log::info!(request_id, code = code.name(), reason = refusal.reason(); "order refused");
+        refusal.response(request_id)
+    }
+}
+
+impl Handler for OperatorApi {
+    async fn handle(&self, received: Received) -> Response {
+        let request_id = request_id(&received.request);
+        let mut response = match self.answer(&received).await {
+            Ok(response) => response,
+            Err(refusal) => self.refusal_response(&refusal, &request_id),
+        };
+        log::info!(
+            request_id = request_id.as_str(),
+            method = received.request.method().as_ref(),
+            path = received.request.url().path(),
+            status = u16::from(response.status());
+            "order answered"
+        );
+        response.insert_header(REQUEST_ID, request_id);
+        response
+    }
+
+    fn refuse(&self, fault: HttpFault) -> Response {
+        let (code, reason) = match fault {
+            HttpFault::Malformed => (ResultCode::MalformedRequest, "malformed request"),
+            HttpFault::HeadTooLarge => (ResultCode::HeadTooLarge, "head too large"),
+            HttpFault::BodyTooLarge => (ResultCode::BodyTooLarge, "body too large"),
+            HttpFault::Slow => (ResultCode::SlowRequest, "request too slow"),
+        };
+        let request_id = random_id();
+        let mut response = self.refusal_response(&Refusal::new(code, reason), &request_id);
+        response.insert_header(REQUEST_ID, request_id);
+        response
+    }
+}
+
+/// The operator's request id where it is a name, else a new one.
+fn request_id(request: &Request) -> RequestId {
+    let given = request
+        .header(REQUEST_ID)
+        .map(|values| values.last().as_str());
+    match given {
+        Some(id) if is_name(id) => id.to_owned(),
+        _ => random_id(),
+    }
+}
--- /dev/null
+++ b/crates/radishpin-server/src/operator/board.rs
@@ -0,0 +1,106 @@
+//! What the node last heard from agents and other nodes, for the status report.
+
+use super::document::{EndpointReport, ProcessKind, ProcessStatus, ReplicaStatus};
+use parking_lot::Mutex;
+use radishpin_protocol::{EndpointId, NodeId, Version, wire};
+use std::{collections::BTreeMap, time::Instant};
+
+/// Last words of agents and other nodes; the loops that hear them write it.
+#[derive(Debug, Default)]
+pub struct StatusBoard {
+    agents: Mutex<BTreeMap<EndpointId, Heard<wire::SyncReply>>>,
+    nodes: Mutex<BTreeMap<NodeId, Heard<Version>>>,
+}
+
+#[derive(Debug)]
+struct Heard<T> {
+    at: Instant,
+    word: T,
+}
+
+impl<T> Heard<T> {
+    fn age_ms(&self, now: Instant) -> u64 {
+        let age = now.saturating_duration_since(self.at);
+        u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+    }
+}
+
+impl StatusBoard {
+    /// Notes the report of an agent, in place of its last one.
+    pub fn heard_agent(&self, report: wire::SyncReply, now: Instant) {
+        let endpoint = report.endpoint.clone();
+        let heard = Heard {
+            at: now,
+            word: report,
+        };
+        self.agents.lock().insert(endpoint, heard);
+    }
+
+    /// Notes the version in force at another node.
+    pub fn heard_node(&self, node: NodeId, version: Version, now: Instant) {
+        let heard = Heard {
+            at: now,
+            word: version,
+        };
+        self.nodes.lock().insert(node, heard);
+    }
+
+    /// Forgets endpoints that the view no longer has.
+    pub fn keep_endpoints(&self, keep: impl Fn(&str) -> bool) {
+        self.agents.lock().retain(|endpoint, _| keep(endpoint));
+    }
+
+    /// Versions in force at other processes.
+    pub(super) fn processes(&self, now: Instant) -> Vec<ProcessStatus> {
+        let mut processes: Vec<ProcessStatus> = self
+            .nodes
+            .lock()
+            .iter()
+            .map(|(name, heard)| ProcessStatus {
+                kind: ProcessKind::Node,
+                name: name.clone(),
+                version: heard.word,
+                heard_ms_ago: heard.age_ms(now),
+            })
+            .collect();
+        let agents = self.agents.lock();
+        processes.extend(agents.iter().map(|(name, heard)| ProcessStatus {
+            kind: ProcessKind::Agent,
+            name: name.clone(),
+            version: heard.word.view_version,
+            heard_ms_ago: heard.age_ms(now),
+        }));
+        processes
+    }
+
+    /// The last report of an endpoint.
+    pub(super) fn report(&self, endpoint: &str, now: Instant) -> Option<EndpointReport> {
+        let agents = self.agents.lock();
+        let heard = agents.get(endpoint)?;
+        let load = heard.word.load.unwrap_or_default();
+        Some(EndpointReport {
+            heard_ms_ago: heard.age_ms(now),
+            leaving: load.leaving,
+            running: load.running,
+            queued: load.queued,
+            memory_used_mb: load.memory_used_mb,
+            replicas: heard.word.replicas.iter().map(replica_status).collect(),
+        })
+    }
+}
+
+fn replica_status(report: &wire::ReplicaReport) -> ReplicaStatus {
+    let state = match report.state() {
+        wire::ReplicaState::Unspecified => "unspecified",
+        wire::ReplicaState::Absent => "absent",
+        wire::ReplicaState::Loading => "loading",
+        wire::ReplicaState::Loaded => "loaded",
+        wire::ReplicaState::Unloading => "unloading",
+        wire::ReplicaState::Uncertain => "uncertain",
+    };
+    ReplicaStatus {
+        model: report.model.clone(),
+        state: state.to_owned(),
+        adapters: report.adapters.clone(),
+    }
+}
--- /dev/null
+++ b/crates/radishpin-server/src/operator/change.rs
@@ -0,0 +1,110 @@
+//! Conditional changes: the version that the operator saw must still stand.
+
+use super::{
+    document::Accepted,
+    refusal::{Refusal, json_response},
+    table::{Table, Written},
+};
+use http_types::{Request, Response};
+use radishpin_platform::{Condition, Row, Write};
+use radishpin_protocol::{ResultCode, Version};
+
+const IF_MATCH: &str = "if-match";
+const CREATED: u16 = 201;
+const OK: u16 = 200;
+
+/// The version that the operator saw; 0 for a document that does not exist.
+pub(super) fn seen_version(request: &Request) -> Result<Version, Refusal> {
+    let Some(values) = request.header(IF_MATCH) else {
+        return Ok(0);
+    };
+    let text = values.last().as_str().trim().trim_matches('"');
+    text.parse().map_err(|_| {
+        let reason = "If-Match: not a version; allowed: a whole number, 0 for a new document";
+        Refusal::new(ResultCode::InvalidField, reason)
+    })
+}
+
+/// Refuses a change whose operator saw another version than stands now.
+pub(super) fn check_seen(key: &str, row: &Row, seen: Version) -> Result<(), Refusal> {
+    let standing = standing_version(row);
+    if standing == seen {
+        return Ok(());
+    }
+    Err(conflict(key, standing, seen))
+}
+
+/// The version that an operator may name: 0 where there is no document.
+pub(super) fn standing_version(row: &Row) -> Version {
+    match row.value {
+        Some(_) => row.version,
+        None => 0,
+    }
+}
+
+/// The refusal of an operator who lost a race.
+pub(super) fn conflict(key: &str, standing: Version, seen: Version) -> Refusal {
+    let reason = match (standing, seen) {
+        (0, _) => format!("{key} does not exist (any more); the order names version {seen}"),
+        (_, 0) => format!("{key} exists at version {standing}; the order names none"),
+        _ => format!("{key} stands at version {standing}; the order names {seen}"),
+    };
+    Refusal::new(ResultCode::VersionConflict, reason).with_current_version(standing)
+}
+
+/// Condition that the row is as it was read.
+pub(super) fn unchanged(key: &str, row: &Row) -> Condition {
+    Condition {
+        key: key.to_owned(),
+        version: row.version,
+    }
+}
+
+/// A write of a row.
+pub(super) fn write(key: &str, value: Option<String>) -> Write {
+    Write {
+        key: key.to_owned(),
+        value,
+    }
+}
+
+/// Commits a change of `key`, which stood at `row`.
+pub(super) async fn commit(
+    table: &Table,
+    key: &str,
+    row: &Row,
+    conditions: Vec<Condition>,
+    writes: Vec<Write>,
+) -> Result<Version, Refusal> {
+    match table.commit(key, conditions, writes).await? {
+        Written::Committed(version) => Ok(version),
+        Written::Conflict(failed) if failed.key == key => {
+            let now = table.get(key).await?;
+            Err(conflict(key, standing_version(&now), standing_version(row)))
+        }
+        Written::Conflict(failed) => {
+            let reason = format!("{} changed while {key} was being changed", failed.key);
+            Err(Refusal::new(ResultCode::VersionConflict, reason)
+                .with_current_version(standing_version(row)))
+        }
+    }
+}
+
+/// The answer to a durable change; `row` is what stood before.
+pub(super) fn accepted(
+    row: &Row,
+    version: Version,
+    warnings: Vec<String>,
+) -> Result<Response, Refusal> {
+    let status = if row.value.is_some() { OK } else { CREATED };
+    let mut response = answer(status, &Accepted { version, warnings })?;
+    response.insert_header("etag", format!("\"{version}\""));
+    Ok(response)
+}
+
+/// An answer with a document.
+pub(super) fn answer<T: serde::Serialize>(status: u16, document: &T) -> Result<Response, Refusal> {
+    let body = serde_json::to_string(document)
+        .map_err(|e| Refusal::new(ResultCode::Internal, e.to_string()))?;
+    Ok(json_response(status, body))
+}
--- /dev/null
+++ b/crates/radishpin-server/src/operator/refusal.rs
@@ -0,0 +1,90 @@
+//! Refusals of operators' orders.
+
+use http_types::{Response, StatusCode, headers::CONTENT_TYPE};
+use radishpin_protocol::{ErrorBody, ResultCode, Version};
+
+const RETRY_AFTER_SECONDS: &str = "5";
+
+/// Why an order is refused, until it becomes an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Refusal {
+    code: ResultCode,
+    reason: String,
+    help: Option<String>,
+    current_version: Option<Version>,
+    allow: Option<&'static str>,
+}
+
+impl Refusal {
+    pub(super) fn new(code: ResultCode, reason: impl Into<String>) -> Self {
+        Self {
+            code,
+            reason: reason.into(),
+            help: None,
+            current_version: None,
+            allow: None,
+        }
+    }
+
+    /// The same with the version that stands now.
+    pub(super) fn with_current_version(self, version: Version) -> Self {
+        Self {
+            current_version: Some(version),
+            ..self
+        }
+    }
+
+    /// The same with help of its own.
+    pub(super) fn with_help(self, help: String) -> Self {
+        Self {
+            help: Some(help),
+            ..self
+        }
+    }
+
+    /// The same with the methods that the path takes.
+    pub(super) fn with_allow(self, allow: &'static str) -> Self {
+        Self {
+            allow: Some(allow),
+            ..self
+        }
+    }
+
+    pub(super) fn code(&self) -> ResultCode {
+        self.code
+    }
+
+    pub(super) fn reason(&self) -> &str {
+        &self.reason
+    }
+
+    /// The answer.
+    pub(super) fn response(&self, request_id: &str) -> Response {
+        let mut body = ErrorBody::new(self.code, self.reason.clone(), request_id);
+        body.error.current_version = self.current_version;
+        if let Some(help) = &self.help {
+            body.error.help.clone_from(help);
+        }
+        let mut response = json_response(self.code.status(), body.to_json());
+        if let Some(allow) = self.allow {
+            response.insert_header("allow", allow);
+        }
+        match self.code {
+            ResultCode::TokenMissing => response.insert_header("www-authenticate", "Bearer"),
+            ResultCode::PlatformDown | ResultCode::ChangeUnknown => {
+                response.insert_header("retry-after", RETRY_AFTER_SECONDS)
+            }
+            _ => None,
+        };
+        response
+    }
+}
+
+/// An answer with a JSON body.
+pub(super) fn json_response(status: u16, body: String) -> Response {
+    let status = StatusCode::try_from(status).unwrap_or(StatusCode::InternalServerError);
+    let mut response = Response::new(status);
+    response.set_body(body);
+    response.insert_header(CONTENT_TYPE, "application/json");
+    response
+}
--- /dev/null
+++ b/crates/radishpin-server/src/operator/services.rs
@@ -0,0 +1,82 @@
+//! Orders on services: which profile a service picks.
+
+use super::{
+    api::OperatorContext,
+    change::{accepted, answer, check_seen, commit, seen_version, unchanged, write},
+    document::{ServiceChange, ServiceEntry},
+    read::{body_document, invalid, read_view, record, value_of},
+    refusal::Refusal,
+};
+use http_types::Response;
+use radishpin_http::Received;
+use radishpin_platform::Row;
+use radishpin_protocol::{PROFILE_PREFIX, ResultCode, SERVICE_PREFIX, ServiceKind, ServiceRecord};
+
+const OK: u16 = 200;
+
+/// `GET /v1/services/NAME`
+pub(super) async fn show(context: &OperatorContext, name: &str) -> Result<Response, Refusal> {
+    let read = read_view(context, &[SERVICE_PREFIX]).await?;
+    let service =
+        read.view.services.get(name).ok_or_else(|| {
+            Refusal::new(ResultCode::UnknownService, format!("no service {name}"))
+        })?;
+    let version = read.view.row_versions.get(&key_of(name)).copied();
+    answer(
+        OK,
+        &ServiceEntry {
+            name: name.to_owned(),
+            version: version.unwrap_or_default(),
+            kind: service.kind,
+            profile: service.profile.clone(),
+            source: read.source,
+        },
+    )
+}
+
+/// `PUT /v1/services/NAME`
+pub(super) async fn put(
+    context: &OperatorContext,
+    name: &str,
+    received: &Received,
+) -> Result<Response, Refusal> {
+    let seen = seen_version(&received.request)?;
+    let change: ServiceChange = body_document(&received.body)?;
+    let key = key_of(name);
+    let row = context.table.get(&key).await?;
+    check_seen(&key, &row, seen)?;
+    let service = ServiceRecord {
+        kind: kind_of(&key, &row, &change)?,
+        profile: change.profile,
+    };
+    // The condition on the profile's row keeps it from being deleted meanwhile.
+    let profile_key = format!("{PROFILE_PREFIX}{}", service.profile);
+    let profile_row = context.table.get(&profile_key).await?;
+    if profile_row.value.is_none() {
+        let reason = format!("profile: no profile {}", service.profile);
+        return Err(Refusal::new(ResultCode::UnknownProfile, reason));
+    }
+    let conditions = vec![unchanged(&key, &row), unchanged(&profile_key, &profile_row)];
+    let writes = vec![write(&key, Some(value_of(&service)?))];
+    let version = commit(&context.table, &key, &row, conditions, writes).await?;
+    accepted(&row, version, Vec::new())
+}
+
+/// The kind of the service, which never changes.
+fn kind_of(key: &str, row: &Row, change: &ServiceChange) -> Result<ServiceKind, Refusal> {
+    let Some(value) = &row.value else {
+        let needed = || invalid("kind: needed for a new service".to_owned());
+        return change.kind.ok_or_else(needed);
+    };
+    let old: ServiceRecord = record(key, value)?;
+    match change.kind {
+        Some(kind) if kind != old.kind => Err(invalid(
+            "kind: cannot change; name a new service".to_owned(),
+        )),
+        _ => Ok(old.kind),
+    }
+}
+
+fn key_of(name: &str) -> String {
+    format!("{SERVICE_PREFIX}{name}")
+}
--- /dev/null
+++ b/crates/radishpin-server/src/operator/status.rs
@@ -0,0 +1,70 @@
+//! `GET /v1/status`: the cluster as this node knows it.
+
+use super::{
+    api::OperatorContext,
+    change::answer,
+    document::{EndpointStatus, ModelStatus, ServiceStatus, StatusReport},
+    refusal::Refusal,
+    stops,
+};
+use http_types::Response;
+use radishpin_protocol::ClusterView;
+use std::time::Instant;
+
+const OK: u16 = 200;
+
+/// Answers from the view in force and the last words heard; works while the platform is down.
+pub(super) fn show(context: &OperatorContext) -> Result<Response, Refusal> {
+    let view = (context.view)();
+    let now = Instant::now();
+    let report = StatusReport {
+        node: context.node.clone(),
+        view_version: view.version,
+        processes: context.board.processes(now),
+        endpoints: endpoints(context, &view, now),
+        models: models(&view),
+        services: services(&view),
+        stops: stops::entries(&view, context.now_unix_ms()),
+    };
+    answer(OK, &report)
+}
+
+fn endpoints(context: &OperatorContext, view: &ClusterView, now: Instant) -> Vec<EndpointStatus> {
+    let endpoints = view.endpoints.iter();
+    endpoints
+        .map(|(name, endpoint)| EndpointStatus {
+            name: name.clone(),
+            host: endpoint.host.clone(),
+            availability_zone: endpoint.availability_zone.clone(),
+            service: endpoint.service.clone(),
+            agent_address: endpoint.agent_address.clone(),
+            memory_mb: endpoint.memory_mb,
+            incarnation: endpoint.incarnation,
+            report: context.board.report(name, now),
+        })
+        .collect()
+}
+
+fn models(view: &ClusterView) -> Vec<ModelStatus> {
+    let models = view.models.iter();
+    models
+        .map(|(name, model)| ModelStatus {
+            name: name.clone(),
+            service: model.service.clone(),
+            size_mb: model.size_mb,
+            replicas: model.replicas,
+            grants: model.grants.clone(),
+        })
+        .collect()
+}
+
+fn services(view: &ClusterView) -> Vec<ServiceStatus> {
+    let services = view.services.iter();
+    services
+        .map(|(name, service)| ServiceStatus {
+            name: name.clone(),
+            kind: service.kind,
+            profile: service.profile.clone(),
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/radishpin-server/src/operator/stops.rs
@@ -0,0 +1,120 @@
+//! Orders on planned stops.
+
+use super::{
+    api::OperatorContext,
+    change::{accepted, answer, commit, conflict, unchanged, write},
+    document::{StopEntry, StopList, StopPlan},
+    is_name,
+    read::{body_document, invalid, read_view, record, value_of},
+    refusal::Refusal,
+    warning::{phase, stop_warnings},
+};
+use http_types::Response;
+use radishpin_http::Received;
+use radishpin_protocol::{
+    ClusterView, ResultCode, STOP_PREFIX, StopRecord, StopTarget, UnixMs, VIEW_PREFIXES,
+};
+
+const OK: u16 = 200;
+
+/// `GET /v1/stops`
+pub(super) async fn list(context: &OperatorContext) -> Result<Response, Refusal> {
+    let read = read_view(context, &VIEW_PREFIXES).await?;
+    let stops = entries(&read.view, context.now_unix_ms());
+    answer(OK, &StopList { stops })
+}
+
+/// `GET /v1/stops/ID`
+pub(super) async fn show(context: &OperatorContext, id: &str) -> Result<Response, Refusal> {
+    let read = read_view(context, &VIEW_PREFIXES).await?;
+    let stop = read.view.stops.get(id).ok_or_else(|| unknown_stop(id))?;
+    answer(OK, &entry(&read.view, stop, context.now_unix_ms()))
+}
+
+/// `POST /v1/stops`
+pub(super) async fn plan(
+    context: &OperatorContext,
+    received: &Received,
+) -> Result<Response, Refusal> {
+    let plan: StopPlan = body_document(&received.body)?;
+    let stop = StopRecord::from(plan);
+    let now_unix_ms = context.now_unix_ms();
+    check_plan(&stop, now_unix_ms)?;
+    let key = key_of(&stop.id);
+    let row = context.table.get(&key).await?;
+    let warnings = stop_warnings(&(context.view)(), &stop, now_unix_ms);
+    if let Some(value) = &row.value {
+        let standing: StopRecord = record(&key, value)?;
+        // The same plan again, after a lost answer.
+        if standing == stop {
+            return accepted(&row, row.version, warnings);
+        }
+        return Err(conflict(&key, row.version, 0));
+    }
+    let conditions = vec![unchanged(&key, &row)];
+    let writes = vec![write(&key, Some(value_of(&stop)?))];
+    let version = commit(&context.table, &key, &row, conditions, writes).await?;
+    accepted(&row, version, warnings)
+}
+
+/// `DELETE /v1/stops/ID`
+pub(super) async fn cancel(context: &OperatorContext, id: &str) -> Result<Response, Refusal> {
+    let key = key_of(id);
+    let row = context.table.get(&key).await?;
+    if row.value.is_none() {
+        return Err(unknown_stop(id));
+    }
+    let conditions = vec![unchanged(&key, &row)];
+    let writes = vec![write(&key, None)];
+    let version = commit(&context.table, &key, &row, conditions, writes).await?;
+    accepted(&row, version, Vec::new())
+}
+
+/// All stops of a view with their warnings.
+pub(super) fn entries(view: &ClusterView, now_unix_ms: UnixMs) -> Vec<StopEntry> {
+    let stops = view.stops.values();
+    stops.map(|stop| entry(view, stop, now_unix_ms)).collect()
+}
+
+fn entry(view: &ClusterView, stop: &StopRecord, now_unix_ms: UnixMs) -> StopEntry {
+    let version = view.row_versions.get(&key_of(&stop.id)).copied();
+    StopEntry {
+        stop: stop.clone(),
+        version: version.unwrap_or_default(),
+        phase: phase(stop, now_unix_ms),
+        warnings: stop_warnings(view, stop, now_unix_ms),
+    }
+}
+
+/// Checks what the document's form cannot; all faults at once.
+fn check_plan(stop: &StopRecord, now_unix_ms: UnixMs) -> Result<(), Refusal> {
+    let mut faults = Vec::new();
+    if !is_name(&stop.id) {
+        faults.push("id: not a name");
+    }
+    let (field, name) = match &stop.target {
+        StopTarget::Host(host) => ("target.host: not a name", host),
+        StopTarget::AvailabilityZone(zone) => ("target.availability_zone: not a name", zone),
+    };
+    if !is_name(name) {
+        faults.push(field);
+    }
+    if stop.to_unix_ms <= stop.from_unix_ms {
+        faults.push("to_unix_ms: must be after from_unix_ms");
+    }
+    if stop.to_unix_ms <= now_unix_ms {
+        faults.push("to_unix_ms: is in the past");
+    }
+    if faults.is_empty() {
+        return Ok(());
+    }
+    Err(invalid(faults.join("; ")))
+}
+
+fn unknown_stop(id: &str) -> Refusal {
+    Refusal::new(ResultCode::UnknownStop, format!("no planned stop {id}"))
+}
+
+fn key_of(id: &str) -> String {
+    format!("{STOP_PREFIX}{id}")
+}
--- /dev/null
+++ b/src/client.rs
@@ -0,0 +1,183 @@
+//! Client of the operators' API.
+
+use crate::{
+    CommandError,
+    settings::{
+        Values,
+        common::{JSON, SERVER, TIMEOUT, TOKEN},
+    },
+};
+use http_types::{Method, Request, Response, Url, headers::AUTHORIZATION};
+use radishpin_http::{Client, ClientError, ClientLimits};
+use radishpin_protocol::{ErrorBody, Version};
+use radishpin_server::Token;
+use serde::{Serialize, de::DeserializeOwned};
+use std::{net::SocketAddr, time::Duration};
+
+/// Client of one node's operators' API.
+#[derive(Debug)]
+pub(crate) struct OperatorClient {
+    client: Client,
+    address: SocketAddr,
+    token: Token,
+    timeout: Duration,
+    json: bool,
+}
+
+/// One order; `find_out` tells how to learn whether it was accepted when no answer comes.
+#[derive(Debug)]
+pub(crate) struct Order {
+    pub(crate) method: Method,
+    pub(crate) path: String,
+    pub(crate) if_match: Option<Version>,
+    pub(crate) body: Option<String>,
+    pub(crate) find_out: String,
+}
+
+impl Order {
+    /// A read.
+    pub(crate) fn get(path: impl Into<String>) -> Self {
+        Self {
+            method: Method::Get,
+            path: path.into(),
+            if_match: None,
+            body: None,
+            find_out: String::new(),
+        }
+    }
+
+    /// A change.
+    pub(crate) fn change(method: Method, path: String, find_out: String) -> Self {
+        Self {
+            method,
+            find_out,
+            ..Self::get(path)
+        }
+    }
+
+    /// The same with a document.
+    pub(crate) fn with_body<T: Serialize>(self, document: &T) -> Result<Self, CommandError> {
+        let body = serde_json::to_string(document).map_err(std::io::Error::other)?;
+        Ok(Self {
+            body: Some(body),
+            ..self
+        })
+    }
+
+    /// The same on condition that the version stands.
+    pub(crate) fn if_match(self, version: Option<Version>) -> Self {
+        Self {
+            if_match: version,
+            ..self
+        }
+    }
+}
+
+impl OperatorClient {
+    /// A client with the settings of the command.
+    pub(crate) fn new(values: &Values) -> Result<Self, CommandError> {
+        let timeout = values.duration(&TIMEOUT)?;
+        let limits = ClientLimits {
+            connect_timeout: timeout,
+            ..ClientLimits::default()
+        };
+        Ok(Self {
+            client: Client::new(limits),
+            address: values.address(&SERVER)?,
+            token: values.token(&TOKEN)?,
+            timeout,
+            json: values.switch(&JSON),
+        })
+    }
+
+    /// Sends an order and reads the document of its answer.
+    pub(crate) fn send<T: DeserializeOwned>(&self, order: &Order) -> Result<T, CommandError> {
+        let request = self.request(order)?;
+        let answer = smol::block_on(radishpin_runtime::timeout(
+            self.timeout,
+            self.exchange(order, request),
+        ));
+        let no_answer = || Err(self.no_answer(order, "no answer in time".to_owned()));
+        let (status, body) = answer.unwrap_or_else(no_answer)?;
+        if !(200..300).contains(&status) {
+            return Err(self.refused(status, &body));
+        }
+        serde_json::from_str(&body).map_err(|e| self.unreadable(&e.to_string()))
+    }
+
+    async fn exchange(
+        &self,
+        order: &Order,
+        request: Request,
+    ) -> Result<(u16, String), CommandError> {
+        let mut response: Response = match self.client.send(self.address, request).await {
+            Ok(response) => response,
+            Err(error @ ClientError::Connect(_)) => return Err(self.unreadable(&error.to_string())),
+            Err(error) => return Err(self.no_answer(order, error.to_string())),
+        };
+        let status = u16::from(response.status());
+        let body = response.body_string().await;
+        let body = body.map_err(|e| self.no_answer(order, e.to_string()))?;
+        Ok((status, body))
+    }
+
+    fn request(&self, order: &Order) -> Result<Request, CommandError> {
+        let url = format!("http://{}{}", self.address, order.path);
+        let url = Url::parse(&url).map_err(|e| self.unreadable(&e.to_string()))?;
+        let mut request = Request::new(order.method, url);
+        request.insert_header(AUTHORIZATION, self.token.authorization());
+        if let Some(version) = order.if_match {
+            request.insert_header("if-match", version.to_string());
+        }
+        if let Some(body) = &order.body {
+            request.set_body(body.clone());
+            request.insert_header("content-type", "application/json");
+        }
+        Ok(request)
+    }
+
+    fn no_answer(&self, order: &Order, cause: String) -> CommandError {
+        if order.method == Method::Get {
+            return self.unreadable(&cause);
+        }
+        CommandError::NoAnswer {
+            address: self.address,
+            cause,
+            find_out: order.find_out.clone(),
+        }
+    }
+
+    fn unreadable(&self, cause: &str) -> CommandError {
+        CommandError::Server {
+            address: self.address,
+            cause: cause.to_owned(),
+        }
+    }
+
+    fn refused(&self, status: u16, body: &str) -> CommandError {
+        let Ok(refusal) = serde_json::from_str::<ErrorBody>(body) else {
+            return self.unreadable(&format!("status {status} without an error body"));
+        };
+        let text = if self.json {
+            body.to_owned()
+        } else {
+            refusal_text(&refusal)
+        };
+        CommandError::Refused { text }
+    }
+}
+
+fn refusal_text(refusal: &ErrorBody) -> String {
+    let error = &refusal.error;
+    let mut text = format!(
+        "refused: {} ({}): {}\n{}",
+        error.name, error.code, error.reason, error.help
+    );
+    if let Some(version) = error.current_version {
+        text.push_str(&format!(
+            "\nIf the change is still wanted, repeat it with --if-version {version}."
+        ));
+    }
+    text.push_str(&format!("\nrequest id: {}", error.request_id));
+    text
+}
--- a/src/command.rs
+++ b/src/command.rs
@@ -27,6 +27,8 @@
     pub settings: &'static [&'static Setting],
     /// Whole command lines that its help shows.
     pub examples: &'static [&'static str],
+    /// Further text for its help, whole lines.
+    pub notes: &'static str,
     /// Checks operands, and rules between settings that are sound by themselves.
     pub check: fn(&Values) -> Vec<Fault>,
 }
@@ -113,6 +115,17 @@
     }
 }
 
+fn operand_fault(operands: &[&str], allowed: &str) -> Fault {
+    let operand = match operands {
+        [] => "no action".to_owned(),
+        operands => operands.join(" "),
+    };
+    Fault::Operand {
+        operand,
+        allowed: allowed.to_owned(),
+    }
+}
+
 /// For a command that takes no operands.
 fn no_operands(values: &Values) -> Vec<Fault> {
     let extra = values.operands().iter();
--- a/src/command/agent.rs
+++ b/src/command/agent.rs
@@ -136,6 +136,7 @@
          --availability-zone recife-a --host host-3 --endpoint 127.0.0.1:7001 --service booking \
          --kind plain --platform 127.0.0.1:9000",
     ],
+    notes: "",
     check,
 };
 
--- a/src/command/check.rs
+++ b/src/command/check.rs
@@ -1,6 +1,6 @@
 //! `radishpin check`: checks settings and documents without starting anything.
 
-use super::CommandSpec;
+use super::{CommandSpec, operand_fault};
 use crate::{
     CommandError,
     settings::{Fault, Values},
@@ -25,6 +25,7 @@
         "radishpin check try --listen 127.0.0.1:0",
         "radishpin check profile interactive.json",
     ],
+    notes: "",
     check,
 };
 
@@ -32,15 +33,8 @@
     // Roles are checked before this command's own settings are read.
     match values.operands() {
         [what, _, ..] if what == "profile" => Vec::new(),
-        [] => vec![operand_fault("nothing")],
-        [what, ..] => vec![operand_fault(what)],
-    }
-}
-
-fn operand_fault(operand: &str) -> Fault {
-    Fault::Operand {
-        operand: operand.to_owned(),
-        allowed: ALLOWED.into(),
+        [] => vec![operand_fault(&[], ALLOWED)],
+        [what, ..] => vec![operand_fault(&[what], ALLOWED)],
     }
 }
 
--- a/src/command/node.rs
+++ b/src/command/node.rs
@@ -43,10 +43,10 @@
     "head-limit-bytes",
     Kind::Number {
         min: 1_024,
-        max: 1_048_576,
+        max: 8_191,
         unit: "bytes",
     },
-    "16384",
+    "8191",
     "Largest head of a caller's request.",
 )
 .env("RADISHPIN_HEAD_LIMIT_BYTES");
@@ -153,6 +153,7 @@
         "RADISHPIN_TOKEN=0123456789abcdef RADISHPIN_INTERNAL_TOKEN=fedcba9876543210 \
          radishpin node --name node-1 --availability-zone gondar --host host-1 --platform 127.0.0.1:9000",
     ],
+    notes: "",
     check: no_operands,
 };
 
--- a/src/command/standin.rs
+++ b/src/command/standin.rs
@@ -35,6 +35,7 @@
     usages: &["[FLAGS]"],
     settings: &[&LISTEN, &SEED, &THREADS, &LOG_LEVEL],
     examples: &["radishpin standin --listen 127.0.0.1:9000 --seed 7"],
+    notes: "",
     check: no_operands,
 };
 
--- a/src/command/status.rs
+++ b/src/command/status.rs
@@ -1,23 +1,34 @@
-//! `radishpin status`: to follow.
+//! `radishpin status`: the cluster as one node knows it.
 
-use super::CommandSpec;
+mod table;
+
+use super::{CommandSpec, no_operands};
 use crate::{
     CommandError,
+    client::{OperatorClient, Order},
+    output::print_document,
     settings::{
         Values,
         common::{JSON, LOG_LEVEL, SERVER, TIMEOUT, TOKEN},
     },
 };
+use radishpin_server::operator::document::StatusReport;
 
 pub(super) static SPEC: CommandSpec = CommandSpec {
     name: "status",
-    summary: "Show the state of the cluster.",
+    summary: "Show endpoints, replicas, grants, planned stops and versions in force.",
     usages: &["[FLAGS]"],
-    settings: &[&SERVER, &TOKEN, &TIMEOUT, &JSON, &LOG_LEVEL],
-    examples: &["RADISHPIN_TOKEN=0123456789abcdef radishpin status"],
-    check: super::no_operands,
+    settings: &[&JSON, &SERVER, &TOKEN, &TIMEOUT, &LOG_LEVEL],
+    examples: &[
+        "RADISHPIN_TOKEN=0123456789abcdef radishpin status",
+        "RADISHPIN_TOKEN=0123456789abcdef radishpin status --server 127.0.0.1:8081 --json",
+    ],
+    notes: "",
+    check: no_operands,
 };
 
-pub(super) fn run(_values: &Values) -> Result<(), CommandError> {
-    Err(CommandError::Unavailable { command: SPEC.name })
+pub(super) fn run(values: &Values) -> Result<(), CommandError> {
+    let client = OperatorClient::new(values)?;
+    let report: StatusReport = client.send(&Order::get("/v1/status"))?;
+    print_document(values.switch(&JSON), &report, || table::report(&report))
 }
--- a/src/command/try.rs
+++ b/src/command/try.rs
@@ -38,6 +38,7 @@
         "radishpin try",
         "radishpin try --listen 127.0.0.1:0 --seed 7",
     ],
+    notes: "",
     check: no_operands,
 };
 
--- a/src/error.rs
+++ b/src/error.rs
@@ -2,6 +2,7 @@
 
 use crate::settings::Fault;
 use quick_error::quick_error;
+use std::net::SocketAddr;
 
 quick_error! {
     /// Why a command failed.
@@ -26,11 +27,15 @@
         Document { lines: Vec<String> } {
             display("{}", lines.join("\n"))
         }
-        /// The operator's API cannot be reached, or its answer cannot be read.
-        Server { address: String, cause: String } {
+        /// The operators' API cannot be reached, or its answer cannot be read.
+        Server { address: SocketAddr, cause: String } {
             display("{address}: {cause}; check --server and whether the node runs")
         }
-        /// The operator's API refused the order.
+        /// The order was sent, and no answer came.
+        NoAnswer { address: SocketAddr, cause: String, find_out: String } {
+            display("{address}: {cause}; whether the order was accepted is not known: {find_out}")
+        }
+        /// The operators' API refused the order.
         Refused { text: String } {
             display("{text}")
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,9 +2,11 @@
 //!
 //! [`main`] picks a [`Command`], reads its settings from flags and environment, and runs it.
 
+mod client;
 mod command;
 mod error;
 mod logging;
+mod output;
 mod run;
 mod settings;
 
--- a/src/settings/common.rs
+++ b/src/settings/common.rs
@@ -125,3 +125,14 @@
     "Seed of the stand-ins' random choices.",
 )
 .env("RADISHPIN_SEED");
+
+/// Version that a change is conditional on.
+pub(crate) static IF_VERSION: Setting = Setting::optional(
+    "if-version",
+    Kind::Number {
+        min: 1,
+        max: u64::MAX,
+        unit: "as a version",
+    },
+    "Version of the document that you saw; the change is refused if another one stands.",
+);
--- a/src/settings/help.rs
+++ b/src/settings/help.rs
@@ -36,6 +36,9 @@
     for example in spec.examples {
         let _ = writeln!(text, "  {example}");
     }
+    if !spec.notes.is_empty() {
+        let _ = write!(text, "\n{}", spec.notes);
+    }
     text
 }
 
--- a/src/settings/kind.rs
+++ b/src/settings/kind.rs
@@ -1,14 +1,15 @@
 //! Kinds of values: how a setting's text is read and what is allowed.
 
 use radishpin_protocol::UnixMs;
-use radishpin_server::Token;
+use radishpin_server::{
+    Token,
+    operator::{NAME_CHARACTERS, is_name},
+};
 use std::{
     net::SocketAddr,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-const NAME_CHARACTERS: usize = 64;
-
 /// What values a setting takes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -151,13 +152,6 @@
     }
 }
 
-/// Whether `text` can name a thing of the cluster: safe in a path, a table key and a label.
-pub(crate) fn is_name(text: &str) -> bool {
-    let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '.' | '_' | '-');
-    let first_fits = text.starts_with(|c: char| c.is_ascii_alphanumeric());
-    first_fits && text.len() <= NAME_CHARACTERS && text.chars().all(allowed)
-}
-
 fn parse_time(text: &str) -> Option<TimeSpec> {
     if let Some(wait) = text.strip_prefix('+') {
         return humantime::parse_duration(wait).ok().map(TimeSpec::After);
--- a/src/settings/values.rs
+++ b/src/settings/values.rs
@@ -3,12 +3,18 @@
 use super::{Fault, Input, Kind, Presence, Setting, TimeSpec, Value};
 use getopts::{Fail, Matches, Options};
 use radishpin_server::Token;
-use std::{collections::BTreeMap, fs, net::SocketAddr, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fs,
+    net::SocketAddr,
+    time::Duration,
+};
 
 /// The checked settings and operands of a command.
 #[derive(Clone, Debug, Default)]
 pub struct Values {
     values: BTreeMap<&'static str, Value>,
+    given: BTreeSet<&'static str>,
     operands: Vec<String>,
     help: bool,
 }
@@ -28,6 +34,9 @@
             ..Self::default()
         };
         for setting in settings {
+            if is_given(setting, &matches, input) {
+                values.given.insert(setting.flag);
+            }
             match read_setting(setting, &matches, input) {
                 Ok(Some(value)) => {
                     values.values.insert(setting.flag, value);
@@ -51,6 +60,11 @@
         &self.operands
     }
 
+    /// Whether the setting was given, soundly or not; a default does not count.
+    pub fn is_given(&self, setting: &Setting) -> bool {
+        self.given.contains(setting.flag)
+    }
+
     /// Whether the switch is on.
     pub fn switch(&self, setting: &Setting) -> bool {
         matches!(self.values.get(setting.flag), Some(Value::Switch(true)))
@@ -141,6 +155,11 @@
     }]
 }
 
+fn is_given(setting: &Setting, matches: &Matches, input: &Input) -> bool {
+    let in_env = |env: &str| input.env.contains_key(env);
+    matches.opt_present(setting.flag) || setting.env.is_some_and(in_env)
+}
+
 fn was_reported(faults: &[Fault], setting: &Setting) -> bool {
     let own = format!("--{}", setting.flag);
     faults.iter().any(|fault| match fault {
