--- a/crates/radishpin-server/src/lib.rs
+++ b/crates/radishpin-server/src/lib.rs
@@ -1,8 +1,8 @@
-//! Node and agent processes.
+//! The node and agent processes of radishpin.
 
 pub mod operator;
-mod settings;
+mod rpc;
+pub mod settings;
 mod token;
 
-pub use settings::{AgentSettings, Fencing, NodeSettings};
 pub use token::{Token, TokenError};
