--- a/crates/radishpin-server/src/lib.rs
+++ b/crates/radishpin-server/src/lib.rs
@@ -4,6 +4,7 @@
 mod clock;
 mod metrics;
 mod node;
+pub mod operator;
 mod rpc;
 mod settings;
 mod shards;
