--- a/crates/radishpin-protocol/src/record.rs
+++ b/crates/radishpin-protocol/src/record.rs
@@ -79,7 +79,7 @@
 }
 
 /// A model and the grants to load it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(Serialize, Deserialize)]
 pub struct ModelRecord {
     /// The service whose runners may load it.
@@ -93,7 +93,7 @@
 }
 
 /// Leave for one endpoint to load one model.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 #[derive(Serialize, Deserialize)]
 pub struct Grant {
     /// Whether it may still be used.
@@ -103,7 +103,7 @@
 }
 
 /// State of a grant; both states count as a replica.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum GrantState {
