--- a/crates/radishpin-core/src/process/replica_ledger.rs
+++ b/crates/radishpin-core/src/process/replica_ledger.rs
@@ -126,6 +126,11 @@
         true
     }
 
+    /// The view in force; empty before the first.
+    pub const fn view(&self) -> &AgentView {
+        &self.view
+    }
+
     /// Version of the view in force; 0 before the first.
     pub const fn view_version(&self) -> Version {
         self.view.version
--- a/crates/radishpin-server/src/agent.rs
+++ b/crates/radishpin-server/src/agent.rs
@@ -5,4 +5,4 @@
 mod request;
 mod version;
 
-pub use process::{Agent, AgentError};
+pub use process::{Agent, AgentError, RunningAgent};
--- a/crates/radishpin-server/src/agent/connection.rs
+++ b/crates/radishpin-server/src/agent/connection.rs
@@ -6,3 +6,4 @@
 
 pub(super) use endpoint::{Endpoint, EndpointAnswer, EndpointError, StreamEvent};
 pub(super) use handlers::AgentService;
+pub(super) use orders::{ledger_target, load_target};
--- a/crates/radishpin-server/src/agent/connection/endpoint.rs
+++ b/crates/radishpin-server/src/agent/connection/endpoint.rs
@@ -7,8 +7,8 @@
 use radishpin_protocol::{
     ServiceKind,
     engine::{
-        EngineErrorBody, EngineErrorKind, PRIORITY_HEADER, REQUEST_ID_HEADER,
-        RESUME_OFFSET_HEADER, STREAM_END,
+        EngineErrorBody, EngineErrorKind, PRIORITY_HEADER, REQUEST_ID_HEADER, RESUME_OFFSET_HEADER,
+        STREAM_END,
     },
     wire::{ExecuteRequest, Header},
 };
@@ -36,7 +36,7 @@
     /// Why a call to the endpoint brought no whole answer.
     #[derive(Debug)]
     #[allow(missing_docs)]
-    pub(in crate::agent) enum EndpointError {
+    pub enum EndpointError {
         /// Nothing was sent.
         Connect(cause: String) {
             display("the endpoint cannot be reached: {cause}")
@@ -120,8 +120,8 @@
     }
 
     fn request_of(&self, call: &ExecuteRequest, attempt: &str) -> Result<Request, EndpointError> {
-        let method = Method::from_str(&call.method)
-            .map_err(|e| EndpointError::Malformed(e.to_string()))?;
+        let method =
+            Method::from_str(&call.method).map_err(|e| EndpointError::Malformed(e.to_string()))?;
         let mut request = Request::new(method, self.url(&call.path)?);
         request.set_body(call.body.clone());
         for header in &call.headers {
@@ -239,7 +239,10 @@
     }
 
     async fn check_engine(mut self) -> Result<Self, EndpointError> {
-        let echoed = self.response.header(REQUEST_ID_HEADER).map(|values| values.as_str());
+        let echoed = self
+            .response
+            .header(REQUEST_ID_HEADER)
+            .map(|values| values.as_str());
         if echoed.is_some_and(|echoed| echoed != self.attempt) {
             return Err(EndpointError::Crossed);
         }
--- a/crates/radishpin-server/src/agent/process.rs
+++ b/crates/radishpin-server/src/agent/process.rs
@@ -10,6 +10,7 @@
 mod run;
 
 pub use error::AgentError;
+pub use run::RunningAgent;
 
 use super::connection::Endpoint;
 use crate::{clock::Clock, settings::AgentSettings, shards::Shards};
@@ -63,7 +64,7 @@
 impl Agent {
     fn new(settings: AgentSettings, runtime: Runtime, shutdown: Shutdown) -> Self {
         let endpoint = Endpoint::new(settings.endpoint, settings.kind);
-        let places = Places::new(settings.concurrency, settings.queue_places);
+        let places = Places::new(settings.concurrency, settings.queue_places as usize);
         Self {
             runtime,
             clock: Clock::start(),
@@ -115,7 +116,8 @@
     /// Makes sure that an attempt which has not started never starts.
     pub(super) fn tombstone(&self, id: &AttemptId) -> TombstoneOutcome {
         let now = self.clock.now();
-        self.attempts.with(id, |ledger| ledger.tombstone(id, now))
+        self.attempts
+            .with(&id.request_id, |ledger| ledger.tombstone(id, now))
     }
 
     fn memory_and_loads(&self) -> (SizeMb, u32) {
--- a/crates/radishpin-server/src/agent/process/housekeeping.rs
+++ b/crates/radishpin-server/src/agent/process/housekeeping.rs
@@ -1,7 +1,7 @@
 //! Regular work: reading reports, preloading and unloading, forgetting old attempts.
 
 use crate::agent::{Agent, connection::ledger_target};
-use radishpin_core::process::{EngineReport, OrderNumber};
+use radishpin_core::process::{EngineReport, OrderNumber, Target};
 use radishpin_protocol::{ServiceKind, engine, prelude::*};
 use radishpin_runtime::{Runtime, timeout};
 use std::sync::Arc;
@@ -79,3 +79,8 @@
         unloading: sizes(&report.unloading),
     }
 }
+
+fn sizes(residents: &[engine::Resident]) -> BTreeMap<Target, SizeMb> {
+    let entry = |resident: &engine::Resident| (ledger_target(&resident.target), resident.size_mb);
+    residents.iter().map(entry).collect()
+}
--- a/crates/radishpin-server/src/agent/process/places.rs
+++ b/crates/radishpin-server/src/agent/process/places.rs
@@ -78,13 +78,29 @@
         };
         match timeout(deadline.saturating_sub(now), turn.recv()).await {
             Some(Ok(place)) => Ok(place),
-            _ => Err(AttemptRefusal::not_run(
+            Some(Err(_)) => Err(AttemptRefusal::not_run(
+                ResultCode::EndpointLeaving,
+                "the endpoint is leaving and its queue was cleared",
+            )),
+            None => Err(AttemptRefusal::not_run(
                 ResultCode::DeadlinePassed,
                 "the deadline passed in the endpoint's queue",
             )),
         }
     }
 
+    /// Sends away the attempts that wait, so that their nodes find other endpoints.
+    pub(in crate::agent) fn clear_queue(&self) {
+        let waiting = self.state.lock().queue.drain();
+        drop(waiting);
+    }
+
+    /// Whether no call holds a place or waits for one.
+    pub(in crate::agent) fn is_idle(&self) -> bool {
+        let state = self.state.lock();
+        state.running == 0 && state.queue.is_empty()
+    }
+
     fn enter(
         &self,
         request: &ExecuteRequest,
--- /dev/null
+++ b/crates/radishpin-server/src/agent/process/registration.rs
@@ -0,0 +1,104 @@
+//! Registering the endpoint: a conditional write that makes a new incarnation.
+
+use super::Agent;
+use radishpin_core::process::{Fencing as LedgerFencing, ReplicaLedger};
+use radishpin_platform::{
+    CallError, ChangeOutcome, PlatformClient, RowChange, ViewChange, ViewWriter,
+};
+use radishpin_protocol::{ENDPOINT_PREFIX, EndpointRecord, prelude::*};
+use radishpin_runtime::Runtime;
+use std::sync::atomic::Ordering;
+
+/// Shortest and longest time between two tries to register.
+const RETRY_MIN: Duration = Duration::from_millis(100);
+const RETRY_MAX: Duration = Duration::from_secs(5);
+
+impl Agent {
+    /// Registers the endpoint, however long the platform is down.
+    ///
+    /// An outcome that stays unknown is no harm: the next try reads the row again, and a late
+    /// effect of the earlier one then fails on its condition.
+    pub(super) async fn register(&self, client: &PlatformClient, address: &str) {
+        let mut pause = RETRY_MIN;
+        loop {
+            match self.try_register(client, address).await {
+                Ok(Some((incarnation, version))) => {
+                    self.begin_incarnation(incarnation, version);
+                    return;
+                }
+                Ok(None) => continue,
+                Err(cause) => {
+                    log::warn!(event = "registration_failed", cause:% = cause; "registration failed");
+                }
+            }
+            Runtime::sleep(pause.mul_f64(0.5 + client.random() / 2.0)).await;
+            pause = (pause * 2).min(RETRY_MAX);
+        }
+    }
+
+    /// One try; `None` where another writer came first.
+    async fn try_register(
+        &self,
+        client: &PlatformClient,
+        address: &str,
+    ) -> Result<Option<(Incarnation, Version)>, CallError> {
+        let key = format!("{ENDPOINT_PREFIX}{}", self.settings.name);
+        let row = client.get(&key).await?;
+        let old = row
+            .value
+            .as_deref()
+            .map(serde_json::from_str::<EndpointRecord>);
+        // A row that cannot be read still proves an earlier life; its version is above any
+        // incarnation that it may have held, as each incarnation took a commit.
+        let old_incarnation = match old {
+            None => 0,
+            Some(Ok(record)) => record.incarnation,
+            Some(Err(_)) => row.version,
+        };
+        let incarnation = old_incarnation + 1;
+        let record = self.record(address, incarnation);
+        let Ok(value) = serde_json::to_string(&record) else {
+            return Ok(None);
+        };
+        let change = ViewChange {
+            rows: vec![RowChange {
+                key,
+                expected_version: row.version,
+                value: Some(value),
+            }],
+            ..ViewChange::default()
+        };
+        match ViewWriter::new(client.clone()).commit(&change).await? {
+            ChangeOutcome::Accepted(version) => Ok(Some((incarnation, version))),
+            ChangeOutcome::Conflict { .. } => Ok(None),
+        }
+    }
+
+    fn record(&self, address: &str, incarnation: Incarnation) -> EndpointRecord {
+        EndpointRecord {
+            host: self.settings.host.clone(),
+            availability_zone: self.settings.availability_zone.clone(),
+            agent_address: address.to_owned(),
+            service: self.settings.service.clone(),
+            memory_mb: self.settings.memory_mb,
+            concurrency: self.settings.concurrency,
+            incarnation,
+        }
+    }
+
+    fn begin_incarnation(&self, incarnation: Incarnation, version: Version) {
+        let fencing = match self.settings.fencing {
+            crate::Fencing::Checked => LedgerFencing::Checked,
+            crate::Fencing::Ignored => LedgerFencing::Ignored {
+                order_life: self.settings.order_life,
+            },
+        };
+        let now = self.clock.now();
+        let memory_mb = self.settings.memory_mb;
+        let ledger = ReplicaLedger::new(incarnation, version, memory_mb, fencing, now);
+        *self.ledger.lock() = Some(ledger);
+        self.incarnation.store(incarnation, Ordering::Release);
+        self.report_wanted.notify(1);
+        log::info!(event = "registered", incarnation, version; "endpoint registered");
+    }
+}
--- /dev/null
+++ b/crates/radishpin-server/src/agent/process/run.rs
@@ -0,0 +1,87 @@
+//! Starting and stopping an agent.
+
+use super::{Agent, AgentError};
+use crate::{
+    agent::connection::AgentService, platform::platform_client, rpc::serve_rpc,
+    settings::AgentSettings,
+};
+use radishpin_http::Shutdown;
+use radishpin_platform::Platform;
+use radishpin_protocol::{prelude::*, wire::agent_server::AgentServer};
+use radishpin_runtime::{Runtime, timeout};
+use smol::{Task, net::TcpListener};
+use std::{net::SocketAddr, sync::Arc};
+
+/// Largest message from a node.
+const MESSAGE_BYTES_MAX: usize = 64 * 1024 * 1024;
+/// Time between two looks at whether running calls have ended.
+const DRAIN_LOOK: Duration = Duration::from_millis(10);
+
+impl Agent {
+    /// Starts an agent: takes its listening address, which a predecessor that still lives holds,
+    /// then registers and serves until `shutdown` begins.
+    ///
+    /// # Errors
+    /// The listening address cannot be taken.
+    pub async fn start(
+        settings: AgentSettings,
+        runtime: Runtime,
+        platform: Arc<dyn Platform>,
+        shutdown: Shutdown,
+    ) -> Result<RunningAgent, AgentError> {
+        let listen = settings.listen;
+        let failed = |cause| AgentError::Listen(listen, cause);
+        let listener = TcpListener::bind(listen).await.map_err(failed)?;
+        let address = listener.local_addr().map_err(failed)?;
+        let agent = Arc::new(Self::new(settings, runtime.clone(), shutdown.clone()));
+        let client = platform_client(platform, &agent.metrics.registry);
+        let service = AgentServer::new(AgentService::new(Arc::clone(&agent)))
+            .max_decoding_message_size(MESSAGE_BYTES_MAX);
+        let tasks = vec![
+            runtime.spawn(serve_rpc(runtime.clone(), listener, service, shutdown)),
+            runtime.spawn(Arc::clone(&agent).watch_endpoint()),
+            runtime.spawn(Arc::clone(&agent).keep_house()),
+        ];
+        let registering = Arc::clone(&agent);
+        let registration =
+            runtime.spawn(async move { registering.register(&client, &address.to_string()).await });
+        Ok(RunningAgent {
+            agent,
+            address,
+            tasks,
+            registration,
+        })
+    }
+}
+
+/// An agent that runs; dropping it stops it at once.
+#[derive(Debug)]
+pub struct RunningAgent {
+    /// The agent.
+    pub agent: Arc<Agent>,
+    /// Address at which it listens.
+    pub address: SocketAddr,
+    tasks: Vec<Task<()>>,
+    registration: Task<()>,
+}
+
+impl RunningAgent {
+    /// Waits until the stop has begun and running calls have ended, or the time for them is over.
+    pub async fn stopped(self) {
+        let agent = &self.agent;
+        agent.shutdown.begun().await;
+        agent.places.clear_queue();
+        let idle = async {
+            while !agent.places.is_idle() {
+                Runtime::sleep(DRAIN_LOOK).await;
+            }
+        };
+        if timeout(agent.settings.drain_timeout, idle).await.is_none() {
+            log::warn!(event = "drain_timeout"; "calls still ran when the time for them was over");
+        }
+        for task in self.tasks {
+            task.cancel().await;
+        }
+        self.registration.cancel().await;
+    }
+}
--- a/crates/radishpin-server/src/agent/request/attempt.rs
+++ b/crates/radishpin-server/src/agent/request/attempt.rs
@@ -46,10 +46,13 @@
             let detail = "the attempt was tombstoned while it waited";
             return Err(AttemptRefusal::not_run(ResultCode::Tombstoned, detail));
         }
-        frames.send(Frame::Started(Started {}), Some(self.load())).await;
+        frames
+            .send(Frame::Started(Started {}), Some(self.load()))
+            .await;
         let started_at = self.clock.now();
         relay::relay(self, request, frames, deadline).await?;
-        self.meter.served(self.clock.now().saturating_sub(started_at));
+        self.meter
+            .served(self.clock.now().saturating_sub(started_at));
         drop(place);
         Ok(())
     }
@@ -61,12 +64,17 @@
             number: request.attempt,
         };
         let now = self.clock.now();
-        let admission = self.attempts.with(&id, |ledger| ledger.admit(&id, now));
+        let admission = self
+            .attempts
+            .with(&id.request_id, |ledger| ledger.admit(&id, now));
         match admission {
             Admission::Admitted => Ok(AttemptGuard::new(self, id)),
             Admission::Duplicate(_) => {
                 let detail = "the same attempt arrived before";
-                Err(AttemptRefusal::unknown(ResultCode::DuplicateAttempt, detail))
+                Err(AttemptRefusal::unknown(
+                    ResultCode::DuplicateAttempt,
+                    detail,
+                ))
             }
             Admission::Tombstoned | Admission::Superseded | Admission::Stale => {
                 let detail = "the attempt may not start any more";
--- a/crates/radishpin-server/src/agent/request/frames.rs
+++ b/crates/radishpin-server/src/agent/request/frames.rs
@@ -62,6 +62,9 @@
 
     fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
         self.drive(context);
-        self.frames.as_mut().poll_next(context).map(|frame| frame.map(Ok))
+        self.frames
+            .as_mut()
+            .poll_next(context)
+            .map(|frame| frame.map(Ok))
     }
 }
--- a/crates/radishpin-server/src/agent/request/guards.rs
+++ b/crates/radishpin-server/src/agent/request/guards.rs
@@ -51,14 +51,16 @@
     /// Marks it as handed to the endpoint; `false` where it must not run.
     pub(super) fn start(&self) -> bool {
         let now = self.agent.clock.now();
-        self.agent.attempts.with(&self.id, |ledger| ledger.start(&self.id, now))
+        self.agent
+            .attempts
+            .with(&self.id.request_id, |ledger| ledger.start(&self.id, now))
     }
 }
 
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
         let now = self.agent.clock.now();
-        self.agent.attempts.with(&self.id, |ledger| {
+        self.agent.attempts.with(&self.id.request_id, |ledger| {
             if !ledger.forget_unstarted(&self.id, now) {
                 ledger.finish(&self.id, now);
             }
--- a/crates/radishpin-server/src/agent/request/relay.rs
+++ b/crates/radishpin-server/src/agent/request/relay.rs
@@ -30,7 +30,10 @@
         Some(answer) => answer.map_err(|e| refusal_of(agent, &e))?,
         None => {
             let detail = "the endpoint did not begin its answer before the deadline";
-            return Err(AttemptRefusal::unknown(ResultCode::DeadlinePassedStarted, detail));
+            return Err(AttemptRefusal::unknown(
+                ResultCode::DeadlinePassedStarted,
+                detail,
+            ));
         }
     };
     frames.send(Frame::Head(head_of(&answer)), None).await;
@@ -56,7 +59,11 @@
 ) -> Result<(), AttemptRefusal> {
     let mut offset = request.resume_offset;
     loop {
-        match answer.next_event().await.map_err(|e| refusal_of(agent, &e))? {
+        match answer
+            .next_event()
+            .await
+            .map_err(|e| refusal_of(agent, &e))?
+        {
             StreamEvent::Data(data) => {
                 let chunk = Chunk { offset, data };
                 frames.send(Frame::Chunk(chunk), None).await;
@@ -74,11 +81,16 @@
 ) -> Result<(), AttemptRefusal> {
     let mut offset = 0;
     loop {
-        let data = answer.next_bytes(CHUNK_BYTES).await.map_err(|e| refusal_of(agent, &e))?;
+        let data = answer
+            .next_bytes(CHUNK_BYTES)
+            .await
+            .map_err(|e| refusal_of(agent, &e))?;
         if data.is_empty() {
             return Ok(());
         }
-        frames.send(Frame::Chunk(Chunk { offset, data }), None).await;
+        frames
+            .send(Frame::Chunk(Chunk { offset, data }), None)
+            .await;
         offset += 1;
     }
 }
--- a/crates/radishpin-server/src/agent/version/sync.rs
+++ b/crates/radishpin-server/src/agent/version/sync.rs
@@ -14,8 +14,11 @@
     /// Takes the node's view, unless an older one, and tells the endpoint's state.
     pub(in crate::agent) fn sync(&self, request: SyncRequest) -> SyncReply {
         let newest = request.view_version >= self.view_version();
-        if newest {
-            self.told_to_leave.store(request.leaving, Ordering::Release);
+        if newest && request.leaving != self.told_to_leave.swap(request.leaving, Ordering::AcqRel) {
+            self.leaving_changed(request.leaving);
+        }
+        if request.registered_incarnation > self.incarnation() {
+            self.superseded();
         }
         if request.full {
             self.apply(&request);
@@ -30,6 +33,24 @@
         }
     }
 
+    fn leaving_changed(&self, leaving: bool) {
+        log::info!(event = "leaving_changed", leaving; "told whether to leave");
+        if leaving {
+            self.places.clear_queue();
+        }
+    }
+
+    /// Another agent was registered for the endpoint: this one gives no more orders.
+    fn superseded(&self) {
+        if let Some(ledger) = self.ledger.lock().as_mut()
+            && self.incarnation() > 0
+            && !ledger.superseded()
+        {
+            ledger.supersede();
+            log::warn!(event = "superseded"; "another agent was registered for the endpoint");
+        }
+    }
+
     /// Version of the view in force; 0 before the first.
     pub fn view_version(&self) -> Version {
         let ledger = self.ledger.lock();
@@ -38,7 +59,10 @@
 
     fn released(&self) -> Vec<ModelId> {
         let ledger = self.ledger.lock();
-        ledger.as_ref().map(|ledger| ledger.released()).unwrap_or_default()
+        ledger
+            .as_ref()
+            .map(|ledger| ledger.released())
+            .unwrap_or_default()
     }
 
     fn apply(&self, request: &SyncRequest) {
@@ -69,7 +93,9 @@
         };
         let replicas = ledger.replicas();
         let mut reports: BTreeMap<ModelId, ReplicaReport> = ledger
-            .granted_models()
+            .view()
+            .grants
+            .keys()
             .map(|model| (model.clone(), absent(model, &tiers)))
             .collect();
         for (target, status) in &replicas {
--- a/crates/radishpin-server/src/clock.rs
+++ b/crates/radishpin-server/src/clock.rs
@@ -24,6 +24,8 @@
 
 /// Milliseconds since the Unix epoch, for planned stops, which operators write as times of day.
 pub fn unix_now_ms() -> u64 {
-    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let elapsed = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/radishpin-server/src/lib.rs
+++ b/crates/radishpin-server/src/lib.rs
@@ -5,12 +5,13 @@
 mod metrics;
 mod node;
 pub mod operator;
+mod platform;
 mod rpc;
 mod settings;
 mod shards;
 mod token;
 
-pub use agent::{Agent, AgentError};
-pub use node::{Node, NodeError};
+pub use agent::{Agent, AgentError, RunningAgent};
+pub use node::{Node, NodeError, RunningNode};
 pub use settings::{AgentSettings, Fencing, NodeSettings};
 pub use token::{Token, TokenError};
--- a/crates/radishpin-server/src/node.rs
+++ b/crates/radishpin-server/src/node.rs
@@ -5,4 +5,4 @@
 mod request;
 mod version;
 
-pub use process::{Node, NodeError};
+pub use process::{Node, NodeError, RunningNode};
--- a/crates/radishpin-server/src/node/connection/agent_link.rs
+++ b/crates/radishpin-server/src/node/connection/agent_link.rs
@@ -2,22 +2,27 @@
 
 use crate::{Token, rpc::Channel};
 use parking_lot::Mutex;
-use radishpin_core::request::{Candidate, ReplicaReadiness, Tier, estimate_wait};
+use radishpin_core::{
+    process::{Membership, Standing},
+    request::{Candidate, ReplicaReadiness, Tier, estimate_wait},
+    version::Confirmation,
+};
 use radishpin_protocol::{
     EndpointRecord,
     prelude::*,
-    wire::{self, Load, SyncReply, agent_client::AgentClient},
+    wire::{self, Load, ReplicaReport, SyncReply, agent_client::AgentClient},
 };
 use radishpin_runtime::Runtime;
 use std::{
     net::SocketAddr,
-    sync::atomic::{AtomicU32, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
 };
 
 /// Largest message from an agent.
 const MESSAGE_BYTES_MAX: usize = 16 * 1024 * 1024;
-/// Time for which an endpoint is avoided after a failed call, unless it answers before.
-const SUSPICION: Duration = Duration::from_secs(2);
 /// Load time assumed before one was observed, by tier.
 const LOAD_TIME_MEMORY: Duration = Duration::from_millis(500);
 const LOAD_TIME_DISK: Duration = Duration::from_secs(2);
@@ -41,8 +46,6 @@
     view_version: Version,
     replicas: BTreeMap<ModelId, Replica>,
     released: BTreeSet<ModelId>,
-    suspected_until: Duration,
-    heard: bool,
 }
 
 /// The link to one agent.
@@ -51,7 +54,9 @@
     endpoint: EndpointId,
     record: EndpointRecord,
     client: AgentClient<Channel>,
+    members: Arc<Mutex<Membership>>,
     outstanding: AtomicU32,
+    syncing: AtomicBool,
     known: Mutex<Known>,
 }
 
@@ -63,6 +68,7 @@
         record: EndpointRecord,
         address: SocketAddr,
         token: &Token,
+        members: Arc<Mutex<Membership>>,
     ) -> Self {
         let channel = Channel::new(runtime, address, token);
         let client = AgentClient::new(channel).max_decoding_message_size(MESSAGE_BYTES_MAX);
@@ -74,7 +80,9 @@
             endpoint,
             record,
             client,
+            members,
             outstanding: AtomicU32::new(0),
+            syncing: AtomicBool::new(false),
             known: Mutex::new(known),
         }
     }
@@ -104,15 +112,24 @@
         self.known.lock().view_version
     }
 
-    /// Models whose unload the agent has confirmed, with the version of the view then in force.
-    pub(in crate::node) fn released(&self) -> (Version, BTreeSet<ModelId>) {
+    /// The agent's newest statement on revoked models.
+    pub(in crate::node) fn confirmation(&self) -> Confirmation {
         let known = self.known.lock();
-        (known.view_version, known.released.clone())
+        Confirmation {
+            incarnation: known.incarnation,
+            view_version: known.view_version,
+            released: known.released.clone(),
+        }
+    }
+
+    /// Claims the next heartbeat; `false` while one is under way.
+    pub(in crate::node) fn begin_sync(&self) -> bool {
+        !self.syncing.swap(true, Ordering::AcqRel)
     }
 
-    /// Whether the agent was ever heard.
-    pub(in crate::node) fn is_heard(&self) -> bool {
-        self.known.lock().heard
+    /// Lets the next heartbeat be sent.
+    pub(in crate::node) fn end_sync(&self) {
+        self.syncing.store(false, Ordering::Release);
     }
 
     /// Last load told by the agent.
@@ -120,12 +137,6 @@
         self.known.lock().load
     }
 
-    /// States of the replicas, as last heard.
-    pub(in crate::node) fn replicas(&self) -> BTreeMap<ModelId, wire::ReplicaState> {
-        let known = self.known.lock();
-        known.replicas.iter().map(|(model, replica)| (model.clone(), replica.state)).collect()
-    }
-
     /// Counts an attempt that was sent.
     pub(in crate::node) fn count_sent(&self) {
         self.outstanding.fetch_add(1, Ordering::Relaxed);
@@ -139,57 +150,39 @@
     /// Takes the load that a reply carried.
     pub(in crate::node) fn note_load(&self, load: Load, now: Duration) {
         let outstanding = self.outstanding.load(Ordering::Relaxed);
-        let mut known = self.known.lock();
-        known.load = load;
-        known.load_at = now;
-        known.outstanding_then = outstanding;
-        known.suspected_until = Duration::ZERO;
+        let incarnation = {
+            let mut known = self.known.lock();
+            known.load = load;
+            known.load_at = now;
+            known.outstanding_then = outstanding;
+            known.incarnation
+        };
+        let mut members = self.members.lock();
+        members.call_succeeded(&self.endpoint, incarnation, load.leaving, now);
     }
 
-    /// Takes a heartbeat's answer.
-    pub(in crate::node) fn note_sync(&self, reply: SyncReply, now: Duration) {
-        if let Some(load) = reply.load {
-            self.note_load(load, now);
-        }
+    /// Takes a heartbeat's answer; `true` where it tells something that routes depend on.
+    pub(in crate::node) fn note_sync(&self, reply: SyncReply, now: Duration) -> bool {
         let mut known = self.known.lock();
-        known.heard = true;
         known.incarnation = known.incarnation.max(reply.incarnation);
+        let released = reply.released.into_iter().collect();
+        let replicas = known.merge(reply.replicas, now);
+        let changed = known.view_version != reply.view_version
+            || known.released != released
+            || !same_states(&known.replicas, &replicas);
         known.view_version = reply.view_version;
-        known.released = reply.released.into_iter().collect();
-        let old = std::mem::take(&mut known.replicas);
-        known.replicas = reply
-            .replicas
-            .into_iter()
-            .map(|report| {
-                let state = report.state();
-                let since = match old.get(&report.model) {
-                    Some(replica) if replica.state == state => replica.since,
-                    _ => now,
-                };
-                let tier = report.tier();
-                (report.model, Replica { state, tier, since })
-            })
-            .collect();
+        known.released = released;
+        known.replicas = replicas;
+        drop(known);
+        if let Some(load) = reply.load {
+            self.note_load(load, now);
+        }
+        changed
     }
 
-    /// Notes that a call failed: the endpoint is avoided for a while.
+    /// Notes that a call failed.
     pub(in crate::node) fn call_failed(&self, now: Duration) {
-        let mut known = self.known.lock();
-        known.suspected_until = known.suspected_until.max(now + SUSPICION);
-    }
-
-    /// Notes that this node saw the model loaded there.
-    pub(in crate::node) fn note_served(&self, model: &str, now: Duration) {
-        let mut known = self.known.lock();
-        let replica = known.replicas.get_mut(model);
-        match replica {
-            Some(replica) if replica.state == wire::ReplicaState::Loaded => {}
-            Some(replica) => {
-                replica.state = wire::ReplicaState::Loaded;
-                replica.since = now;
-            }
-            None => {}
-        }
+        self.members.lock().call_failed(&self.endpoint, now);
     }
 
     /// Notes that this node is about to start a load there.
@@ -211,6 +204,7 @@
         &self,
         model: Option<&ModelId>,
         local_zone: &str,
+        standing: Standing,
         now: Duration,
     ) -> Candidate {
         let outstanding_now = self.outstanding.load(Ordering::Relaxed);
@@ -218,7 +212,9 @@
         let reported = known.load.running + known.load.queued;
         let sent_since = outstanding_now.saturating_sub(known.outstanding_then);
         let replica = model.map(|model| known.replicas.get(model).copied());
-        let tier = replica.flatten().map_or(wire::Tier::Remote, |replica| replica.tier);
+        let tier = replica
+            .flatten()
+            .map_or(wire::Tier::Remote, |replica| replica.tier);
         let load_time = known.load_time(tier);
         Candidate {
             endpoint: self.endpoint.clone(),
@@ -231,8 +227,8 @@
             concurrency: self.record.concurrency,
             service_time: Duration::from_millis(known.load.service_time_ms),
             load_time,
-            suspected: now < known.suspected_until,
-            leaving: known.load.leaving,
+            suspected: standing == Standing::Suspect,
+            leaving: matches!(standing, Standing::Leaving | Standing::Gone),
             affinity: false,
             load_age: now.saturating_sub(known.load_at),
         }
@@ -240,11 +236,26 @@
 
     /// Time that a new call would wait here, as far as this node knows.
     pub(in crate::node) fn expected_wait(&self) -> Duration {
-        estimate_wait(&self.candidate(None, "", Duration::ZERO))
+        estimate_wait(&self.candidate(None, "", Standing::Usable, Duration::ZERO))
     }
 }
 
 impl Known {
+    /// The reported replicas, each with the time since when its state stands.
+    fn merge(&self, reports: Vec<ReplicaReport>, now: Duration) -> BTreeMap<ModelId, Replica> {
+        let merged = reports.into_iter().map(|report| {
+            let state = report.state();
+            let tier = report.tier();
+            let old = self.replicas.get(&report.model);
+            let since = match old {
+                Some(old) if old.state == state => old.since,
+                _ => now,
+            };
+            (report.model, Replica { state, tier, since })
+        });
+        merged.collect()
+    }
+
     fn load_time(&self, tier: wire::Tier) -> Duration {
         if self.load.load_time_ms > 0 {
             return Duration::from_millis(self.load.load_time_ms);
@@ -257,6 +268,16 @@
     }
 }
 
+fn same_states(one: &BTreeMap<ModelId, Replica>, other: &BTreeMap<ModelId, Replica>) -> bool {
+    let states = |replicas: &BTreeMap<ModelId, Replica>| -> Vec<_> {
+        replicas
+            .iter()
+            .map(|(model, r)| (model.clone(), r.state))
+            .collect()
+    };
+    states(one) == states(other)
+}
+
 fn readiness(
     replica: Option<Replica>,
     tier: wire::Tier,
--- a/crates/radishpin-server/src/node/connection/callers.rs
+++ b/crates/radishpin-server/src/node/connection/callers.rs
@@ -41,7 +41,10 @@
         match route {
             Route::Health => Ok(text_response("ok\n".to_owned())),
             Route::Metrics => Ok(text_response(metrics::encode(&self.node.metrics.registry))),
-            Route::Ready => self.node.check_ready().map(|()| text_response("ready\n".to_owned())),
+            Route::Ready => self
+                .node
+                .check_ready()
+                .map(|()| text_response("ready\n".to_owned())),
             Route::Models => self.node.check_ready().map(|()| self.models()),
             Route::Completion => {
                 self.node.check_ready()?;
@@ -126,7 +129,10 @@
             HttpFault::Malformed => (ResultCode::MalformedRequest, "the request is malformed"),
             HttpFault::HeadTooLarge => (ResultCode::HeadTooLarge, "the head is too large"),
             HttpFault::BodyTooLarge => (ResultCode::BodyTooLarge, "the body is too large"),
-            HttpFault::Slow => (ResultCode::SlowRequest, "the request did not arrive in time"),
+            HttpFault::Slow => (
+                ResultCode::SlowRequest,
+                "the request did not arrive in time",
+            ),
         };
         self.refused(&Refusal::new(code, reason), &self.node.next_request_id())
     }
@@ -162,7 +168,12 @@
         "/healthz" => (Method::Get, Route::Health),
         "/readyz" => (Method::Get, Route::Ready),
         "/metrics" => (Method::Get, Route::Metrics),
-        _ => return Err(Refusal::new(ResultCode::UnknownPath, format!("no path {path:?}"))),
+        _ => {
+            return Err(Refusal::new(
+                ResultCode::UnknownPath,
+                format!("no path {path:?}"),
+            ));
+        }
     };
     if method != wanted {
         let reason = format!("{path} takes {wanted}, not {method}");
--- a/crates/radishpin-server/src/node/process.rs
+++ b/crates/radishpin-server/src/node/process.rs
@@ -6,13 +6,14 @@
 mod run;
 
 pub use error::NodeError;
+pub use run::RunningNode;
 
-use super::connection::AgentLink;
-use crate::{clock::Clock, settings::NodeSettings};
+use super::{connection::AgentLink, request::Refusal, version::Leases};
+use crate::{clock::Clock, operator::StatusBoard, settings::NodeSettings};
 use event_listener::Event;
 use metrics::NodeMetrics;
 use parking_lot::Mutex;
-use radishpin_core::request::RetryBudgets;
+use radishpin_core::{process::Membership, request::RetryBudgets};
 use radishpin_http::Shutdown;
 use radishpin_protocol::prelude::*;
 use radishpin_runtime::Runtime;
@@ -26,6 +27,9 @@
 /// Retries that a service may cause beyond a tenth of its requests.
 const SERVICE_RETRY_BURST: u32 = 20;
 
+/// When a caller may come back, to this node or another.
+const RETRY_ELSEWHERE: Duration = Duration::from_secs(1);
+
 /// Links to agents by endpoint.
 pub(super) type Links = BTreeMap<EndpointId, Arc<AgentLink>>;
 
@@ -45,6 +49,18 @@
     pub(super) control_wanted: Event,
     /// Models that calls wait for without an endpoint that can serve them.
     pub(super) unmet: Mutex<BTreeSet<ModelId>>,
+    /// Endpoints that refused to load a model for lack of memory, and when.
+    pub(super) unable: Mutex<BTreeMap<(ModelId, EndpointId), Duration>>,
+    /// Notified when the head row should be read at once.
+    pub(super) view_wanted: Event,
+    /// Notified when heartbeats should be sent at once.
+    pub(super) sync_wanted: Event,
+    /// What is known of hosts and endpoints.
+    pub(super) members: Arc<Mutex<Membership>>,
+    /// Hosts of nodes, by the host list.
+    pub(super) nodes: Mutex<BTreeSet<NodeId>>,
+    pub(super) leases: Leases,
+    pub(super) board: Arc<StatusBoard>,
     retries: Mutex<RetryBudgets>,
     has_view: AtomicBool,
     boot_id: u64,
@@ -54,7 +70,6 @@
 impl Node {
     fn new(settings: NodeSettings, runtime: Runtime, shutdown: Shutdown) -> Self {
         Self {
-            settings,
             runtime,
             clock: Clock::start(),
             metrics: NodeMetrics::new(),
@@ -64,10 +79,18 @@
             routes_changed: Event::new(),
             control_wanted: Event::new(),
             unmet: Mutex::default(),
+            unable: Mutex::default(),
+            view_wanted: Event::new(),
+            sync_wanted: Event::new(),
+            members: Arc::default(),
+            nodes: Mutex::default(),
+            leases: Leases::new(&settings.name),
+            board: Arc::default(),
             retries: Mutex::new(RetryBudgets::new(NODE_RETRY_BURST, SERVICE_RETRY_BURST)),
             has_view: AtomicBool::new(false),
             boot_id: rand::random(),
             last_request: AtomicU64::new(0),
+            settings,
         }
     }
 
@@ -88,7 +111,9 @@
         if view.version <= current.version && !first {
             return false;
         }
-        self.metrics.view_version.set(i64::try_from(view.version).unwrap_or(i64::MAX));
+        self.metrics
+            .view_version
+            .set(i64::try_from(view.version).unwrap_or(i64::MAX));
         *self.links.lock() = Arc::new(links);
         *current = Arc::new(view);
         drop(current);
@@ -117,3 +142,42 @@
         self.retries.lock().try_take(service)
     }
 }
+
+/// Counts a request while it is being served.
+#[derive(Debug)]
+pub(super) struct RunningGuard {
+    node: Arc<Node>,
+}
+
+impl Node {
+    /// Counts a request as running until the guard is dropped.
+    pub(super) fn count_running(self: &Arc<Self>) -> RunningGuard {
+        self.metrics.requests.inc();
+        self.metrics.running.inc();
+        RunningGuard {
+            node: Arc::clone(self),
+        }
+    }
+
+    /// Whether requests can be served.
+    ///
+    /// # Errors
+    /// The node has no configuration yet, or is stopping.
+    pub(super) fn check_ready(&self) -> Result<(), Refusal> {
+        if self.shutdown.has_begun() {
+            let reason = "the node is stopping";
+            return Err(Refusal::new(ResultCode::Draining, reason).after(RETRY_ELSEWHERE));
+        }
+        if !self.has_view.load(Ordering::Acquire) {
+            let reason = "the node has no configuration yet";
+            return Err(Refusal::new(ResultCode::NotReady, reason).after(RETRY_ELSEWHERE));
+        }
+        Ok(())
+    }
+}
+
+impl Drop for RunningGuard {
+    fn drop(&mut self) {
+        self.node.metrics.running.dec();
+    }
+}
--- a/crates/radishpin-server/src/node/process/metrics.rs
+++ b/crates/radishpin-server/src/node/process/metrics.rs
@@ -17,6 +17,9 @@
     pub(in crate::node) requests: IntCounter,
     pub(in crate::node) view_version: IntGauge,
     pub(in crate::node) running: IntGauge,
+    pub(in crate::node) shards_held: IntGauge,
+    pub(in crate::node) polls_failed: IntCounter,
+    pub(in crate::node) heartbeats_failed: IntCounter,
     pub(in crate::node) grant_writes: IntCounterVec,
     refusals: IntCounterVec,
     retries: IntCounterVec,
@@ -51,7 +54,26 @@
                 "radishpin_view_version",
                 "Version of the configuration in force.",
             ),
-            running: gauge(&registry, "radishpin_requests_running", "Requests being served."),
+            running: gauge(
+                &registry,
+                "radishpin_requests_running",
+                "Requests being served.",
+            ),
+            shards_held: gauge(
+                &registry,
+                "radishpin_shards_held",
+                "Shards of the control work whose lease the node holds.",
+            ),
+            polls_failed: counter(
+                &registry,
+                "radishpin_view_polls_failed_total",
+                "Reads of the configuration that failed.",
+            ),
+            heartbeats_failed: counter(
+                &registry,
+                "radishpin_heartbeats_failed_total",
+                "Heartbeats that an agent did not answer in time.",
+            ),
             grant_writes: counter_vec(
                 &registry,
                 "radishpin_grant_writes_total",
--- a/crates/radishpin-server/src/node/process/route.rs
+++ b/crates/radishpin-server/src/node/process/route.rs
@@ -25,7 +25,7 @@
     pub(in crate::node) async fn route(
         &self,
         call: &Call,
-        failed_at: &BTreeSet<EndpointId>,
+        failed_at: &mut BTreeSet<EndpointId>,
     ) -> Result<Arc<AgentLink>, Refusal> {
         loop {
             let changed = self.routes_changed.listen();
@@ -40,6 +40,8 @@
                 self.control_wanted.notify(1);
             }
             timeout(call.remaining(now).min(LOOK_AGAIN), changed).await;
+            // What stood in the way may have passed; the number of attempts is bounded.
+            failed_at.clear();
         }
     }
 
@@ -61,11 +63,15 @@
             Some(model) => granted(&view, model),
             None => of_service(&view, &call.service),
         };
+        let members = self.members.lock();
         endpoints
             .into_iter()
             .filter(|endpoint| !failed_at.contains(*endpoint))
             .filter_map(|endpoint| links.get(endpoint))
-            .map(|link| link.candidate(call.model(), zone, now))
+            .map(|link| {
+                let standing = members.standing(link.endpoint(), &link.record().host, now);
+                link.candidate(call.model(), zone, standing, now)
+            })
             .collect()
     }
 
@@ -89,7 +95,10 @@
         }
         let links = self.links();
         let Some(link) = links.get(&candidate.endpoint) else {
-            return Err(Refusal::new(ResultCode::NoEndpoint, "the endpoint has gone"));
+            return Err(Refusal::new(
+                ResultCode::NoEndpoint,
+                "the endpoint has gone",
+            ));
         };
         if let (Some(model), ReplicaReadiness::Granted { .. }) = (call.model(), candidate.replica) {
             link.note_load_begun(model, now);
@@ -124,11 +133,17 @@
     let Some(record) = view.models.get(model) else {
         return Vec::new();
     };
-    let held = record.grants.iter().filter(|(_, grant)| grant.state == GrantState::Held);
+    let held = record
+        .grants
+        .iter()
+        .filter(|(_, grant)| grant.state == GrantState::Held);
     held.map(|(endpoint, _)| endpoint).collect()
 }
 
 fn of_service<'a>(view: &'a ClusterView, service: &str) -> Vec<&'a EndpointId> {
-    let members = view.endpoints.iter().filter(|(_, record)| record.service == service);
+    let members = view
+        .endpoints
+        .iter()
+        .filter(|(_, record)| record.service == service);
     members.map(|(endpoint, _)| endpoint).collect()
 }
--- a/crates/radishpin-server/src/node/request/attempt.rs
+++ b/crates/radishpin-server/src/node/request/attempt.rs
@@ -4,16 +4,14 @@
     node::{connection::AgentLink, request::Call},
     rpc::ChannelError,
 };
-use radishpin_core::request::AttemptOutcome;
+use radishpin_core::request::{AttemptOutcome, TombstoneOutcome};
 use radishpin_protocol::{
     prelude::*,
     wire::{
         ExecuteReply, ExecuteRequest, Head, Refusal as WireRefusal, TombstoneRequest,
-        execute_reply::Frame,
+        execute_reply::Frame, tombstone_reply,
     },
 };
-use radishpin_core::request::TombstoneOutcome;
-use radishpin_protocol::wire::tombstone_reply;
 use radishpin_runtime::timeout;
 use std::sync::Arc;
 use tonic::{Code, Status, Streaming};
@@ -104,7 +102,11 @@
     }
 
     /// The next part of the answer, waiting at most for `limit`.
-    pub(super) async fn next(&mut self, limit: Duration, now: Duration) -> Result<Part, FailedAttempt> {
+    pub(super) async fn next(
+        &mut self,
+        limit: Duration,
+        now: Duration,
+    ) -> Result<Part, FailedAttempt> {
         let deadline_limit = limit + DEADLINE_GRACE;
         loop {
             let frame = match timeout(deadline_limit, self.frames.message()).await {
@@ -136,6 +138,14 @@
         }
     }
 
+    /// The agent broke the order of frames; the attempt is given up.
+    pub(super) fn malformed(&self) -> FailedAttempt {
+        self.failed(
+            self.no_answer(),
+            "the agent's frames are out of order".to_owned(),
+        )
+    }
+
     fn no_answer(&self) -> AttemptOutcome {
         if self.started {
             AttemptOutcome::BrokenBeforeAnswer
--- a/crates/radishpin-server/src/node/request/call.rs
+++ b/crates/radishpin-server/src/node/request/call.rs
@@ -43,6 +43,8 @@
     pub idempotent: bool,
     /// The caller's key for a call that may run once only.
     pub idempotency_key: Option<String>,
+    /// How long the caller waits for the start of the answer.
+    pub patience: Duration,
     /// When the caller stops waiting for the start of the answer, on the node's clock.
     pub deadline: Duration,
 }
--- a/crates/radishpin-server/src/node/request/dispatch.rs
+++ b/crates/radishpin-server/src/node/request/dispatch.rs
@@ -49,7 +49,7 @@
     pub(super) async fn begin(&mut self, offset: u64) -> Result<Begun, Refusal> {
         self.node.count_request(&self.call.service);
         loop {
-            let link = self.node.route(&self.call, &self.failed_at).await?;
+            let link = self.node.route(&self.call, &mut self.failed_at).await?;
             match self.attempt(&link, offset).await {
                 Ok(begun) => return Ok(begun),
                 Err(failed) => self.recover(failed).await?,
@@ -64,6 +64,7 @@
     pub(super) async fn recover(&mut self, failed: FailedAttempt) -> Result<(), Refusal> {
         self.log_failure(&failed);
         self.failed_at.insert(failed.link.endpoint().clone());
+        self.note_no_memory(&failed);
         let mut outcome = failed.outcome;
         loop {
             match self.decide(outcome) {
@@ -80,7 +81,11 @@
         }
     }
 
-    async fn attempt(&mut self, link: &Arc<AgentLink>, offset: u64) -> Result<Begun, FailedAttempt> {
+    async fn attempt(
+        &mut self,
+        link: &Arc<AgentLink>,
+        offset: u64,
+    ) -> Result<Begun, FailedAttempt> {
         self.attempts += 1;
         let now = self.node.clock.now();
         let mut attempt = Attempt::send(&self.call, link, self.attempts, offset, now).await?;
@@ -126,6 +131,20 @@
         Refusal::new(code, reason).after(retry_after(hint, self.node.random()))
     }
 
+    /// A holder without room speaks for moving its grant.
+    fn note_no_memory(&self, failed: &FailedAttempt) {
+        let no_memory = matches!(
+            failed.outcome,
+            AttemptOutcome::Refused {
+                code: ResultCode::NoMemory,
+                ..
+            }
+        );
+        if let (true, Some(model)) = (no_memory, self.call.model()) {
+            self.node.note_unable(model, failed.link.endpoint());
+        }
+    }
+
     fn log_failure(&self, failed: &FailedAttempt) {
         log::info!(
             event = "attempt_failed",
--- a/crates/radishpin-server/src/node/request/events.rs
+++ b/crates/radishpin-server/src/node/request/events.rs
@@ -93,7 +93,9 @@
 }
 
 fn response_of(head: &Head, call: &Call) -> Response {
-    let status = u16::try_from(head.status).ok().and_then(|s| StatusCode::try_from(s).ok());
+    let status = u16::try_from(head.status)
+        .ok()
+        .and_then(|s| StatusCode::try_from(s).ok());
     let mut response = Response::new(status.unwrap_or(StatusCode::BadGateway));
     for header in &head.headers {
         let name = HeaderName::from_str(&header.name);
@@ -110,7 +112,9 @@
 /// as it is, such as the endpoint's own refusal of the request's fields.
 fn event_response(progress: Progress, begun: Begun) -> Response {
     let mut response = response_of(&begun.head, &progress.call);
-    let is_stream = response.content_type().is_some_and(|m| m.essence() == "text/event-stream");
+    let is_stream = response
+        .content_type()
+        .is_some_and(|m| m.essence() == "text/event-stream");
     let content_type = response.header("content-type").cloned();
     let reader = if is_stream {
         let pump = Pump::new(progress, begun);
@@ -208,7 +212,8 @@
         self.cursor.resume(self.progress.attempts);
         self.attempt = begun.attempt;
         if begun.first.is_some() {
-            self.cursor.accept(self.progress.attempts, self.cursor.expected());
+            self.cursor
+                .accept(self.progress.attempts, self.cursor.expected());
         }
         Ok(begun.first)
     }
--- a/crates/radishpin-server/src/node/request/parse.rs
+++ b/crates/radishpin-server/src/node/request/parse.rs
@@ -36,7 +36,10 @@
 /// The body or a header is not understood, or the model is unknown.
 pub(in crate::node) fn model_call(node: &Node, received: Received) -> Result<Call, Refusal> {
     let fields: CompletionFields = serde_json::from_slice(&received.body).map_err(|e| {
-        Refusal::new(ResultCode::InvalidField, format!("the body is not a completion: {e}"))
+        Refusal::new(
+            ResultCode::InvalidField,
+            format!("the body is not a completion: {e}"),
+        )
     })?;
     let view = node.view();
     let Some(found) = view.resolve(&fields.model) else {
@@ -45,11 +48,20 @@
     };
     let kind = CallKind::Model {
         model: found.model_id.clone(),
-        adapter: found.adapter.map(|(id, adapter)| (id.clone(), adapter.size_mb)),
+        adapter: found
+            .adapter
+            .map(|(id, adapter)| (id.clone(), adapter.size_mb)),
         stream: fields.stream,
     };
     let path = received.request.url().path().to_owned();
-    build(node, &view, received, kind, found.model.service.clone(), path)
+    build(
+        node,
+        &view,
+        received,
+        kind,
+        found.model.service.clone(),
+        path,
+    )
 }
 
 /// Understands a call to a plain service; `path` is what follows the service's name.
@@ -63,7 +75,10 @@
     path: &str,
 ) -> Result<Call, Refusal> {
     let view = node.view();
-    let is_plain = view.services.get(service).is_some_and(|s| s.kind == ServiceKind::Plain);
+    let is_plain = view
+        .services
+        .get(service)
+        .is_some_and(|s| s.kind == ServiceKind::Plain);
     if !is_plain {
         let reason = format!("no plain service is named {service:?}");
         return Err(Refusal::new(ResultCode::UnknownService, reason));
@@ -72,7 +87,14 @@
         Some(query) => format!("{path}?{query}"),
         None => path.to_owned(),
     };
-    build(node, &view, received, CallKind::Service, service.to_owned(), path)
+    build(
+        node,
+        &view,
+        received,
+        CallKind::Service,
+        service.to_owned(),
+        path,
+    )
 }
 
 fn build(
@@ -103,6 +125,7 @@
         priority: profile.priority,
         idempotent: profile.idempotent || safe_method,
         idempotency_key: bounded_header(request, IDEMPOTENCY_KEY_HEADER)?,
+        patience,
         deadline: node.clock.now() + patience,
         body: received.body,
     })
@@ -131,7 +154,8 @@
     let value = values.last().as_str();
     let visible = value.bytes().all(|byte| byte.is_ascii_graphic());
     if value.is_empty() || value.len() > ID_BYTES_MAX || !visible || values.iter().count() > 1 {
-        let reason = format!("{name}: one value of 1 to {ID_BYTES_MAX} visible characters is needed");
+        let reason =
+            format!("{name}: one value of 1 to {ID_BYTES_MAX} visible characters is needed");
         return Err(Refusal::new(ResultCode::InvalidField, reason));
     }
     Ok(Some(value.to_owned()))
--- a/crates/radishpin-server/src/node/request/refusal.rs
+++ b/crates/radishpin-server/src/node/request/refusal.rs
@@ -53,5 +53,9 @@
 /// `Retry-After` counts in whole seconds; rounded up, so that nobody comes back too early.
 fn whole_seconds(duration: Duration) -> u64 {
     let seconds = duration.as_secs();
-    if duration.subsec_nanos() > 0 { seconds + 1 } else { seconds.max(1) }
+    if duration.subsec_nanos() > 0 {
+        seconds + 1
+    } else {
+        seconds.max(1)
+    }
 }
--- /dev/null
+++ b/crates/radishpin-server/src/node/version.rs
@@ -0,0 +1,9 @@
+//! What lives as long as one version of the configuration.
+
+mod control;
+mod grants;
+mod leases;
+mod poll;
+mod sync;
+
+pub(super) use leases::Leases;
--- /dev/null
+++ b/crates/radishpin-server/src/node/version/leases.rs
@@ -0,0 +1,146 @@
+//! Leases on shards of the control work.
+
+use crate::node::Node;
+use parking_lot::Mutex;
+use radishpin_core::process::{LeaseDecision, LeaseRecord, LeaseWatch, candidate_rank};
+use radishpin_platform::{CallError, Commit, CommitOutcome, Condition, PlatformClient, Write};
+use radishpin_protocol::{LEASE_PREFIX, engine::stable_hash, prelude::*};
+use radishpin_runtime::Runtime;
+use std::sync::Arc;
+
+/// Shards of the models.
+pub(super) const SHARDS: u32 = 16;
+/// Time between two rounds over the leases.
+const ROUND_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The leases as this node sees them.
+#[derive(Debug)]
+pub(in crate::node) struct Leases {
+    watches: Vec<Mutex<LeaseWatch>>,
+}
+
+impl Leases {
+    /// Leases of which nothing is known yet.
+    pub(in crate::node) fn new(node: &NodeId) -> Self {
+        let watch = |_| Mutex::new(LeaseWatch::new(node.clone()));
+        Self {
+            watches: (0..SHARDS).map(watch).collect(),
+        }
+    }
+
+    /// The condition that a write for the model must carry; `None` where this node does not hold
+    /// the model's shard.
+    pub(super) fn condition(&self, model: &str, now: Duration) -> Option<Condition> {
+        let shard = shard_of(model);
+        let version = self.watches.get(shard as usize)?.lock().condition(now)?;
+        Some(Condition {
+            key: lease_key(shard),
+            version,
+        })
+    }
+
+    /// Shards that this node holds.
+    pub(in crate::node) fn held(&self, now: Duration) -> usize {
+        let held = |watch: &&Mutex<LeaseWatch>| watch.lock().condition(now).is_some();
+        self.watches.iter().filter(held).count()
+    }
+}
+
+fn shard_of(model: &str) -> u32 {
+    // Below SHARDS, so it fits.
+    (stable_hash(model.as_bytes()) % u64::from(SHARDS)) as u32
+}
+
+fn lease_key(shard: u32) -> String {
+    format!("{LEASE_PREFIX}{shard:02}")
+}
+
+impl Node {
+    /// Reads, takes and renews leases until the process ends.
+    pub(in crate::node) async fn keep_leases(self: Arc<Self>, client: PlatformClient) {
+        loop {
+            if let Err(cause) = self.lease_round(&client).await {
+                log::debug!(event = "lease_round_failed", cause:% = cause; "leases not renewed");
+            }
+            let held = self.leases.held(self.clock.now());
+            self.metrics
+                .shards_held
+                .set(i64::try_from(held).unwrap_or(i64::MAX));
+            Runtime::sleep(ROUND_INTERVAL.mul_f64(0.9 + client.random() / 5.0)).await;
+        }
+    }
+
+    /// Gives the leases back, so that others need not wait for them to lapse.
+    pub(in crate::node) async fn give_leases_back(&self, client: &PlatformClient) {
+        for shard in 0..SHARDS {
+            let decision = self.leases.watches[shard as usize].lock().give_back();
+            if let Err(cause) = self.write_lease(client, shard, decision).await {
+                log::debug!(event = "lease_not_given_back", shard, cause:% = cause; "lease lapses");
+                return;
+            }
+        }
+    }
+
+    async fn lease_round(&self, client: &PlatformClient) -> Result<(), CallError> {
+        let listing = client.list(LEASE_PREFIX, 0).await?;
+        let rows: BTreeMap<String, (Version, Option<LeaseRecord>)> = listing
+            .rows
+            .into_iter()
+            .map(|listed| {
+                let record = listed.row.value.as_deref();
+                let record = record.and_then(|text| serde_json::from_str(text).ok());
+                (listed.key, (listed.row.version, record))
+            })
+            .collect();
+        let nodes = self.lease_candidates();
+        for shard in 0..SHARDS {
+            let (version, record) = rows.get(&lease_key(shard)).cloned().unwrap_or_default();
+            let decision = {
+                let now = self.clock.now();
+                let mut watch = self.leases.watches[shard as usize].lock();
+                watch.observe(version, record, now);
+                let rank = candidate_rank(shard, &self.settings.name, &nodes);
+                watch.decide(rank.unwrap_or(usize::MAX), now)
+            };
+            self.write_lease(client, shard, decision).await?;
+        }
+        Ok(())
+    }
+
+    async fn write_lease(
+        &self,
+        client: &PlatformClient,
+        shard: u32,
+        decision: LeaseDecision,
+    ) -> Result<(), CallError> {
+        let LeaseDecision::Write { record, version } = decision else {
+            return Ok(());
+        };
+        let key = lease_key(shard);
+        let commit = Commit {
+            conditions: vec![Condition {
+                key: key.clone(),
+                version,
+            }],
+            writes: vec![Write {
+                key,
+                value: serde_json::to_string(&record).ok(),
+            }],
+        };
+        let sent_at = self.clock.now();
+        if let CommitOutcome::Committed(version) = client.commit(&commit).await? {
+            let now = self.clock.now();
+            let mut watch = self.leases.watches[shard as usize].lock();
+            watch.written(version, record, sent_at, now);
+        }
+        Ok(())
+    }
+
+    /// Nodes that may hold leases: those of the host list, and this one.
+    fn lease_candidates(&self) -> BTreeSet<NodeId> {
+        let mut nodes = self.nodes.lock().clone();
+        nodes.remove(&self.settings.host);
+        nodes.insert(self.settings.name.clone());
+        nodes
+    }
+}
--- /dev/null
+++ b/crates/radishpin-server/src/node/version/poll.rs
@@ -0,0 +1,127 @@
+//! Reading the configuration and the host list from the platform.
+
+use crate::node::{Node, connection::AgentLink, process::Links};
+use radishpin_core::process::Listed;
+use radishpin_platform::{HostEntry, HostState, PlatformClient, ViewReader};
+use radishpin_protocol::{EndpointRecord, prelude::*};
+use radishpin_runtime::{Runtime, timeout};
+use std::sync::Arc;
+
+/// Time between two reads of the host list.
+const HOSTS_INTERVAL: Duration = Duration::from_secs(2);
+
+impl Node {
+    /// Polls the head row and puts newer views in force until the process ends.
+    pub(in crate::node) async fn poll_views(self: Arc<Self>, client: PlatformClient) {
+        let mut reader = ViewReader::new(client.clone());
+        loop {
+            let wanted = self.view_wanted.listen();
+            match reader.poll().await {
+                Ok(Some(view)) => self.take_view(&view),
+                Ok(None) => {}
+                Err(cause) => {
+                    self.metrics.polls_failed.inc();
+                    log::debug!(event = "poll_failed", cause:% = cause; "cannot read the head row");
+                }
+            }
+            // Jitter keeps nodes that started together from polling together.
+            let pause = self
+                .settings
+                .poll_interval
+                .mul_f64(0.75 + client.random() / 2.0);
+            timeout(pause, wanted).await;
+        }
+    }
+
+    /// Reads the host list until the process ends.
+    pub(in crate::node) async fn poll_hosts(self: Arc<Self>, client: PlatformClient) {
+        loop {
+            match client.hosts().await {
+                Ok(hosts) => self.take_hosts(&hosts),
+                Err(cause) => {
+                    log::debug!(event = "hosts_failed", cause:% = cause; "cannot read the host list");
+                }
+            }
+            Runtime::sleep(HOSTS_INTERVAL.mul_f64(0.75 + client.random() / 2.0)).await;
+        }
+    }
+
+    fn take_view(self: &Arc<Self>, view: &ClusterView) {
+        let links = self.links_of(view);
+        if self.put_view(view.clone(), links) {
+            self.members
+                .lock()
+                .retain_endpoints(|id| view.endpoints.contains_key(id));
+            self.board
+                .keep_endpoints(|id| view.endpoints.contains_key(id));
+            self.sync_wanted.notify(usize::MAX);
+            self.control_wanted.notify(usize::MAX);
+            log::info!(event = "view_in_force", version = view.version; "configuration in force");
+        }
+    }
+
+    /// Links of a view's endpoints; those whose record is unchanged are kept.
+    fn links_of(&self, view: &ClusterView) -> Links {
+        let old = self.links();
+        let link_of = |(id, record): (&EndpointId, &EndpointRecord)| {
+            let kept = old.get(id).filter(|link| link.record() == record);
+            let link = match kept {
+                Some(link) => Arc::clone(link),
+                None => Arc::new(self.new_link(id, record)?),
+            };
+            Some((id.clone(), link))
+        };
+        view.endpoints.iter().filter_map(link_of).collect()
+    }
+
+    fn new_link(&self, id: &EndpointId, record: &EndpointRecord) -> Option<AgentLink> {
+        let address = match record.agent_address.parse() {
+            Ok(address) => address,
+            Err(cause) => {
+                log::error!(
+                    event = "address_malformed",
+                    endpoint = id.as_str(),
+                    address = record.agent_address.as_str(),
+                    cause:% = cause;
+                    "the endpoint's agent cannot be reached"
+                );
+                return None;
+            }
+        };
+        let runtime = self.runtime.clone();
+        let token = &self.settings.internal_token;
+        let members = Arc::clone(&self.members);
+        Some(AgentLink::new(
+            runtime,
+            id.clone(),
+            record.clone(),
+            address,
+            token,
+            members,
+        ))
+    }
+
+    fn take_hosts(&self, hosts: &[HostEntry]) {
+        let list: BTreeMap<HostId, Listed> = hosts.iter().map(listed).collect();
+        let nodes = hosts.iter().filter(|entry| entry.peer_address.is_some());
+        *self.nodes.lock() = nodes.map(|entry| entry.host.clone()).collect();
+        let view = self.view();
+        let known = view
+            .endpoints
+            .values()
+            .map(|record| record.host.clone())
+            .collect();
+        let now = self.clock.now();
+        self.members.lock().observe_hosts(&list, &known, now);
+        self.sync_wanted.notify(usize::MAX);
+        self.control_wanted.notify(usize::MAX);
+    }
+}
+
+fn listed(entry: &HostEntry) -> (HostId, Listed) {
+    let state = match entry.state {
+        HostState::Live => Listed::Live,
+        HostState::Leaving => Listed::Leaving,
+    };
+    (entry.host.clone(), state)
+}
--- /dev/null
+++ b/crates/radishpin-server/src/node/version/sync.rs
@@ -0,0 +1,118 @@
+//! Heartbeats to agents: configuration out, state in.
+
+use crate::{
+    clock::unix_now_ms,
+    node::{Node, connection::AgentLink},
+};
+use radishpin_core::process::candidate_rank;
+use radishpin_protocol::{
+    GrantState,
+    engine::stable_hash,
+    prelude::*,
+    wire::{self, GrantView, SyncRequest},
+};
+use radishpin_runtime::{Runtime, timeout};
+use std::{sync::Arc, time::Instant};
+
+/// Time between two heartbeats to an agent.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+/// Time after which a heartbeat counts as failed.
+const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Shortest time between two rounds.
+const ROUND_PAUSE: Duration = Duration::from_millis(20);
+/// Up to so many agents, every node sends heartbeats to every agent.
+const AGENTS_FOR_ALL: usize = 64;
+/// Nodes that send heartbeats to one agent where there are more.
+const NODES_PER_AGENT: usize = 3;
+/// Time before a planned stop's window at which an endpoint takes no new work.
+const STOP_LEAD: Duration = Duration::from_secs(30);
+
+impl Node {
+    /// Sends heartbeats until the process ends.
+    pub(in crate::node) async fn send_heartbeats(self: Arc<Self>) {
+        loop {
+            let wanted = self.sync_wanted.listen();
+            for link in self.links().values() {
+                if self.sends_heartbeats_to(link.endpoint()) && link.begin_sync() {
+                    let node = Arc::clone(&self);
+                    let link = Arc::clone(link);
+                    self.runtime
+                        .spawn_detached(async move { node.heartbeat(&link).await });
+                }
+            }
+            Runtime::sleep(ROUND_PAUSE).await;
+            timeout(HEARTBEAT_INTERVAL, wanted).await;
+        }
+    }
+
+    async fn heartbeat(&self, link: &AgentLink) {
+        let request = self.sync_request(link);
+        let reply = timeout(HEARTBEAT_TIMEOUT, link.client().sync(request)).await;
+        let now = self.clock.now();
+        match reply {
+            Some(Ok(reply)) => {
+                let reply = reply.into_inner();
+                self.board.heard_agent(reply.clone(), Instant::now());
+                if link.note_sync(reply, now) {
+                    self.routes_changed.notify(usize::MAX);
+                    self.control_wanted.notify(1);
+                }
+            }
+            Some(Err(_)) | None => {
+                self.metrics.heartbeats_failed.inc();
+                link.call_failed(now);
+            }
+        }
+        link.end_sync();
+    }
+
+    fn sends_heartbeats_to(&self, endpoint: &str) -> bool {
+        if self.links().len() <= AGENTS_FOR_ALL {
+            return true;
+        }
+        // The upper half of the hash is enough to spread agents over nodes.
+        let shard = (stable_hash(endpoint.as_bytes()) >> 32) as u32;
+        let nodes = self.nodes.lock();
+        let rank = candidate_rank(shard, &self.settings.host, &nodes);
+        rank.is_none_or(|rank| rank < NODES_PER_AGENT)
+    }
+
+    fn sync_request(&self, link: &AgentLink) -> SyncRequest {
+        let view = self.view();
+        let full = link.view_version() < view.version;
+        let grants = if full {
+            grant_views(&view, link.endpoint())
+        } else {
+            Vec::new()
+        };
+        let stops = view.stops_endpoint(link.record(), unix_now_ms(), STOP_LEAD);
+        let leaving = stops || self.host_leaves(link.record());
+        SyncRequest {
+            node: self.settings.name.clone(),
+            view_version: view.version,
+            full,
+            grants,
+            leaving,
+            registered_incarnation: link.record().incarnation,
+        }
+    }
+}
+
+fn grant_views(view: &ClusterView, endpoint: &str) -> Vec<GrantView> {
+    let agent_view = view.for_agent(endpoint);
+    let grants = agent_view.grants.into_iter().map(|(model, grant)| {
+        let state = match grant.grant.state {
+            GrantState::Held => wire::GrantState::Held,
+            GrantState::Revoking => wire::GrantState::Revoking,
+        };
+        GrantView {
+            model,
+            size_mb: grant.size_mb,
+            state: state.into(),
+            granted_version: grant.grant.since_version,
+            keep_loaded: grant.keep_loaded,
+            idle_unload_ms: u64::try_from(grant.idle_unload.as_millis()).unwrap_or(u64::MAX),
+        }
+    });
+    grants.collect()
+}
--- a/crates/radishpin-server/src/operator/document.rs
+++ b/crates/radishpin-server/src/operator/document.rs
@@ -180,7 +180,17 @@
 }
 
 /// What a process is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize
+)]
 #[serde(rename_all = "snake_case")]
 pub enum ProcessKind {
     /// A node.
