--- a/crates/radishpin-standin/src/engine.rs
+++ b/crates/radishpin-standin/src/engine.rs
@@ -106,28 +106,35 @@
     /// unload or restart meanwhile.
     pub async fn load(&self, order: &Order) -> Result<(), EngineErrorKind> {
         self.unfrozen().await;
-        let start = self.begin_load(order)?;
-        match start {
-            LoadStart::Loaded => Ok(()),
-            LoadStart::Loading(generation) => self.join_load(&order.target, generation).await,
-            LoadStart::Started { generation, tier } => {
-                let read = self.read_weights(&order.target, tier).await;
-                self.end_load(&order.target, generation, read)
+        loop {
+            match self.begin_load(order)? {
+                LoadStart::Loaded => return Ok(()),
+                LoadStart::Loading(generation) => {
+                    return self.join_load(&order.target, generation).await;
+                }
+                LoadStart::Unloading => wait(POLL).await,
+                LoadStart::Started { generation, tier } => {
+                    let read = self.read_weights(&order.target, tier).await;
+                    return self.end_load(&order.target, generation, read);
+                }
             }
         }
     }
 
-    /// Carries out an unload order; calls that run on the target are cut. Unloading a model
-    /// unloads its adapters, and unloading what is not loaded succeeds.
+    /// Carries out an unload order; returns when the memory is free. Calls that run on the
+    /// target are cut at once. Unloading a model unloads its adapters, and unloading what is
+    /// not loaded succeeds.
     ///
     /// # Errors
     /// A stale order.
     pub async fn unload(&self, order: &Order) -> Result<(), EngineErrorKind> {
+        self.unfrozen().await;
+        self.begin_unload(order)?;
+        wait(self.shared.settings.unload).await;
         self.unfrozen().await;
         let now = self.shared.clock.now();
         let mut memory = self.shared.memory.lock();
-        memory.accept(order.number, self.shared.settings.refuses_stale_orders)?;
-        memory.unload(&order.target, now);
+        memory.finish_unload(&order.target, now);
         Ok(())
     }
 
@@ -154,6 +161,14 @@
         self.shared.memory.lock().used_mb()
     }
 
+    fn begin_unload(&self, order: &Order) -> Result<(), EngineErrorKind> {
+        let now = self.shared.clock.now();
+        let mut memory = self.shared.memory.lock();
+        memory.accept(order.number, self.shared.settings.refuses_stale_orders)?;
+        memory.begin_unload(&order.target, now);
+        Ok(())
+    }
+
     fn begin_load(&self, order: &Order) -> Result<LoadStart, EngineErrorKind> {
         let now = self.shared.clock.now();
         let settings = &self.shared.settings;
--- a/crates/radishpin-standin/src/engine/memory.rs
+++ b/crates/radishpin-standin/src/engine/memory.rs
@@ -1,4 +1,4 @@
-//! Accelerator memory of an engine: what is loaded and loading, and by which orders.
+//! Accelerator memory of an engine: what takes it, and by which orders.
 
 use crate::lagged::Lagged;
 use radishpin_protocol::{
@@ -25,7 +25,15 @@
     size_mb: SizeMb,
     /// Tells one load of a target from a later one.
     generation: u64,
-    loaded: bool,
+    phase: Phase,
+}
+
+/// Where a target stands; it takes memory in each phase.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Loading,
+    Loaded,
+    Unloading,
 }
 
 /// How a load order begins.
@@ -35,6 +43,8 @@
     Loaded,
     /// An earlier order loads the target.
     Loading(u64),
+    /// An earlier order unloads the target; the load can start afterwards.
+    Unloading,
     /// The load starts.
     Started {
         /// Generation of the load.
@@ -87,10 +97,10 @@
     ) -> Result<LoadStart, EngineErrorKind> {
         if let Some(entry) = self.entries.get(&order.target).copied() {
             self.note(now);
-            return Ok(if entry.loaded {
-                LoadStart::Loaded
-            } else {
-                LoadStart::Loading(entry.generation)
+            return Ok(match entry.phase {
+                Phase::Loaded => LoadStart::Loaded,
+                Phase::Loading => LoadStart::Loading(entry.generation),
+                Phase::Unloading => LoadStart::Unloading,
             });
         }
         let model = LoadTarget::model(&order.target.model);
@@ -103,7 +113,7 @@
         let entry = Entry {
             size_mb: order.size_mb,
             generation,
-            loaded: false,
+            phase: Phase::Loading,
         };
         self.entries.insert(order.target.clone(), entry);
         self.note(now);
@@ -122,10 +132,10 @@
         let Some(entry) = self.entries.get_mut(target) else {
             return false;
         };
-        if entry.generation != generation {
+        if entry.generation != generation || entry.phase != Phase::Loading {
             return false;
         }
-        entry.loaded = true;
+        entry.phase = Phase::Loaded;
         if target.adapter.is_none() {
             let tier = self.tier(&target.model).min(slowest_tier);
             self.tiers.insert(target.model.clone(), tier);
@@ -134,23 +144,33 @@
         true
     }
 
+    /// Gives up a load of this generation, unless an unload has taken it over.
     pub(super) fn abandon_load(&mut self, target: &LoadTarget, generation: u64, now: Duration) {
-        let stands = |entry: &Entry| entry.generation == generation;
+        let stands =
+            |entry: &Entry| entry.generation == generation && entry.phase == Phase::Loading;
         if self.entries.get(target).is_some_and(stands) {
             self.entries.remove(target);
         }
         self.note(now);
     }
 
-    pub(super) fn unload(&mut self, target: &LoadTarget, now: Duration) {
-        if target.adapter.is_none() {
-            self.entries.retain(|other, _| other.model != target.model);
-        } else {
-            self.entries.remove(target);
+    /// Begins to unload a target, and the adapters of a model; calls on it are cut.
+    pub(super) fn begin_unload(&mut self, target: &LoadTarget, now: Duration) {
+        for (other, entry) in &mut self.entries {
+            if covers(target, other) {
+                entry.phase = Phase::Unloading;
+            }
         }
         self.note(now);
     }
 
+    /// Frees the memory of what is being unloaded.
+    pub(super) fn finish_unload(&mut self, target: &LoadTarget, now: Duration) {
+        self.entries
+            .retain(|other, entry| !covers(target, other) || entry.phase != Phase::Unloading);
+        self.note(now);
+    }
+
     pub(super) fn restart(&mut self, now: Duration) {
         self.entries.clear();
         self.as_of = OrderNumber::default();
@@ -161,7 +181,8 @@
     /// Whether a load has ended; `None` where it no longer stands.
     pub(super) fn is_loaded(&self, target: &LoadTarget, generation: u64) -> Option<bool> {
         let entry = self.entries.get(target)?;
-        (entry.generation == generation).then_some(entry.loaded)
+        let stands = entry.generation == generation && entry.phase != Phase::Unloading;
+        stands.then_some(entry.phase == Phase::Loaded)
     }
 
     /// The load on which a call for `name` would run.
@@ -169,7 +190,7 @@
         let (target, entry) = self
             .entries
             .iter()
-            .find(|(target, entry)| entry.loaded && target.name() == name)?;
+            .find(|(target, entry)| entry.phase == Phase::Loaded && target.name() == name)?;
         Some(Residency {
             target: target.clone(),
             generation: entry.generation,
@@ -186,7 +207,8 @@
     }
 
     pub(super) fn loaded(&self) -> Vec<LoadTarget> {
-        self.targets(true)
+        let loaded = self.residents(Phase::Loaded);
+        loaded.into_iter().map(|resident| resident.target).collect()
     }
 
     pub(super) fn report(&mut self, now: Duration, lag: Duration) -> EngineReport {
@@ -198,25 +220,19 @@
     }
 
     fn loads(&self, target: &LoadTarget) -> bool {
-        self.entries.get(target).is_some_and(|entry| entry.loaded)
+        self.entries
+            .get(target)
+            .is_some_and(|entry| entry.phase == Phase::Loaded)
     }
 
     fn tier(&self, model: &str) -> Tier {
         self.tiers.get(model).copied().unwrap_or(Tier::Remote)
     }
 
-    fn targets(&self, loaded: bool) -> Vec<LoadTarget> {
+    fn residents(&self, phase: Phase) -> Vec<Resident> {
         self.entries
             .iter()
-            .filter(|(_, entry)| entry.loaded == loaded)
-            .map(|(target, _)| target.clone())
-            .collect()
-    }
-
-    fn residents(&self, loaded: bool) -> Vec<Resident> {
-        self.entries
-            .iter()
-            .filter(|(_, entry)| entry.loaded == loaded)
+            .filter(|(_, entry)| entry.phase == phase)
             .map(|(target, entry)| Resident {
                 target: target.clone(),
                 size_mb: entry.size_mb,
@@ -235,10 +251,16 @@
             memory_mb: self.memory_mb,
             used_mb: self.used_mb(),
             instance: self.instance,
-            loaded: self.residents(true),
-            loading: self.residents(false),
+            loaded: self.residents(Phase::Loaded),
+            loading: self.residents(Phase::Loading),
+            unloading: self.residents(Phase::Unloading),
             tiers: self.tiers.clone(),
             ..EngineReport::default()
         }
     }
 }
+
+/// Whether an order for `target` reaches `other`: itself, or an adapter of the model.
+fn covers(target: &LoadTarget, other: &LoadTarget) -> bool {
+    target == other || (target.adapter.is_none() && target.model == other.model)
+}
--- a/crates/radishpin-standin/src/engine/settings.rs
+++ b/crates/radishpin-standin/src/engine/settings.rs
@@ -22,6 +22,8 @@
     pub memory_load: Duration,
     /// Time of a load from disk.
     pub disk_load: Duration,
+    /// Time of an unload, during which the memory stays taken.
+    pub unload: Duration,
     /// Where checkpoints are at the start; a model that is not listed is remote.
     pub tiers: BTreeMap<ModelId, Tier>,
     /// Slowest tier in which a checkpoint stays after a load.
@@ -51,6 +53,7 @@
             batch_slowdown_percent: 0,
             memory_load: Duration::from_millis(300),
             disk_load: Duration::from_millis(900),
+            unload: Duration::from_millis(50),
             tiers: BTreeMap::new(),
             tier_after_load: Tier::Disk,
             refuses_stale_orders: true,
@@ -72,6 +75,7 @@
             token: Duration::ZERO,
             memory_load: Duration::ZERO,
             disk_load: Duration::ZERO,
+            unload: Duration::ZERO,
             report_lag: Duration::ZERO,
             cache_event_lag: Duration::ZERO,
             ..Self::default()
--- a/crates/radishpin-standin/src/plain_service.rs
+++ b/crates/radishpin-standin/src/plain_service.rs
@@ -1,11 +1,12 @@
-//! A plain service whose calls are not idempotent: each call runs once and is recorded.
+//! A plain service whose calls are not idempotent: each call runs once and is recorded, also
+//! when its caller hangs up.
 
 use crate::{
     broken_body::broken_body,
     journal::{Journal, RunEnd},
     reply,
 };
-use http_types::{Response, StatusCode};
+use http_types::{Method, Response, StatusCode};
 use parking_lot::Mutex;
 use radishpin_http::{Handler, HttpFault, Received, Server, ServerLimits, Shutdown};
 use radishpin_protocol::engine::REQUEST_ID_HEADER;
@@ -72,6 +73,12 @@
     journal: Journal,
 }
 
+/// A service with the threads that its calls run on.
+struct ServiceHandler {
+    service: PlainService,
+    runtime: Runtime,
+}
+
 /// What becomes of the answer of one call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum AnswerFault {
@@ -114,19 +121,19 @@
         listener: TcpListener,
         shutdown: Shutdown,
     ) -> io::Result<()> {
-        let handler = Arc::new(self.clone());
+        let handler = Arc::new(ServiceHandler {
+            service: self.clone(),
+            runtime: runtime.clone(),
+        });
         let limits = ServerLimits::default();
         Server::serve(runtime, listener, handler, limits, shutdown).await
     }
 
-    async fn call(&self, received: &Received) -> Response {
+    /// Runs one call to its effect, and returns the effect's number.
+    async fn run(&self, attempt: &str) -> u64 {
         while self.shared.faults.lock().frozen {
             smol::Timer::after(POLL).await;
         }
-        let attempt = received
-            .request
-            .header(REQUEST_ID_HEADER)
-            .map_or("unnamed/1", |values| values.last().as_str());
         let settings = &self.shared.settings;
         let run = self.shared.journal.start(attempt, &settings.name);
         let effect = run.effect();
@@ -134,14 +141,7 @@
             smol::Timer::after(settings.service_time).await;
         }
         run.end(RunEnd::Finished);
-        let mut response = self.answer(received, effect);
-        response.insert_header(REQUEST_ID_HEADER, attempt);
-        match self.take_answer_fault() {
-            AnswerFault::None => {}
-            AnswerFault::Lost => std::future::pending().await,
-            AnswerFault::Broken => response.set_body(broken_body(1)),
-        }
-        response
+        effect
     }
 
     fn answer(&self, received: &Received, effect: u64) -> Response {
@@ -171,15 +171,48 @@
     }
 }
 
-impl Handler for PlainService {
+impl ServiceHandler {
+    /// Runs a call to its end, also when the peer hangs up, and answers.
+    async fn call(&self, received: &Received) -> Response {
+        let attempt = received
+            .request
+            .header(REQUEST_ID_HEADER)
+            .map_or("unnamed/1", |values| values.last().as_str());
+        let Some(effect) = self.run(attempt.to_owned()).await else {
+            return reply::empty(StatusCode::InternalServerError);
+        };
+        let mut response = self.service.answer(received, effect);
+        response.insert_header(REQUEST_ID_HEADER, attempt);
+        match self.service.take_answer_fault() {
+            AnswerFault::None => {}
+            AnswerFault::Lost => std::future::pending().await,
+            AnswerFault::Broken => response.set_body(broken_body(1)),
+        }
+        response
+    }
+
+    async fn run(&self, attempt: String) -> Option<u64> {
+        let (sender, receiver) = async_channel::bounded(1);
+        let service = self.service.clone();
+        self.runtime.spawn_detached(async move {
+            let effect = service.run(&attempt).await;
+            // The peer may have hung up; the effect stands all the same.
+            let _ = sender.send(effect).await;
+        });
+        receiver.recv().await.ok()
+    }
+}
+
+impl Handler for ServiceHandler {
     async fn handle(&self, received: Received) -> Response {
         let method = received.request.method();
-        match (method, received.request.url().path()) {
-            (http_types::Method::Post, FAULTS_PATH) => reply::with_json(&received.body, |faults| {
-                self.set_faults(faults);
+        let path = received.request.url().path();
+        match (method, path) {
+            (Method::Post, FAULTS_PATH) => reply::with_json(&received.body, |faults| {
+                self.service.set_faults(faults);
                 reply::empty(StatusCode::NoContent)
             }),
-            (http_types::Method::Get, JOURNAL_PATH) => reply::json(200, &self.journal().snapshot()),
+            (Method::Get, JOURNAL_PATH) => reply::json(200, &self.service.journal().snapshot()),
             _ => self.call(&received).await,
         }
     }
--- a/crates/radishpin-standin/src/weight_store.rs
+++ b/crates/radishpin-standin/src/weight_store.rs
@@ -51,6 +51,22 @@
     }
 }
 
+impl WeightStoreSettings {
+    /// Factor on the time of each of `in_flight` model loads.
+    pub fn model_stretch(&self, in_flight: u32) -> f64 {
+        stretch(in_flight, self.full_speed_loads)
+    }
+
+    /// Factor on the time of each of `in_flight` adapter loads.
+    pub fn adapter_stretch(&self, in_flight: u32) -> f64 {
+        stretch(in_flight, self.full_speed_adapters)
+    }
+}
+
+fn stretch(in_flight: u32, full_speed: u32) -> f64 {
+    (f64::from(in_flight) / f64::from(full_speed.max(1))).max(1.0)
+}
+
 /// Faults of the store.
 #[derive(Clone, Copy, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -195,14 +211,13 @@
     /// Factor on the time of a step, by the loads in flight and the faults.
     fn stretch(&self, kind: Kind) -> f64 {
         let settings = &self.shared.settings;
-        let full_speed = match kind {
-            Kind::Model => settings.full_speed_loads,
-            Kind::Adapter => settings.full_speed_adapters,
-        };
         let mut state = self.shared.state.lock();
         let in_flight = state.lane(kind).in_flight;
-        let crowding = f64::from(in_flight) / f64::from(full_speed.max(1));
-        crowding.max(1.0) * state.faults.slowdown.max(0.0)
+        let crowding = match kind {
+            Kind::Model => settings.model_stretch(in_flight),
+            Kind::Adapter => settings.adapter_stretch(in_flight),
+        };
+        crowding * state.faults.slowdown.max(0.0)
     }
 }
 
--- a/crates/radishpin-standin/tests/engine.rs
+++ b/crates/radishpin-standin/tests/engine.rs
@@ -115,6 +115,30 @@
     });
 }
 
+#[test]
+fn an_unload_takes_memory_until_it_is_done_and_a_load_waits_for_it() {
+    let engine = engine(EngineSettings {
+        unload: Duration::from_millis(5),
+        ..EngineSettings::instant()
+    });
+    block_on(async {
+        let load = order(LoadTarget::model("m"), 10, 1, 1);
+        assert_eq!(engine.load(&load).await, Ok(()));
+        let unload = order(LoadTarget::model("m"), 0, 1, 2);
+        let again = order(LoadTarget::model("m"), 10, 1, 3);
+        let unloading = async {
+            futures_lite::future::yield_now().await;
+            let report = engine.report();
+            assert_eq!((report.used_mb, report.unloading.len()), (10, 1));
+            engine.load(&again).await
+        };
+        let both = futures_lite::future::zip(engine.unload(&unload), unloading).await;
+        assert_eq!(both, (Ok(()), Ok(())));
+        assert_eq!(engine.report().loaded.len(), 1);
+    });
+    assert_eq!(engine.journal().overcommits(), vec![]);
+}
+
 #[test]
 fn places_go_by_priority_and_a_dropped_call_gives_its_place_back() {
     let engine = engine(EngineSettings {
