Embed the whole system in one process and wire the roles

Cause: a newcomer's first command must answer real requests.

Change: crate radishpin-local starts nodes, agents and stand-ins over loopback; try, node and agent run and drain on SIGINT and SIGTERM.

--- a/crates/radishpin-server/src/agent/request/residence.rs
+++ b/crates/radishpin-server/src/agent/request/residence.rs
@@ -30,10 +30,10 @@
             let detail = "the endpoint failed to load the model";
             return Err(AttemptRefusal::not_run(ResultCode::LoadFailed, detail));
         }
-        if step(agent, &target, adapter_size_mb)? {
-            if let Some(guard) = UseGuard::begin(agent, &target) {
-                return Ok(Some(guard));
-            }
+        if step(agent, &target, adapter_size_mb)?
+            && let Some(guard) = UseGuard::begin(agent, &target)
+        {
+            return Ok(Some(guard));
         }
         let left = deadline.saturating_sub(agent.clock.now());
         if left.is_zero() || radishpin_runtime::timeout(left, changed).await.is_none() {
--- a/crates/radishpin-server/src/node/process.rs
+++ b/crates/radishpin-server/src/node/process.rs
@@ -99,6 +99,19 @@
         Arc::clone(&self.view.lock())
     }
 
+    /// The view in force.
+    pub fn current_view(&self) -> Arc<ClusterView> {
+        self.view()
+    }
+
+    /// Whether every agent of the view in force has answered a heartbeat under it.
+    pub fn has_heard_all(&self) -> bool {
+        let version = self.view().version;
+        self.links()
+            .values()
+            .all(|link| link.view_version() >= version)
+    }
+
     /// The links to agents.
     pub(super) fn links(&self) -> Arc<Links> {
         Arc::clone(&self.links.lock())
--- a/src/command/agent.rs
+++ b/src/command/agent.rs
@@ -10,10 +10,14 @@
             THREADS,
         },
     },
+    signals::stop_asked,
 };
+use radishpin_http::{Client, ClientLimits, Shutdown};
+use radishpin_platform::HttpPlatform;
 use radishpin_protocol::ServiceKind;
-use radishpin_server::{AgentSettings, Fencing};
-use std::time::Duration;
+use radishpin_runtime::Runtime;
+use radishpin_server::{Agent, AgentSettings, Fencing};
+use std::{sync::Arc, time::Duration};
 
 const MODELS: &str = "models";
 const PLAIN: &str = "plain";
@@ -164,9 +168,20 @@
     start(agent_settings(values)?)
 }
 
-/// Runs the agent until it is told to stop. To be wired to the server crate.
-fn start(_settings: AgentSettings) -> Result<(), CommandError> {
-    Err(CommandError::Unavailable { command: SPEC.name })
+/// Runs the agent until it is told to stop, then drains.
+fn start(settings: AgentSettings) -> Result<(), CommandError> {
+    let runtime = Runtime::start(settings.threads)?;
+    let platform = HttpPlatform::new(Client::new(ClientLimits::default()), settings.platform)?;
+    smol::block_on(async {
+        let shutdown = Shutdown::default();
+        let platform = Arc::new(platform);
+        let running = Agent::start(settings, runtime, platform, shutdown.clone()).await?;
+        println!("ready {}", running.address);
+        stop_asked().await?;
+        shutdown.begin();
+        running.stopped().await;
+        Ok(())
+    })
 }
 
 fn agent_settings(values: &Values) -> Result<AgentSettings, Vec<Fault>> {
--- a/src/command/node.rs
+++ b/src/command/node.rs
@@ -10,10 +10,13 @@
             THREADS, TOKEN,
         },
     },
+    signals::stop_asked,
 };
-use radishpin_http::ServerLimits;
-use radishpin_server::NodeSettings;
-use std::time::Duration;
+use radishpin_http::{Client, ClientLimits, ServerLimits, Shutdown};
+use radishpin_platform::HttpPlatform;
+use radishpin_runtime::Runtime;
+use radishpin_server::{Node, NodeSettings};
+use std::{sync::Arc, time::Duration};
 
 static LISTEN: Setting = Setting::with_default(
     "listen",
@@ -161,9 +164,20 @@
     start(node_settings(values)?)
 }
 
-/// Runs the node until it is told to stop. To be wired to the server crate.
-fn start(_settings: NodeSettings) -> Result<(), CommandError> {
-    Err(CommandError::Unavailable { command: SPEC.name })
+/// Runs the node until it is told to stop, then drains.
+fn start(settings: NodeSettings) -> Result<(), CommandError> {
+    let runtime = Runtime::start(settings.threads)?;
+    let platform = HttpPlatform::new(Client::new(ClientLimits::default()), settings.platform)?;
+    smol::block_on(async {
+        let shutdown = Shutdown::default();
+        let platform = Arc::new(platform);
+        let running = Node::start(settings, runtime, platform, shutdown.clone()).await?;
+        println!("ready {}", running.address);
+        stop_asked().await?;
+        shutdown.begin();
+        running.stopped().await;
+        Ok(())
+    })
 }
 
 fn node_settings(values: &Values) -> Result<NodeSettings, Vec<Fault>> {
--- a/src/command/try.rs
+++ b/src/command/try.rs
@@ -7,8 +7,15 @@
         Fault, Kind, Setting, Values,
         common::{LOG_LEVEL, SEED, THREADS},
     },
+    signals::stop_asked,
+};
+use futures_lite::future::or;
+use radishpin_local::{ClusterPlan, LocalCluster};
+use radishpin_runtime::Runtime;
+use std::{
+    io::{self, Write},
+    net::SocketAddr,
 };
-use std::net::SocketAddr;
 
 static LISTEN: Setting = Setting::with_default(
     "listen",
@@ -46,10 +53,62 @@
     start(try_settings(values)?)
 }
 
-/// Runs everything until it is told to stop. To be wired to the server and stand-in crates.
+/// Runs everything until it is told to stop, then drains.
 fn start(settings: TrySettings) -> Result<(), CommandError> {
-    log::debug!(listen:% = settings.listen, seed = settings.seed, threads = settings.threads; "start");
-    Err(CommandError::Unavailable { command: SPEC.name })
+    let runtime = Runtime::start(settings.threads)?;
+    smol::block_on(async {
+        let plan = ClusterPlan::small(settings.listen, settings.seed);
+        let cluster = LocalCluster::start(plan, runtime).await?;
+        let ready = async {
+            cluster.ready().await;
+            print_ready(&cluster)
+        };
+        let stop = async { stop_asked().await.map(|()| false) };
+        if or(stop, async { ready.await.map(|()| true) }).await? {
+            stop_asked().await?;
+        }
+        println!("draining");
+        cluster.stop().await;
+        println!("stopped");
+        Ok(())
+    })
+}
+
+/// Prints the line that scripts wait for and lines to copy.
+fn print_ready(cluster: &LocalCluster) -> io::Result<()> {
+    let addresses = cluster.addresses();
+    let Some(first) = addresses.first() else {
+        return Ok(());
+    };
+    let mut text = format!("ready http://{first}\n\n");
+    let completion = r#"{"model":"repair-notes","prompt":"Roof of the Geech hut"}"#;
+    let streamed = r#"{"model":"log-tags","prompt":"Snow at Chennek","stream":true}"#;
+    let json = "-H 'content-type: application/json'";
+    let lines = [
+        format!("curl -s http://{first}/v1/models"),
+        format!("curl -s http://{first}/v1/completions {json} -d '{completion}'"),
+        format!("curl -sN http://{first}/v1/completions {json} -d '{streamed}'"),
+        format!("curl -s http://{first}/services/booking/appointments -d 'tuner at nine'"),
+        format!("curl -si http://{first}/v1/completions -d '{{\"model\":\"no-such\"}}'"),
+        format!("curl -si http://{first}/v1/completions -H 'x-deadline-ms: 1' -d '{completion}'"),
+        format!("curl -s http://{first}/metrics"),
+    ];
+    for line in lines {
+        text.push_str(&line);
+        text.push('\n');
+    }
+    if let Some(node) = cluster.nodes.values().next() {
+        let token = cluster.operator_token();
+        text.push_str(&format!(
+            "RADISHPIN_TOKEN={token} radishpin status --server {}\n",
+            node.operator_address
+        ));
+    }
+    for address in &addresses[1..] {
+        text.push_str(&format!("also http://{address}\n"));
+    }
+    io::stdout().write_all(text.as_bytes())?;
+    io::stdout().flush()
 }
 
 fn try_settings(values: &Values) -> Result<TrySettings, Vec<Fault>> {
--- a/src/error.rs
+++ b/src/error.rs
@@ -39,6 +39,30 @@
         Refused { text: String } {
             display("{text}")
         }
+        /// A node cannot start.
+        Node(cause: radishpin_server::NodeError) {
+            display("{cause}")
+            source(cause)
+            from()
+        }
+        /// An agent cannot start.
+        Agent(cause: radishpin_server::AgentError) {
+            display("{cause}")
+            source(cause)
+            from()
+        }
+        /// The embedded system cannot start.
+        Local(cause: radishpin_local::LocalError) {
+            display("{cause}")
+            source(cause)
+            from()
+        }
+        /// The platform's address is of no use.
+        Platform(cause: radishpin_platform::PlatformError) {
+            display("{cause}; check --platform")
+            source(cause)
+            from()
+        }
         /// Standard output or another local resource failed.
         Io(cause: std::io::Error) {
             display("{cause}")
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 mod output;
 mod run;
 mod settings;
+mod signals;
 
 pub use command::{Command, CommandSpec};
 pub use error::CommandError;
--- /dev/null
+++ b/src/signals.rs
@@ -0,0 +1,17 @@
+//! Waiting for the signals that ask a process to stop.
+
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt;
+use std::io;
+
+/// Waits for SIGINT or SIGTERM.
+///
+/// # Errors
+/// The operating system refuses the handlers.
+pub(crate) async fn stop_asked() -> io::Result<()> {
+    let mut signals = Signals::new([Signal::Int, Signal::Term])?;
+    match signals.next().await {
+        Some(Err(cause)) => Err(cause),
+        Some(Ok(_)) | None => Ok(()),
+    }
+}
