Retry a call over the rate limit once

Cause: at a steady load over the platform's limit the retries multiplied the calls that arrive.

Change: a call that meets the rate limit is retried once, not three times.

--- a/crates/radishpin-platform/src/client.rs
+++ b/crates/radishpin-platform/src/client.rs
@@ -24,6 +24,8 @@
     pub call_timeout: Duration,
     /// Tries of one call.
     pub tries: u32,
+    /// Retries of one call that met the platform's rate limit.
+    pub rate_limit_retries: u32,
     /// Waits between tries.
     pub backoff: Backoff,
     /// Budget of retries over all calls.
@@ -38,6 +40,7 @@
             try_timeout: Duration::from_secs(1),
             call_timeout: Duration::from_secs(5),
             tries: 4,
+            rate_limit_retries: 1,
             backoff: Backoff {
                 base: Duration::from_millis(50),
                 cap: Duration::from_secs(1),
@@ -231,8 +234,7 @@
     /// Waits before the next try; false where none may follow.
     async fn wait_for_retry(&self, tries: &mut Tries, failure: &Failure) -> bool {
         let shared = &self.shared;
-        let worthwhile = !matches!(failure.cause, Cause::BreakerOpen | Cause::Paced);
-        if !worthwhile || tries.retries + 1 >= shared.settings.tries {
+        if tries.retries >= self.retries_after(&failure.cause) {
             return false;
         }
         let delay = shared
@@ -252,6 +254,15 @@
         true
     }
 
+    /// Retries that a call may make after a failure of this cause.
+    fn retries_after(&self, cause: &Cause) -> u32 {
+        match cause {
+            Cause::BreakerOpen | Cause::Paced | Cause::Abandoned => 0,
+            Cause::Platform(PlatformError::RateLimited) => self.shared.settings.rate_limit_retries,
+            Cause::Platform(_) | Cause::Timeout => self.shared.settings.tries.saturating_sub(1),
+        }
+    }
+
     fn time_left(&self, tries: &Tries) -> Duration {
         let spent = self.shared.guard.now().saturating_sub(tries.started);
         self.shared.settings.call_timeout.saturating_sub(spent)
--- a/crates/radishpin-platform/tests/client.rs
+++ b/crates/radishpin-platform/tests/client.rs
@@ -171,6 +171,21 @@
     "#);
 }
 
+#[test]
+fn a_call_over_the_rate_limit_is_retried_once() {
+    let platform = MemoryPlatform::new(SEED);
+    let client = client(&platform);
+    platform.change_faults(|faults| faults.writes_per_second = Some(0));
+    assert!(block_on(client.commit(&write("a", 0, "1"))).is_ok());
+    let limited = block_on(client.commit(&write("b", 0, "1")));
+    let refused = CallError::Refused {
+        cause: Cause::Platform(PlatformError::RateLimited),
+        retry_after: Duration::ZERO,
+    };
+    assert_eq!(limited, Err(refused));
+    assert_eq!(platform.counts().rate_limited, 2);
+}
+
 #[test]
 fn old_operation_rows_are_swept_and_new_ones_kept() {
     let platform = MemoryPlatform::new(SEED);
