--- a/crates/radishpin-server/src/rpc/channel.rs
+++ b/crates/radishpin-server/src/rpc/channel.rs
@@ -95,10 +95,6 @@
         }
     }
 
-    /// Address of the peer.
-    pub fn address(&self) -> SocketAddr {
-        self.shared.address
-    }
 }
 
 impl Shared {
