Raise the backlog, and read only when there is something to read

Cause: 256 callers at once could not connect within 1 s (backlog of 128), and each request made three reads in vain. Change: the server listens again with a backlog of 4096; a drained socket registers for readiness before it reads; a read buffer that fills grows, for large bodies.

--- a/crates/radishpin-http/src/server/accept.rs
+++ b/crates/radishpin-http/src/server/accept.rs
@@ -9,6 +9,8 @@
 
 /// Pause after a failed accept, for example where no file descriptor is free.
 const PAUSE: Duration = Duration::from_millis(50);
+/// Connections that the kernel accepts ahead, so that a burst of callers needn't try again.
+const BACKLOG: i32 = 4096;
 /// Failures in a row after which the listener is given up.
 const MOST_FAILURES: u32 = 200;
 
@@ -27,6 +29,7 @@
     /// # Errors
     /// Accepting failed many times in a row.
     pub(super) async fn run(self, shutdown: &Shutdown) -> io::Result<()> {
+        rustix::net::listen(&self.listener, BACKLOG)?;
         let mut failures = 0;
         while let Some(accepted) = until(shutdown, self.accept()).await {
             match accepted {
--- a/crates/radishpin-http/src/socket.rs
+++ b/crates/radishpin-http/src/socket.rs
@@ -22,6 +22,8 @@
     end: usize,
     // The last read left the kernel's buffer empty, so that the next one would be in vain.
     drained: bool,
+    // The last read filled the buffer, so that a larger one saves reads.
+    filled: bool,
 }
 
 impl Socket {
@@ -37,6 +39,7 @@
             start: 0,
             end: 0,
             drained: false,
+            filled: false,
         })
     }
 
@@ -67,15 +70,21 @@
     /// The connection failed, or the buffer is full at its largest size.
     pub(crate) fn poll_fill(&mut self, context: &mut Context<'_>) -> Poll<io::Result<usize>> {
         self.make_room()?;
+        if self.drained {
+            self.drained = false;
+            // The first call may still tell of the bytes that were read already.
+            if self.io.poll_readable(context)?.is_pending()
+                || self.io.poll_readable(context)?.is_pending()
+            {
+                return Poll::Pending;
+            }
+        }
         loop {
-            if !self.drained {
-                match self.try_read() {
-                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                    Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
-                    result => return Poll::Ready(result),
-                }
+            match self.try_read() {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+                result => return Poll::Ready(result),
             }
-            self.drained = false;
             match self.io.poll_readable(context) {
                 Poll::Ready(Ok(())) => {}
                 Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
@@ -90,10 +99,15 @@
         let count = self.io.get_ref().read(space)?;
         self.end += count;
         self.drained = count > 0 && count < room;
+        self.filled = count == room;
         Ok(count)
     }
 
     fn make_room(&mut self) -> io::Result<()> {
+        if self.filled && self.end == 0 && self.buffer.len() < LARGE_BUFFER_BYTES {
+            self.filled = false;
+            self.buffer = vec![0; self.buffer.len() * 2];
+        }
         if self.end < self.buffer.len() {
             return Ok(());
         }
