--- a/crates/radishpin-protocol/src/lib.rs
+++ b/crates/radishpin-protocol/src/lib.rs
@@ -1,11 +1,15 @@
 //! Ids, messages, durable records and result codes shared by every part of radishpin.
 
 mod code;
+mod document;
+mod error_body;
 mod id;
 mod profile;
 mod record;
 mod view;
 
+pub mod engine;
+
 /// Messages between nodes and agents, generated from `proto/radishpin.proto`.
 #[allow(missing_docs, clippy::all, clippy::use_self)]
 pub mod wire {
@@ -15,6 +19,8 @@
 pub mod prelude;
 
 pub use code::{Ran, ResultCode};
+pub use document::{DocumentFault, read_document};
+pub use error_body::{ErrorBody, ErrorDetail};
 pub use id::*;
 pub use profile::{Class, PROFILE_FORMAT, Profile, ProfileError};
 pub use record::*;
--- a/crates/radishpin-server/src/lib.rs
+++ b/crates/radishpin-server/src/lib.rs
@@ -1,1 +1,16 @@
-//! placeholder
+//! The node and agent processes of radishpin.
+
+mod agent;
+mod clock;
+mod metrics;
+mod node;
+pub mod operator;
+mod rpc;
+mod settings;
+mod shards;
+mod token;
+
+pub use agent::{Agent, AgentError};
+pub use node::{Node, NodeError};
+pub use settings::{AgentSettings, Fencing, NodeSettings};
+pub use token::{Token, TokenError};
