Add radishpin load: load, latency and checks of what came of every request

Cause: nothing measured the path, nor told a kept promise from a broken one. Change: src/command/load (closed and open loop, seeded Poisson arrivals, Zipf over models, keyed calls to plain services, direct phase, journals); stand-ins' journals note the Idempotency-Key, and their token function is public for checks; settings take lists of addresses and names.

--- a/crates/radishpin-standin/src/engine.rs
+++ b/crates/radishpin-standin/src/engine.rs
@@ -9,7 +9,7 @@
 mod settings;
 mod stream;
 
-pub use call::{Call, CallRequest};
+pub use call::{Call, CallRequest, token};
 pub use faults::EngineFaults;
 pub use settings::EngineSettings;
 
--- a/crates/radishpin-standin/src/engine/call.rs
+++ b/crates/radishpin-standin/src/engine/call.rs
@@ -56,7 +56,10 @@
         let place = self.shared.admission.enter(request.priority).await;
         self.shared.sample_load();
         let residency = self.residency(&request.model)?;
-        let guard = self.shared.journal.start(&request.attempt, &request.model);
+        let guard = self
+            .shared
+            .journal
+            .start(&request.attempt, &request.model, None);
         Ok(Call {
             first_token: self.first_token(&request),
             next_token: request.offset,
@@ -195,8 +198,8 @@
     }
 }
 
-/// Token `index` of the answer of `model` to `prompt`.
-pub(crate) fn token(model: &str, prompt: &str, index: u32) -> String {
+/// Token `index` of the answer of `model` to `prompt`, for checks of answers.
+pub fn token(model: &str, prompt: &str, index: u32) -> String {
     let seed = stable_hash(model.as_bytes()) ^ stable_hash(prompt.as_bytes()).rotate_left(1);
     let hash = stable_hash(&(seed ^ u64::from(index)).to_le_bytes());
     format!("t{:05x} ", hash & 0xf_ffff)
--- a/crates/radishpin-standin/src/journal.rs
+++ b/crates/radishpin-standin/src/journal.rs
@@ -37,6 +37,9 @@
     pub request_id: RequestId,
     /// Name of the model, adapter or plain service.
     pub model: String,
+    /// The caller's `Idempotency-Key`, where the call carried one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub idempotency_key: Option<String>,
     /// Number of the run at its endpoint, from 1.
     pub effect: u64,
     /// Start, since the journal's start.
@@ -110,7 +113,7 @@
     }
 
     /// Records the start of a run; its end is recorded by the guard.
-    pub fn start(&self, attempt: &str, model: &str) -> RunGuard {
+    pub fn start(&self, attempt: &str, model: &str, idempotency_key: Option<&str>) -> RunGuard {
         let effect = self
             .shared
             .next_effect
@@ -121,6 +124,7 @@
             attempt: attempt.to_owned(),
             request_id,
             model: model.to_owned(),
+            idempotency_key: idempotency_key.map(ToOwned::to_owned),
             effect,
             started_ms: self.now_ms(),
             finished_ms: None,
--- a/crates/radishpin-standin/src/lib.rs
+++ b/crates/radishpin-standin/src/lib.rs
@@ -16,7 +16,7 @@
 mod weight_store;
 
 pub use clock::Clock;
-pub use engine::{Call, CallRequest, Engine, EngineFaults, EngineSettings};
+pub use engine::{Call, CallRequest, Engine, EngineFaults, EngineSettings, token};
 pub use journal::{Journal, JournalSnapshot, Overcommit, Run, RunEnd, RunGuard};
 pub use plain_service::{PlainService, PlainServiceFaults, PlainServiceSettings, ServiceReply};
 pub use platform::{Counts, Faults, MemoryPlatform, Outage};
--- a/crates/radishpin-standin/src/plain_service.rs
+++ b/crates/radishpin-standin/src/plain_service.rs
@@ -18,6 +18,8 @@
 const FAULTS_PATH: &str = "/faults";
 /// Path that shows the journal.
 const JOURNAL_PATH: &str = "/journal";
+/// Header by which a caller names a call that may run once only.
+const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
 /// Time between looks at whether the service is still frozen.
 const POLL: Duration = Duration::from_millis(2);
 
@@ -128,7 +130,11 @@
             .header(REQUEST_ID_HEADER)
             .map_or("unnamed/1", |values| values.last().as_str());
         let settings = &self.shared.settings;
-        let run = self.shared.journal.start(attempt, &settings.name);
+        let key = received
+            .request
+            .header(IDEMPOTENCY_KEY_HEADER)
+            .map(|values| values.last().as_str());
+        let run = self.shared.journal.start(attempt, &settings.name, key);
         let effect = run.effect();
         if !settings.service_time.is_zero() {
             smol::Timer::after(settings.service_time).await;
--- a/src/command.rs
+++ b/src/command.rs
@@ -2,6 +2,7 @@
 
 mod agent;
 mod check;
+mod load;
 mod node;
 mod profile;
 mod standin;
@@ -52,11 +53,13 @@
     Stop,
     /// State of the cluster.
     Status,
+    /// Load and checks of what came of it.
+    Load,
 }
 
 impl Command {
     /// Every command, in the order of the help.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::Try,
         Self::Node,
         Self::Agent,
@@ -65,6 +68,7 @@
         Self::Profile,
         Self::Stop,
         Self::Status,
+        Self::Load,
     ];
 
     /// Name as the user types it.
@@ -94,6 +98,7 @@
             Self::Profile => &profile::SPEC,
             Self::Stop => &stop::SPEC,
             Self::Status => &status::SPEC,
+            Self::Load => &load::SPEC,
         }
     }
 
@@ -111,6 +116,7 @@
             Self::Profile => profile::run(values),
             Self::Stop => stop::run(values),
             Self::Status => status::run(values),
+            Self::Load => load::run(values),
         }
     }
 }
--- /dev/null
+++ b/src/command/load/models.rs
@@ -0,0 +1,69 @@
+//! Which models are called.
+
+use super::settings::LoadSettings;
+use crate::CommandError;
+use http_types::{Method, Request, Url};
+use radishpin_http::Client;
+use radishpin_protocol::engine::{EngineReport, REPORT_PATH};
+use serde::{Deserialize, de::DeserializeOwned};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
+
+/// Path of a node's list of models.
+const MODELS_PATH: &str = "/v1/models";
+
+#[derive(Deserialize)]
+struct ModelList {
+    data: Vec<ModelEntry>,
+}
+
+#[derive(Deserialize)]
+struct ModelEntry {
+    id: String,
+}
+
+/// The models to call, the most called first.
+///
+/// With a direct address, only those that its engine has loaded: nothing loads them there.
+///
+/// # Errors
+/// The lists cannot be read, or nothing is left to call.
+pub(super) async fn to_call(
+    client: &Client,
+    settings: &LoadSettings,
+) -> Result<Arc<Vec<String>>, CommandError> {
+    let mut models = settings.models.clone();
+    if models.is_empty() {
+        let list: ModelList = get(client, settings.target, MODELS_PATH).await?;
+        models = list.data.into_iter().map(|entry| entry.id).collect();
+    }
+    if let Some(address) = settings.direct {
+        let report: EngineReport = get(client, address, REPORT_PATH).await?;
+        let loaded: BTreeSet<&str> = report.loaded.iter().map(|r| r.target.name()).collect();
+        models.retain(|model| loaded.contains(model.as_str()));
+    }
+    match models.is_empty() {
+        true => Err(CommandError::Load {
+            cause: "there is no model to call; check --models, and with --direct that the engine \
+                    has loaded one of them"
+                .to_owned(),
+        }),
+        false => Ok(Arc::new(models)),
+    }
+}
+
+async fn get<T: DeserializeOwned>(
+    client: &Client,
+    address: SocketAddr,
+    path: &str,
+) -> Result<T, CommandError> {
+    let unreadable = |cause: String| CommandError::Load {
+        cause: format!("{address}: GET {path} failed: {cause}"),
+    };
+    let url = Url::parse(&format!("http://{address}{path}"));
+    let url = url.map_err(|error| unreadable(error.to_string()))?;
+    let sent = client.send(address, Request::new(Method::Get, url)).await;
+    let mut response = sent.map_err(|error| unreadable(error.to_string()))?;
+    let body = response.body_bytes().await;
+    let body = body.map_err(|error| unreadable(error.to_string()))?;
+    serde_json::from_slice(&body).map_err(|error| unreadable(error.to_string()))
+}
--- a/src/settings/kind.rs
+++ b/src/settings/kind.rs
@@ -19,6 +19,10 @@
     Name,
     /// IP address and port.
     Address,
+    /// Several IP addresses and ports.
+    Addresses,
+    /// Several names of things of the cluster.
+    Names,
     /// Whole number.
     Number {
         /// Smallest value.
@@ -73,6 +77,10 @@
     Text(String),
     /// Of [`Kind::Address`].
     Address(SocketAddr),
+    /// Of [`Kind::Addresses`].
+    Addresses(Vec<SocketAddr>),
+    /// Of [`Kind::Names`].
+    Names(Vec<String>),
     /// Of [`Kind::Number`].
     Number(u64),
     /// Of [`Kind::Duration`].
@@ -90,6 +98,16 @@
             Self::Switch => text.parse().ok().map(Value::Switch),
             Self::Name => is_name(text).then(|| Value::Text(text.to_owned())),
             Self::Address => text.parse().ok().map(Value::Address),
+            Self::Addresses => {
+                let addresses = text.split(',').map(|part| part.parse().ok());
+                addresses.collect::<Option<_>>().map(Value::Addresses)
+            }
+            Self::Names => {
+                let names = text
+                    .split(',')
+                    .map(|part| is_name(part).then(|| part.to_owned()));
+                names.collect::<Option<_>>().map(Value::Names)
+            }
             Self::Number { min, max, .. } => {
                 let number: u64 = text.parse().ok()?;
                 (min..=max)
@@ -120,6 +138,8 @@
                 )
             }
             Self::Address => "IP:PORT, such as 127.0.0.1:8080 or [::1]:8080".into(),
+            Self::Addresses => "IP:PORT,IP:PORT.. without spaces".into(),
+            Self::Names => format!("NAME,NAME.. without spaces, each {}", Self::Name.allowed()),
             Self::Number { min, max, unit } => format!("{min} to {max} {unit}"),
             Self::Duration { min, max } => {
                 let min = humantime::format_duration(min);
@@ -143,6 +163,8 @@
             Self::Switch => "",
             Self::Name => "NAME",
             Self::Address => "IP:PORT",
+            Self::Addresses => "IP:PORT,..",
+            Self::Names => "NAME,..",
             Self::Number { .. } => "N",
             Self::Duration { .. } => "DURATION",
             Self::Choice(_) => "WORD",
--- a/src/settings/values.rs
+++ b/src/settings/values.rs
@@ -125,6 +125,32 @@
         }
     }
 
+    /// Value of an optional address.
+    pub fn optional_address(&self, setting: &Setting) -> Option<SocketAddr> {
+        self.address(setting).ok()
+    }
+
+    /// Value of an optional duration.
+    pub fn optional_duration(&self, setting: &Setting) -> Option<Duration> {
+        self.duration(setting).ok()
+    }
+
+    /// Addresses of a list; none where it was not given.
+    pub fn addresses(&self, setting: &Setting) -> Vec<SocketAddr> {
+        match self.values.get(setting.flag) {
+            Some(Value::Addresses(addresses)) => addresses.clone(),
+            _ => Vec::new(),
+        }
+    }
+
+    /// Names of a list; none where it was not given.
+    pub fn names(&self, setting: &Setting) -> Vec<String> {
+        match self.values.get(setting.flag) {
+            Some(Value::Names(names)) => names.clone(),
+            _ => Vec::new(),
+        }
+    }
+
     /// Value of a duration.
     ///
     /// # Errors
