--- a/crates/radishpin-server/src/rpc/channel.rs
+++ b/crates/radishpin-server/src/rpc/channel.rs
@@ -94,7 +94,6 @@
             }),
         }
     }
-
 }
 
 impl Shared {
