Let the operators' API use the platform's client, and prove it by tests

Cause: the platform's client settles lost replies and the view's writer keeps the history of profiles; the API must use both and be shown to keep its word.

Change: reads and changes go through PlatformClient and ViewWriter; deletion of a profile rests on the whole view, so that no service picks it meanwhile.

Conclusion: one of two racing operators gets 409 with the version that stands; a lost reply is settled or said to be unknown.

--- a/crates/radishpin-server/src/lib.rs
+++ b/crates/radishpin-server/src/lib.rs
@@ -2,7 +2,8 @@
 
 pub mod operator;
 mod rpc;
-pub mod settings;
+mod settings;
 mod token;
 
+pub use settings::{AgentSettings, Fencing, NodeSettings};
 pub use token::{Token, TokenError};
--- a/crates/radishpin-server/src/operator.rs
+++ b/crates/radishpin-server/src/operator.rs
@@ -35,7 +35,6 @@
 mod table;
 mod warning;
 
-pub use api::{OperatorApi, OperatorContext, ViewSource, operator_limits};
+pub use api::{OperatorApi, OperatorContext, operator_limits};
 pub use board::StatusBoard;
 pub use name::{NAME_CHARACTERS, is_name};
-pub use table::Table;
--- a/crates/radishpin-server/src/operator/api.rs
+++ b/crates/radishpin-server/src/operator/api.rs
@@ -8,9 +8,9 @@
 use http_types::{Request, Response};
 use prometheus::{IntCounterVec, Opts, Registry};
 use radishpin_http::{Handler, HttpFault, Received, ServerLimits};
-use radishpin_protocol::{ClusterView, NodeId, RequestId, ResultCode, UnixMs};
+use radishpin_platform::{PlatformClient, ViewHandle};
+use radishpin_protocol::{NodeId, RequestId, ResultCode, UnixMs};
 use std::{
-    fmt,
     sync::Arc,
     time::{SystemTime, UNIX_EPOCH},
 };
@@ -22,27 +22,46 @@
 /// Operators' connections open at once.
 const CONNECTIONS: usize = 256;
 
-/// Gives the view in force at the node.
-pub type ViewSource = Arc<dyn Fn() -> Arc<ClusterView> + Send + Sync>;
-
 /// What the API needs of its node.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub struct OperatorContext {
     /// Name of the node.
     pub node: NodeId,
     /// Token that operators present.
     pub token: Token,
     /// The view in force at the node.
-    pub view: ViewSource,
-    /// The platform's table.
-    pub table: Table,
+    pub view: ViewHandle,
     /// Last words of agents and other nodes.
     pub board: Arc<StatusBoard>,
     /// Wall clock, for the windows of planned stops.
     pub clock: fn() -> SystemTime,
+    table: Table,
 }
 
 impl OperatorContext {
+    /// The context of the node `node`, which uses the platform through `client`.
+    pub fn new(
+        node: NodeId,
+        token: Token,
+        view: ViewHandle,
+        client: PlatformClient,
+        board: Arc<StatusBoard>,
+    ) -> Self {
+        Self {
+            node,
+            token,
+            view,
+            board,
+            clock: SystemTime::now,
+            table: Table::new(client),
+        }
+    }
+
+    /// The platform's table.
+    pub(super) fn table(&self) -> &Table {
+        &self.table
+    }
+
     /// Milliseconds since the Unix epoch.
     pub(super) fn now_unix_ms(&self) -> UnixMs {
         let since_epoch = (self.clock)().duration_since(UNIX_EPOCH);
@@ -51,14 +70,6 @@
     }
 }
 
-impl fmt::Debug for OperatorContext {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("OperatorContext")
-            .field("node", &self.node)
-            .finish_non_exhaustive()
-    }
-}
-
 /// Bounds of the operators' listener.
 pub fn operator_limits() -> ServerLimits {
     ServerLimits {
--- a/crates/radishpin-server/src/operator/change.rs
+++ b/crates/radishpin-server/src/operator/change.rs
@@ -3,10 +3,10 @@
 use super::{
     document::Accepted,
     refusal::{Refusal, json_response},
-    table::{Table, Written},
+    table::Table,
 };
 use http_types::{Request, Response};
-use radishpin_platform::{Condition, Row, Write};
+use radishpin_platform::{ChangeOutcome, Condition, Row};
 use radishpin_protocol::{ResultCode, Version};
 
 const IF_MATCH: &str = "if-match";
@@ -60,30 +60,23 @@
     }
 }
 
-/// A write of a row.
-pub(super) fn write(key: &str, value: Option<String>) -> Write {
-    Write {
-        key: key.to_owned(),
-        value,
-    }
-}
-
-/// Commits a change of `key`, which stood at `row`.
-pub(super) async fn commit(
+/// The version of a change that became durable, or the refusal of one that lost a race.
+///
+/// `row` is the document's row as the change found it.
+pub(super) async fn settled(
     table: &Table,
     key: &str,
     row: &Row,
-    conditions: Vec<Condition>,
-    writes: Vec<Write>,
+    outcome: ChangeOutcome,
 ) -> Result<Version, Refusal> {
-    match table.commit(key, conditions, writes).await? {
-        Written::Committed(version) => Ok(version),
-        Written::Conflict(failed) if failed.key == key => {
+    match outcome {
+        ChangeOutcome::Accepted(version) => Ok(version),
+        ChangeOutcome::Conflict { key: changed, .. } if changed == key => {
             let now = table.get(key).await?;
             Err(conflict(key, standing_version(&now), standing_version(row)))
         }
-        Written::Conflict(failed) => {
-            let reason = format!("{} changed while {key} was being changed", failed.key);
+        ChangeOutcome::Conflict { key: changed, .. } => {
+            let reason = format!("{changed} changed while {key} was being changed");
             Err(Refusal::new(ResultCode::VersionConflict, reason)
                 .with_current_version(standing_version(row)))
         }
--- a/crates/radishpin-server/src/operator/document.rs
+++ b/crates/radishpin-server/src/operator/document.rs
@@ -39,22 +39,11 @@
     pub profiles: Vec<ProfileEntry>,
 }
 
-/// An earlier document of a profile, as the table keeps it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HistoryRecord {
-    /// When it was replaced or deleted.
-    pub until_unix_ms: UnixMs,
-    /// The document.
-    pub profile: Profile,
-}
-
 /// An earlier document of a profile with the version that it had.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HistoryEntry {
     /// Version that it had.
     pub version: Version,
-    /// When it was replaced or deleted.
-    pub until_unix_ms: UnixMs,
     /// The document.
     pub profile: Profile,
 }
@@ -180,7 +169,17 @@
 }
 
 /// What a process is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize
+)]
 #[serde(rename_all = "snake_case")]
 pub enum ProcessKind {
     /// A node.
--- a/crates/radishpin-server/src/operator/profiles.rs
+++ b/crates/radishpin-server/src/operator/profiles.rs
@@ -2,17 +2,17 @@
 
 use super::{
     api::OperatorContext,
-    change::{accepted, answer, check_seen, commit, seen_version, unchanged, write},
-    document::{HistoryEntry, HistoryRecord, ProfileEntry, ProfileHistory, ProfileList},
+    change::{accepted, answer, check_seen, seen_version, settled},
+    document::{HistoryEntry, ProfileEntry, ProfileHistory, ProfileList},
     read::{Read, apply_rows, body_text, invalid, read_view, record, value_of},
     refusal::Refusal,
-    table::Written,
+    table::Change,
 };
 use http_types::{Request, Response};
 use radishpin_http::Received;
-use radishpin_platform::{Row, Write};
+use radishpin_platform::{ChangeOutcome, ProfileHistoryEntry};
 use radishpin_protocol::{
-    ClusterView, HEAD_KEY, HISTORY_PREFIX, PROFILE_PREFIX, Profile, ResultCode, SERVICE_PREFIX,
+    ClusterView, HEAD_KEY, PROFILE_PREFIX, Profile, ProfileId, ResultCode, SERVICE_PREFIX,
     ServiceId, Version,
 };
 
@@ -41,28 +41,30 @@
 }
 
 /// `GET /v1/profiles/NAME/history`
-pub(super) async fn history(context: &OperatorContext, name: &str) -> Result<Response, Refusal> {
-    let prefix = format!("{HISTORY_PREFIX}{name}/");
-    let listing = context.table.list(&prefix).await?;
-    let mut history = Vec::new();
-    for listed in &listing.rows {
-        let Some(value) = &listed.row.value else {
-            continue;
-        };
-        let old: HistoryRecord = record(&listed.key, value)?;
-        let version = listed.key[prefix.len()..].parse().unwrap_or_default();
-        history.push(HistoryEntry {
-            version,
-            until_unix_ms: old.until_unix_ms,
-            profile: old.profile,
-        });
-    }
-    if history.is_empty() && context.table.get(&key_of(name)).await?.value.is_none() {
+pub(super) async fn history(
+    context: &OperatorContext,
+    name: &ProfileId,
+) -> Result<Response, Refusal> {
+    let table = context.table();
+    let earlier = table.profile_history(name).await?;
+    if earlier.is_empty() && table.get(&key_of(name)).await?.value.is_none() {
         return Err(unknown_profile(name));
     }
+    let history = earlier
+        .iter()
+        .map(history_entry)
+        .collect::<Result<Vec<_>, _>>()?;
     answer(OK, &ProfileHistory { history })
 }
 
+fn history_entry(entry: &ProfileHistoryEntry) -> Result<HistoryEntry, Refusal> {
+    let key = format!("history at version {}", entry.version);
+    Ok(HistoryEntry {
+        version: entry.version,
+        profile: record(&key, &entry.document)?,
+    })
+}
+
 /// `PUT /v1/profiles/NAME`
 pub(super) async fn put(
     context: &OperatorContext,
@@ -75,12 +77,12 @@
         invalid(lines.join("; "))
     })?;
     let key = key_of(name);
-    let row = context.table.get(&key).await?;
+    let table = context.table();
+    let row = table.get(&key).await?;
     check_seen(&key, &row, seen)?;
-    let mut writes = vec![write(&key, Some(value_of(&profile)?))];
-    writes.extend(history_write(context, name, &row)?);
-    let conditions = vec![unchanged(&key, &row)];
-    let version = commit(&context.table, &key, &row, conditions, writes).await?;
+    let change = Change::new(&key, &row, Some(value_of(&profile)?));
+    let outcome = table.commit_profile(name, change).await?;
+    let version = settled(table, &key, &row, outcome).await?;
     accepted(&row, version, Vec::new())
 }
 
@@ -107,25 +109,27 @@
     seen: Version,
 ) -> Result<Option<Response>, Refusal> {
     let key = key_of(name);
+    let table = context.table();
     // Read before the services: an unchanged head proves that no service was added meanwhile.
-    let head = context.table.get(HEAD_KEY).await?;
-    let row = context.table.get(&key).await?;
+    let head = table.get(HEAD_KEY).await?;
+    let row = table.get(&key).await?;
     if row.value.is_none() {
         return Err(unknown_profile(name));
     }
     check_seen(&key, &row, seen)?;
     refuse_if_used(context, name).await?;
-    let conditions = vec![unchanged(&key, &row), unchanged(HEAD_KEY, &head)];
-    let mut writes = vec![write(&key, None)];
-    writes.extend(history_write(context, name, &row)?);
-    match context.table.commit(&key, conditions, writes).await? {
-        Written::Committed(version) => accepted(&row, version, Vec::new()).map(Some),
-        Written::Conflict(_) => Ok(None),
+    let change = Change {
+        whole_view: Some(head.version),
+        ..Change::new(&key, &row, None)
+    };
+    match table.commit_profile(name, change).await? {
+        ChangeOutcome::Accepted(version) => accepted(&row, version, Vec::new()).map(Some),
+        ChangeOutcome::Conflict { .. } => Ok(None),
     }
 }
 
 async fn refuse_if_used(context: &OperatorContext, name: &str) -> Result<(), Refusal> {
-    let listing = context.table.list(SERVICE_PREFIX).await?;
+    let listing = context.table().list(SERVICE_PREFIX).await?;
     let mut view = ClusterView::default();
     apply_rows(&mut view, listing, |error| {
         Err(Refusal::new(ResultCode::Internal, error.to_string()))
@@ -138,23 +142,6 @@
     Err(Refusal::new(ResultCode::ProfileInUse, reason))
 }
 
-/// Keeps the document that `row` holds.
-fn history_write(
-    context: &OperatorContext,
-    name: &str,
-    row: &Row,
-) -> Result<Option<Write>, Refusal> {
-    let Some(value) = &row.value else {
-        return Ok(None);
-    };
-    let old = HistoryRecord {
-        until_unix_ms: context.now_unix_ms(),
-        profile: record(&key_of(name), value)?,
-    };
-    let key = history_key(name, row.version);
-    Ok(Some(write(&key, Some(value_of(&old)?))))
-}
-
 fn entry(read: &Read, name: &str) -> Option<ProfileEntry> {
     let profile = read.view.profiles.get(name)?;
     let version = read.view.row_versions.get(&key_of(name)).copied();
@@ -182,8 +169,3 @@
 fn key_of(name: &str) -> String {
     format!("{PROFILE_PREFIX}{name}")
 }
-
-/// Twenty digits, so that keys sort as versions do.
-fn history_key(name: &str, version: Version) -> String {
-    format!("{HISTORY_PREFIX}{name}/{version:020}")
-}
--- a/crates/radishpin-server/src/operator/read.rs
+++ b/crates/radishpin-server/src/operator/read.rs
@@ -19,7 +19,7 @@
 ) -> Result<Read, Refusal> {
     let mut view = ClusterView::default();
     for prefix in prefixes {
-        let listing = match context.table.list(prefix).await {
+        let listing = match context.table().list(prefix).await {
             Ok(listing) => listing,
             Err(refusal) => return in_force(context, refusal),
         };
@@ -51,7 +51,7 @@
 
 /// The view in force, unless the node has none yet.
 fn in_force(context: &OperatorContext, refusal: Refusal) -> Result<Read, Refusal> {
-    let view = (context.view)();
+    let view = context.view.current();
     if view.version == 0 {
         return Err(refusal);
     }
--- a/crates/radishpin-server/src/operator/refusal.rs
+++ b/crates/radishpin-server/src/operator/refusal.rs
@@ -2,8 +2,7 @@
 
 use http_types::{Response, StatusCode, headers::CONTENT_TYPE};
 use radishpin_protocol::{ErrorBody, ResultCode, Version};
-
-const RETRY_AFTER_SECONDS: &str = "5";
+use std::time::Duration;
 
 /// Why an order is refused, until it becomes an answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -13,6 +12,7 @@
     help: Option<String>,
     current_version: Option<Version>,
     allow: Option<&'static str>,
+    retry_after: Option<Duration>,
 }
 
 impl Refusal {
@@ -23,6 +23,7 @@
             help: None,
             current_version: None,
             allow: None,
+            retry_after: None,
         }
     }
 
@@ -50,6 +51,14 @@
         }
     }
 
+    /// The same with the time after which a retry makes sense.
+    pub(super) fn with_retry_after(self, retry_after: Duration) -> Self {
+        Self {
+            retry_after: Some(retry_after),
+            ..self
+        }
+    }
+
     pub(super) fn code(&self) -> ResultCode {
         self.code
     }
@@ -69,13 +78,14 @@
         if let Some(allow) = self.allow {
             response.insert_header("allow", allow);
         }
-        match self.code {
-            ResultCode::TokenMissing => response.insert_header("www-authenticate", "Bearer"),
-            ResultCode::PlatformDown | ResultCode::ChangeUnknown => {
-                response.insert_header("retry-after", RETRY_AFTER_SECONDS)
-            }
-            _ => None,
-        };
+        if self.code == ResultCode::TokenMissing {
+            response.insert_header("www-authenticate", "Bearer");
+        }
+        if let Some(retry_after) = self.retry_after {
+            // Whole seconds, rounded up: a retry must not come too early.
+            let seconds = retry_after.as_millis().div_ceil(1_000);
+            response.insert_header("retry-after", seconds.to_string());
+        }
         response
     }
 }
--- a/crates/radishpin-server/src/operator/services.rs
+++ b/crates/radishpin-server/src/operator/services.rs
@@ -2,10 +2,11 @@
 
 use super::{
     api::OperatorContext,
-    change::{accepted, answer, check_seen, commit, seen_version, unchanged, write},
+    change::{accepted, answer, check_seen, seen_version, settled, unchanged},
     document::{ServiceChange, ServiceEntry},
     read::{body_document, invalid, read_view, record, value_of},
     refusal::Refusal,
+    table::Change,
 };
 use http_types::Response;
 use radishpin_http::Received;
@@ -43,7 +44,8 @@
     let seen = seen_version(&received.request)?;
     let change: ServiceChange = body_document(&received.body)?;
     let key = key_of(name);
-    let row = context.table.get(&key).await?;
+    let table = context.table();
+    let row = table.get(&key).await?;
     check_seen(&key, &row, seen)?;
     let service = ServiceRecord {
         kind: kind_of(&key, &row, &change)?,
@@ -51,14 +53,17 @@
     };
     // The condition on the profile's row keeps it from being deleted meanwhile.
     let profile_key = format!("{PROFILE_PREFIX}{}", service.profile);
-    let profile_row = context.table.get(&profile_key).await?;
+    let profile_row = table.get(&profile_key).await?;
     if profile_row.value.is_none() {
         let reason = format!("profile: no profile {}", service.profile);
         return Err(Refusal::new(ResultCode::UnknownProfile, reason));
     }
-    let conditions = vec![unchanged(&key, &row), unchanged(&profile_key, &profile_row)];
-    let writes = vec![write(&key, Some(value_of(&service)?))];
-    let version = commit(&context.table, &key, &row, conditions, writes).await?;
+    let change = Change {
+        unchanged: vec![unchanged(&profile_key, &profile_row)],
+        ..Change::new(&key, &row, Some(value_of(&service)?))
+    };
+    let outcome = table.commit(change).await?;
+    let version = settled(table, &key, &row, outcome).await?;
     accepted(&row, version, Vec::new())
 }
 
--- a/crates/radishpin-server/src/operator/status.rs
+++ b/crates/radishpin-server/src/operator/status.rs
@@ -15,7 +15,7 @@
 
 /// Answers from the view in force and the last words heard; works while the platform is down.
 pub(super) fn show(context: &OperatorContext) -> Result<Response, Refusal> {
-    let view = (context.view)();
+    let view = context.view.current();
     let now = Instant::now();
     let report = StatusReport {
         node: context.node.clone(),
--- a/crates/radishpin-server/src/operator/stops.rs
+++ b/crates/radishpin-server/src/operator/stops.rs
@@ -2,11 +2,12 @@
 
 use super::{
     api::OperatorContext,
-    change::{accepted, answer, commit, conflict, unchanged, write},
+    change::{accepted, answer, conflict, settled},
     document::{StopEntry, StopList, StopPlan},
     is_name,
     read::{body_document, invalid, read_view, record, value_of},
     refusal::Refusal,
+    table::Change,
     warning::{phase, stop_warnings},
 };
 use http_types::Response;
@@ -41,8 +42,9 @@
     let now_unix_ms = context.now_unix_ms();
     check_plan(&stop, now_unix_ms)?;
     let key = key_of(&stop.id);
-    let row = context.table.get(&key).await?;
-    let warnings = stop_warnings(&(context.view)(), &stop, now_unix_ms);
+    let table = context.table();
+    let row = table.get(&key).await?;
+    let warnings = stop_warnings(&context.view.current(), &stop, now_unix_ms);
     if let Some(value) = &row.value {
         let standing: StopRecord = record(&key, value)?;
         // The same plan again, after a lost answer.
@@ -51,22 +53,22 @@
         }
         return Err(conflict(&key, row.version, 0));
     }
-    let conditions = vec![unchanged(&key, &row)];
-    let writes = vec![write(&key, Some(value_of(&stop)?))];
-    let version = commit(&context.table, &key, &row, conditions, writes).await?;
+    let change = Change::new(&key, &row, Some(value_of(&stop)?));
+    let outcome = table.commit(change).await?;
+    let version = settled(table, &key, &row, outcome).await?;
     accepted(&row, version, warnings)
 }
 
 /// `DELETE /v1/stops/ID`
 pub(super) async fn cancel(context: &OperatorContext, id: &str) -> Result<Response, Refusal> {
     let key = key_of(id);
-    let row = context.table.get(&key).await?;
+    let table = context.table();
+    let row = table.get(&key).await?;
     if row.value.is_none() {
         return Err(unknown_stop(id));
     }
-    let conditions = vec![unchanged(&key, &row)];
-    let writes = vec![write(&key, None)];
-    let version = commit(&context.table, &key, &row, conditions, writes).await?;
+    let outcome = table.commit(Change::new(&key, &row, None)).await?;
+    let version = settled(table, &key, &row, outcome).await?;
     accepted(&row, version, Vec::new())
 }
 
--- a/crates/radishpin-server/src/operator/table.rs
+++ b/crates/radishpin-server/src/operator/table.rs
@@ -1,83 +1,139 @@
 //! Reads and conditional writes of the platform's table, with refusals in place of errors.
 
-use super::{name::random_id, refusal::Refusal};
+use super::refusal::Refusal;
 use radishpin_platform::{
-    Commit, CommitOutcome, Condition, Listing, Platform, PlatformError, Row, Write,
+    CallError, ChangeOutcome, Condition, Listing, PlatformClient, ProfileHistoryEntry, Row,
+    RowChange, ViewChange, ViewWriter,
 };
-use radishpin_protocol::{HEAD_KEY, HeadRecord, ResultCode, Version};
-use std::{fmt, sync::Arc};
+use radishpin_protocol::{ProfileId, ResultCode, Version};
+use std::time::Duration;
 
 /// The platform's table as the operators' API uses it.
-#[derive(Clone)]
-pub struct Table {
-    platform: Arc<dyn Platform>,
+#[derive(Clone, Debug)]
+pub(super) struct Table {
+    client: PlatformClient,
+    writer: ViewWriter,
 }
 
-impl fmt::Debug for Table {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("Table")
-    }
+/// A change of one document with the conditions that it rests on.
+#[derive(Clone, Debug)]
+pub(super) struct Change<'a> {
+    /// Key of the document's row.
+    pub(super) key: &'a str,
+    /// The row as it was read.
+    pub(super) row: &'a Row,
+    /// New value; `None` deletes.
+    pub(super) value: Option<String>,
+    /// Other rows that must not have changed.
+    pub(super) unchanged: Vec<Condition>,
+    /// Version of the view that must not have changed, where the change rests on all of it.
+    pub(super) whole_view: Option<Version>,
 }
 
-/// What became of a change.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) enum Written {
-    /// Durable.
-    Committed(Version),
-    /// A condition failed; nothing was written.
-    Conflict(Condition),
+impl<'a> Change<'a> {
+    /// A change that rests on its own row alone.
+    pub(super) fn new(key: &'a str, row: &'a Row, value: Option<String>) -> Self {
+        Self {
+            key,
+            row,
+            value,
+            unchanged: Vec::new(),
+            whole_view: None,
+        }
+    }
+
+    fn conditions(&self) -> ViewChange {
+        ViewChange {
+            rows: Vec::new(),
+            unchanged: self.unchanged.clone(),
+            whole_view: self.whole_view,
+        }
+    }
+
+    fn view_change(self) -> ViewChange {
+        let mut change = self.conditions();
+        change.rows.push(RowChange {
+            key: self.key.to_owned(),
+            expected_version: self.row.version,
+            value: self.value,
+        });
+        change
+    }
 }
 
 impl Table {
-    /// Uses `platform`.
-    pub fn new(platform: Arc<dyn Platform>) -> Self {
-        Self { platform }
+    /// Uses `client`.
+    pub(super) fn new(client: PlatformClient) -> Self {
+        let writer = ViewWriter::new(client.clone());
+        Self { client, writer }
     }
 
     /// Reads a row.
     pub(super) async fn get(&self, key: &str) -> Result<Row, Refusal> {
-        self.platform.get(key).await.map_err(|e| down(&e))
+        let row = self.client.get(key).await;
+        row.map_err(|error| refusal(key, &error))
     }
 
     /// Lists the rows under a prefix.
     pub(super) async fn list(&self, prefix: &str) -> Result<Listing, Refusal> {
-        self.platform.list(prefix, 0).await.map_err(|e| down(&e))
+        let listing = self.client.list(prefix, 0).await;
+        listing.map_err(|error| refusal(prefix, &error))
     }
 
-    /// Writes rows of the view; `key` is the one that the order names.
-    pub(super) async fn commit(
+    /// Earlier documents of a profile.
+    pub(super) async fn profile_history(
         &self,
-        key: &str,
-        conditions: Vec<Condition>,
-        mut writes: Vec<Write>,
-    ) -> Result<Written, Refusal> {
-        let head = HeadRecord {
-            operation: random_id(),
-        };
-        writes.push(Write {
-            key: HEAD_KEY.to_owned(),
-            value: serde_json::to_string(&head).ok(),
-        });
-        match self.platform.commit(&Commit { conditions, writes }).await {
-            Ok(CommitOutcome::Committed(version)) => Ok(Written::Committed(version)),
-            Ok(CommitOutcome::Conflict(failed)) => Ok(Written::Conflict(failed)),
-            Err(PlatformError::Unknown(cause)) => Err(unknown(key, &cause)),
-            Err(error) => Err(down(&error)),
-        }
+        name: &ProfileId,
+    ) -> Result<Vec<ProfileHistoryEntry>, Refusal> {
+        let history = self.writer.profile_history(name).await;
+        history.map_err(|error| refusal(name, &error))
+    }
+
+    /// Commits a change.
+    pub(super) async fn commit(&self, change: Change<'_>) -> Result<ChangeOutcome, Refusal> {
+        let key = change.key.to_owned();
+        let outcome = self.writer.commit(&change.view_change()).await;
+        outcome.map_err(|error| refusal(&key, &error))
+    }
+
+    /// Commits a change of a profile and keeps the document that it replaces.
+    pub(super) async fn commit_profile(
+        &self,
+        name: &str,
+        change: Change<'_>,
+    ) -> Result<ChangeOutcome, Refusal> {
+        let conditions = change.conditions();
+        let outcome = self
+            .writer
+            .write_profile(name, change.row.version, change.value, conditions)
+            .await;
+        outcome.map_err(|error| refusal(change.key, &error))
     }
 }
 
-fn down(error: &PlatformError) -> Refusal {
-    Refusal::new(ResultCode::PlatformDown, error.to_string())
+fn refusal(key: &str, error: &CallError) -> Refusal {
+    match error {
+        CallError::Refused { retry_after, .. } => {
+            Refusal::new(ResultCode::PlatformDown, error.to_string())
+                .with_retry_after((*retry_after).max(SHORTEST_RETRY_AFTER))
+        }
+        CallError::Unknown { .. } => unknown(key, error),
+    }
 }
 
-fn unknown(key: &str, cause: &str) -> Refusal {
-    let reason = format!("whether the change of {key} took effect is not known: {cause}");
+const SHORTEST_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Time in which the platform is likely to say what became of a change.
+const SETTLE_AFTER: Duration = Duration::from_secs(5);
+
+fn unknown(key: &str, error: &CallError) -> Refusal {
+    let reason = format!("whether the change of {key} took effect is not known: {error}");
     let help = format!(
         "GET /v1/{} once the platform answers; repeat the change only if it is not there.",
         path_of(key)
     );
-    Refusal::new(ResultCode::ChangeUnknown, reason).with_help(help)
+    Refusal::new(ResultCode::ChangeUnknown, reason)
+        .with_help(help)
+        .with_retry_after(SETTLE_AFTER)
 }
 
 /// Path of a row's document in this API.
--- /dev/null
+++ b/crates/radishpin-server/tests/operator/faults.rs
@@ -0,0 +1,91 @@
+//! The platform fails: accepted only when durable, unknown only when unknown.
+
+use crate::fixture::{Fixture, PROFILE, refusal, version};
+use http_types::Method;
+use radishpin_standin::{Faults, Outage};
+
+const PATH: &str = "/v1/profiles/slow";
+
+#[test]
+fn a_lost_reply_is_settled_by_reading_back() {
+    let fixture = Fixture::new();
+    fixture.platform.set_faults(Faults {
+        lose_commit_replies: 1,
+        ..Faults::default()
+    });
+    let answer = fixture.order(Method::Put, PATH, "", PROFILE);
+    assert_eq!(answer.status, 201, "{answer:?}");
+    assert_eq!(
+        fixture.platform.row("profile/slow").version,
+        version(&answer)
+    );
+}
+
+#[test]
+fn a_change_that_cannot_be_settled_is_unknown() {
+    let fixture = Fixture::new();
+    fixture.platform.set_faults(Faults {
+        lose_commit_replies: 100,
+        ..Faults::default()
+    });
+    let answer = fixture.order(Method::Put, PATH, "", PROFILE);
+    let body: serde_json::Value = serde_json::from_str(&answer.body).unwrap();
+    assert_eq!(answer.status, 503, "{answer:?}");
+    assert_eq!(body["error"]["name"], "change_unknown");
+    assert_eq!(body["error"]["ran"], "unknown");
+    insta::assert_snapshot!(body["error"]["help"].as_str().unwrap(), @"GET /v1/profiles/slow once the platform answers; repeat the change only if it is not there.");
+    insta::assert_snapshot!(answer.retry_after.unwrap(), @"5");
+    // What the help says finds it out.
+    fixture.platform.set_faults(Faults::default());
+    let shown = fixture.order(Method::Get, PATH, "", "");
+    assert_eq!(shown.status, 200, "{shown:?}");
+}
+
+#[test]
+fn a_lost_request_never_counts_as_accepted() {
+    let fixture = Fixture::new();
+    fixture.platform.set_faults(Faults {
+        lose_commit_requests: 100,
+        ..Faults::default()
+    });
+    let answer = fixture.order(Method::Put, PATH, "", PROFILE);
+    assert_eq!(answer.status, 503, "{answer:?}");
+    assert!(answer.body.contains("change_unknown"), "{answer:?}");
+    assert_eq!(fixture.platform.row("profile/slow").version, 0);
+}
+
+#[test]
+fn an_outage_refuses_changes_and_shows_what_is_in_force() {
+    let fixture = Fixture::new();
+    let seen = fixture.create("slow").to_string();
+    fixture.platform.set_faults(Faults {
+        outage: Outage::Refusing,
+        ..Faults::default()
+    });
+    let unread = fixture.order(Method::Get, PATH, "", "");
+    assert_eq!(unread.status, 503, "no view yet: {unread:?}");
+    fixture.platform.set_faults(Faults::default());
+    fixture.poll();
+    fixture.platform.set_faults(Faults {
+        outage: Outage::Refusing,
+        ..Faults::default()
+    });
+    let shown = fixture.order(Method::Get, PATH, "", "");
+    assert!(shown.body.contains("\"source\":\"view\""), "{shown:?}");
+    let status = fixture.order(Method::Get, "/v1/status", "", "");
+    assert_eq!(status.status, 200, "{status:?}");
+    let refused = fixture.order(Method::Put, PATH, &seen, PROFILE);
+    let text = refusal(&refused);
+    assert!(text.starts_with("503 platform_down ran=no: "), "{text}");
+    assert!(refused.retry_after.is_some(), "{refused:?}");
+}
+
+#[test]
+fn one_unreadable_row_does_not_hide_the_others() {
+    let fixture = Fixture::new();
+    fixture.create("slow");
+    fixture.platform.put_row("profile/broken", Some("{"));
+    let list = fixture.order(Method::Get, "/v1/profiles", "", "");
+    assert_eq!(list.status, 200, "{list:?}");
+    assert!(list.body.contains("\"name\":\"slow\""), "{list:?}");
+}
--- /dev/null
+++ b/crates/radishpin-server/tests/operator/fixture.rs
@@ -0,0 +1,154 @@
+//! A node's operators' API without a socket.
+
+use http_types::{Method, Request, Url};
+use parking_lot::Mutex;
+use prometheus::Registry;
+use radishpin_http::{Handler, Received};
+use radishpin_platform::{Backoff, ClientSettings, PlatformClient, PlatformMetrics, ViewReader};
+use radishpin_protocol::UnixMs;
+use radishpin_server::{
+    Token,
+    operator::{OperatorApi, OperatorContext, StatusBoard},
+};
+use radishpin_standin::MemoryPlatform;
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::{Duration, UNIX_EPOCH},
+};
+
+pub const TOKEN: &str = "0123456789abcdef";
+pub const NOW_UNIX_MS: UnixMs = 1_900_000_000_000;
+pub const PROFILE: &str = r#"{"format":1,"min_loaded":0,"max_replicas":2,"idle_unload_ms":60000,"patience_ms":5000,"priority":5,"class":"interactive","idempotent":true}"#;
+
+/// The API, the platform behind it, and the reader that keeps its view.
+pub struct Fixture {
+    pub platform: MemoryPlatform,
+    pub board: Arc<StatusBoard>,
+    pub api: Arc<OperatorApi>,
+    pub registry: Registry,
+    reader: Mutex<ViewReader>,
+}
+
+/// An answer's status and body.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Answer {
+    pub status: u16,
+    pub body: String,
+    pub retry_after: Option<String>,
+}
+
+impl Fixture {
+    pub fn new() -> Self {
+        let platform = MemoryPlatform::new(1);
+        let settings = ClientSettings {
+            tries: 2,
+            backoff: Backoff {
+                base: Duration::from_millis(1),
+                cap: Duration::from_millis(2),
+            },
+            ..ClientSettings::default()
+        };
+        let metrics = PlatformMetrics::unregistered().unwrap();
+        let client = PlatformClient::new(Arc::new(platform.clone()), settings, metrics, 1);
+        let reader = ViewReader::new(client.clone());
+        let board = Arc::new(StatusBoard::default());
+        let token = Token::new(TOKEN).unwrap();
+        let mut context = OperatorContext::new(
+            "node-1".to_owned(),
+            token,
+            reader.handle(),
+            client,
+            Arc::clone(&board),
+        );
+        context.clock = || UNIX_EPOCH + Duration::from_millis(NOW_UNIX_MS);
+        let registry = Registry::new();
+        let api = Arc::new(OperatorApi::new(context, &registry).unwrap());
+        Self {
+            platform,
+            board,
+            api,
+            registry,
+            reader: Mutex::new(reader),
+        }
+    }
+
+    /// Brings the node's view up to date.
+    pub fn poll(&self) {
+        smol::block_on(self.reader.lock().poll()).unwrap();
+    }
+
+    /// Gives an order with the right token.
+    pub fn order(&self, method: Method, path: &str, if_match: &str, body: &str) -> Answer {
+        smol::block_on(self.order_async(method, path, if_match, body))
+    }
+
+    pub async fn order_async(
+        &self,
+        method: Method,
+        path: &str,
+        if_match: &str,
+        body: &str,
+    ) -> Answer {
+        let mut request = request(method, path);
+        request.insert_header("authorization", format!("Bearer {TOKEN}"));
+        if !if_match.is_empty() {
+            request.insert_header("if-match", if_match);
+        }
+        self.send(request, body).await
+    }
+
+    pub async fn send(&self, mut request: Request, body: &str) -> Answer {
+        if request.header("x-request-id").is_none() {
+            request.insert_header("x-request-id", "r-1");
+        }
+        let received = Received {
+            request,
+            body: body.as_bytes().to_vec(),
+            peer: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+        };
+        let mut response = self.api.handle(received).await;
+        let retry_after = response.header("retry-after");
+        Answer {
+            status: u16::from(response.status()),
+            retry_after: retry_after.map(|values| values.last().to_string()),
+            body: response.body_string().await.unwrap(),
+        }
+    }
+
+    /// Creates a profile and returns its version.
+    pub fn create(&self, name: &str) -> u64 {
+        let answer = self.order(Method::Put, &format!("/v1/profiles/{name}"), "", PROFILE);
+        assert_eq!(answer.status, 201, "{answer:?}");
+        version(&answer)
+    }
+}
+
+pub fn request(method: Method, path: &str) -> Request {
+    let url = Url::parse(&format!("http://127.0.0.1{path}")).unwrap();
+    Request::new(method, url)
+}
+
+/// Version of an accepted change.
+pub fn version(answer: &Answer) -> u64 {
+    let body: serde_json::Value = serde_json::from_str(&answer.body).unwrap();
+    body["version"].as_u64().unwrap()
+}
+
+/// Name of the result code, reason and current version of a refusal.
+pub fn refusal(answer: &Answer) -> String {
+    let body: serde_json::Value = serde_json::from_str(&answer.body).unwrap();
+    let error = &body["error"];
+    let word = |field: &str| error[field].as_str().unwrap_or("?").to_owned();
+    let version = match error["current_version"].as_u64() {
+        Some(version) => format!(" current {version}"),
+        None => String::new(),
+    };
+    format!(
+        "{} {} ran={}{version}: {}",
+        answer.status,
+        word("name"),
+        word("ran"),
+        word("reason")
+    )
+}
--- /dev/null
+++ b/crates/radishpin-server/tests/operator/main.rs
@@ -0,0 +1,10 @@
+//! The operators' API over the platform in memory.
+
+mod faults;
+mod fixture;
+mod loopback;
+mod profiles;
+mod races;
+mod status;
+mod stops;
+mod token;
--- /dev/null
+++ b/crates/radishpin-server/tests/operator/stops.rs
@@ -0,0 +1,117 @@
+//! Planned stops: plans, warnings, repeated plans.
+
+use crate::fixture::{Answer, Fixture, NOW_UNIX_MS, refusal, version};
+use http_types::Method;
+
+const HOUR_MS: u64 = 3_600_000;
+
+fn plan(fixture: &Fixture, id: &str, target: &str, from_ms: u64, to_ms: u64) -> Answer {
+    let body = format!(
+        r#"{{"id":"{id}","target":{target},"from_unix_ms":{},"to_unix_ms":{}}}"#,
+        NOW_UNIX_MS + from_ms,
+        NOW_UNIX_MS + to_ms
+    );
+    fixture.order(Method::Post, "/v1/stops", "", &body)
+}
+
+fn put_endpoint(fixture: &Fixture, name: &str, host: &str, zone: &str, service: &str) {
+    let record = format!(
+        r#"{{"host":"{host}","availability_zone":"{zone}","agent_address":"127.0.0.1:1","service":"{service}","memory_mb":1000,"concurrency":4,"incarnation":1}}"#
+    );
+    fixture
+        .platform
+        .put_row(&format!("endpoint/{name}"), Some(&record));
+}
+
+fn put_model(fixture: &Fixture, name: &str, endpoints: &[&str]) {
+    let grants: Vec<String> = endpoints
+        .iter()
+        .map(|endpoint| format!(r#""{endpoint}":{{"state":"held","since_version":1}}"#))
+        .collect();
+    let record = format!(
+        r#"{{"service":"drafting","size_mb":100,"replicas":2,"grants":{{{}}}}}"#,
+        grants.join(",")
+    );
+    fixture
+        .platform
+        .put_row(&format!("model/{name}"), Some(&record));
+}
+
+/// Three endpoints at two hosts of two availability zones; one plain service at one host.
+fn cluster() -> Fixture {
+    let fixture = Fixture::new();
+    put_endpoint(&fixture, "e1", "h1", "gondar", "drafting");
+    put_endpoint(&fixture, "e2", "h2", "lalibela", "drafting");
+    put_endpoint(&fixture, "b1", "h1", "gondar", "booking");
+    put_model(&fixture, "spread", &["e1", "e2"]);
+    put_model(&fixture, "single", &["e1"]);
+    put_model(&fixture, "nowhere", &[]);
+    let services = &fixture.platform;
+    services.put_row(
+        "service/drafting",
+        Some(r#"{"kind":"models","profile":"slow"}"#),
+    );
+    services.put_row(
+        "service/booking",
+        Some(r#"{"kind":"plain","profile":"slow"}"#),
+    );
+    services.put_row("head", Some(r#"{"operation":"set-up"}"#));
+    fixture.poll();
+    fixture
+}
+
+#[test]
+fn a_plan_warns_of_what_will_be_refused() {
+    let fixture = cluster();
+    let h1 = plan(&fixture, "s1", r#"{"host":"h1"}"#, HOUR_MS, 2 * HOUR_MS);
+    assert_eq!(h1.status, 201, "{h1:?}");
+    fixture.poll();
+    // Together with the first stop, nothing is left of `spread`.
+    let zone = r#"{"availability_zone":"lalibela"}"#;
+    plan(&fixture, "s2", zone, 0, 90 * 60_000);
+    plan(&fixture, "s3", r#"{"host":"h9"}"#, HOUR_MS, 2 * HOUR_MS);
+    fixture.poll();
+    let list = fixture.order(Method::Get, "/v1/stops", "", "");
+    let list: serde_json::Value = serde_json::from_str(&list.body).unwrap();
+    insta::assert_json_snapshot!(list);
+}
+
+#[test]
+fn the_same_plan_again_changes_nothing() {
+    let fixture = cluster();
+    let target = r#"{"host":"h2"}"#;
+    let first = plan(&fixture, "s1", target, HOUR_MS, 2 * HOUR_MS);
+    let again = plan(&fixture, "s1", target, HOUR_MS, 2 * HOUR_MS);
+    assert_eq!(first.status, 201, "{first:?}");
+    assert_eq!(again.status, 200, "{again:?}");
+    assert_eq!(version(&first), version(&again));
+    let other = plan(&fixture, "s1", target, HOUR_MS, 3 * HOUR_MS);
+    insta::assert_snapshot!(refusal(&other), @"409 version_conflict ran=no current 10: stop/s1 exists at version 10; the order names none");
+}
+
+#[test]
+fn a_stop_is_cancelled_once() {
+    let fixture = cluster();
+    plan(&fixture, "s1", r#"{"host":"h2"}"#, HOUR_MS, 2 * HOUR_MS);
+    let cancelled = fixture.order(Method::Delete, "/v1/stops/s1", "", "");
+    assert_eq!(cancelled.status, 200, "{cancelled:?}");
+    let again = fixture.order(Method::Delete, "/v1/stops/s1", "", "");
+    insta::assert_snapshot!(refusal(&again), @"404 unknown_stop ran=no: no planned stop s1");
+    let planned = plan(&fixture, "s1", r#"{"host":"h2"}"#, HOUR_MS, 2 * HOUR_MS);
+    assert_eq!(planned.status, 201, "{planned:?}");
+}
+
+#[test]
+fn a_plan_without_sense_is_refused() {
+    let fixture = cluster();
+    let inverted = plan(&fixture, "-s", r#"{"host":"a b"}"#, 2 * HOUR_MS, HOUR_MS);
+    let target = plan(&fixture, "s1", r#"{"rack":"r1"}"#, 0, HOUR_MS);
+    let past = r#"{"id":"s1","target":{"host":"h1"},"from_unix_ms":1,"to_unix_ms":2}"#;
+    let past = fixture.order(Method::Post, "/v1/stops", "", past);
+    let lines = [inverted, target, past].map(|answer| refusal(&answer));
+    insta::assert_snapshot!(lines.join("\n"), @"
+    422 document_invalid ran=no: id: not a name; target.host: not a name; to_unix_ms: must be after from_unix_ms
+    422 document_invalid ran=no: target: unknown variant `rack`, expected `host` or `availability_zone` at line 1 column 27
+    422 document_invalid ran=no: to_unix_ms: is in the past
+    ");
+}
--- a/src/client.rs
+++ b/src/client.rs
@@ -29,6 +29,7 @@
 pub(crate) struct Order {
     pub(crate) method: Method,
     pub(crate) path: String,
+    /// Version that must stand, for an order that depends on one; 0 for a new document.
     pub(crate) if_match: Option<Version>,
     pub(crate) body: Option<String>,
     pub(crate) find_out: String,
@@ -64,10 +65,10 @@
         })
     }
 
-    /// The same on condition that the version stands.
+    /// The same on condition that the version stands, or that there is no document yet.
     pub(crate) fn if_match(self, version: Option<Version>) -> Self {
         Self {
-            if_match: version,
+            if_match: Some(version.unwrap_or_default()),
             ..self
         }
     }
@@ -100,7 +101,7 @@
         let no_answer = || Err(self.no_answer(order, "no answer in time".to_owned()));
         let (status, body) = answer.unwrap_or_else(no_answer)?;
         if !(200..300).contains(&status) {
-            return Err(self.refused(status, &body));
+            return Err(self.refused(order, status, &body));
         }
         serde_json::from_str(&body).map_err(|e| self.unreadable(&e.to_string()))
     }
@@ -154,30 +155,33 @@
         }
     }
 
-    fn refused(&self, status: u16, body: &str) -> CommandError {
+    fn refused(&self, order: &Order, status: u16, body: &str) -> CommandError {
         let Ok(refusal) = serde_json::from_str::<ErrorBody>(body) else {
             return self.unreadable(&format!("status {status} without an error body"));
         };
         let text = if self.json {
             body.to_owned()
         } else {
-            refusal_text(&refusal)
+            refusal_text(order, &refusal)
         };
         CommandError::Refused { text }
     }
 }
 
-fn refusal_text(refusal: &ErrorBody) -> String {
+fn refusal_text(order: &Order, refusal: &ErrorBody) -> String {
     let error = &refusal.error;
     let mut text = format!(
         "refused: {} ({}): {}\n{}",
         error.name, error.code, error.reason, error.help
     );
-    if let Some(version) = error.current_version {
-        text.push_str(&format!(
-            "\nIf the change is still wanted, repeat it with --if-version {version}."
-        ));
-    }
+    let repeat = match error.current_version.filter(|_| order.if_match.is_some()) {
+        Some(0) => "\nTo create it, repeat the order without --if-version.".to_owned(),
+        Some(version) => {
+            format!("\nTo change it all the same, repeat the order with --if-version {version}.")
+        }
+        None => String::new(),
+    };
+    text.push_str(&repeat);
     text.push_str(&format!("\nrequest id: {}", error.request_id));
     text
 }
