--- a/crates/radishpin-server/tests/operator/fixture.rs
+++ b/crates/radishpin-server/tests/operator/fixture.rs
@@ -49,11 +49,11 @@
             },
             ..ClientSettings::default()
         };
-        let metrics = PlatformMetrics::unregistered().unwrap();
+        let metrics = PlatformMetrics::unregistered().expect("metrics");
         let client = PlatformClient::new(Arc::new(platform.clone()), settings, metrics, 1);
         let reader = ViewReader::new(client.clone());
         let board = Arc::new(StatusBoard::default());
-        let token = Token::new(TOKEN).unwrap();
+        let token = Token::new(TOKEN).expect("a token");
         let mut context = OperatorContext::new(
             "node-1".to_owned(),
             token,
@@ -63,7 +63,7 @@
         );
         context.clock = || UNIX_EPOCH + Duration::from_millis(NOW_UNIX_MS);
         let registry = Registry::new();
-        let api = Arc::new(OperatorApi::new(context, &registry).unwrap());
+        let api = Arc::new(OperatorApi::new(context, &registry).expect("an API"));
         Self {
             platform,
             board,
@@ -75,7 +75,7 @@
 
     /// Brings the node's view up to date.
     pub fn poll(&self) {
-        smol::block_on(self.reader.lock().poll()).unwrap();
+        smol::block_on(self.reader.lock().poll()).expect("a poll");
     }
 
     /// Gives an order with the right token.
@@ -112,7 +112,7 @@
         Answer {
             status: u16::from(response.status()),
             retry_after: retry_after.map(|values| values.last().to_string()),
-            body: response.body_string().await.unwrap(),
+            body: response.body_string().await.expect("a body"),
         }
     }
 
@@ -125,19 +125,19 @@
 }
 
 pub fn request(method: Method, path: &str) -> Request {
-    let url = Url::parse(&format!("http://127.0.0.1{path}")).unwrap();
+    let url = Url::parse(&format!("http://127.0.0.1{path}")).expect("a URL");
     Request::new(method, url)
 }
 
 /// Version of an accepted change.
 pub fn version(answer: &Answer) -> u64 {
-    let body: serde_json::Value = serde_json::from_str(&answer.body).unwrap();
-    body["version"].as_u64().unwrap()
+    let body: serde_json::Value = serde_json::from_str(&answer.body).expect("JSON");
+    body["version"].as_u64().expect("a version")
 }
 
 /// Name of the result code, reason and current version of a refusal.
 pub fn refusal(answer: &Answer) -> String {
-    let body: serde_json::Value = serde_json::from_str(&answer.body).unwrap();
+    let body: serde_json::Value = serde_json::from_str(&answer.body).expect("JSON");
     let error = &body["error"];
     let word = |field: &str| error[field].as_str().unwrap_or("?").to_owned();
     let version = match error["current_version"].as_u64() {
--- a/crates/radishpin-server/tests/operator/loopback.rs
+++ b/crates/radishpin-server/tests/operator/loopback.rs
@@ -9,12 +9,12 @@
 use std::{net::SocketAddr, sync::Arc};
 
 async fn send(client: &Client, address: SocketAddr, token: &str, body: &[u8]) -> (u16, String) {
-    let url = Url::parse(&format!("http://{address}/v1/profiles/slow")).unwrap();
+    let url = Url::parse(&format!("http://{address}/v1/profiles/slow")).expect("a URL");
     let mut request = Request::new(Method::Put, url);
     request.insert_header("authorization", format!("Bearer {token}"));
     request.set_body(body);
-    let mut response = client.send(address, request).await.unwrap();
-    let body = response.body_string().await.unwrap();
+    let mut response = client.send(address, request).await.expect("an answer");
+    let body = response.body_string().await.expect("a body");
     (u16::from(response.status()), body)
 }
 
--- /dev/null
+++ b/tests/operator/failures.rs
@@ -0,0 +1,65 @@
+//! The API refuses, is not there, or gives no answer.
+
+use crate::cluster::{Cluster, PROFILE, run};
+use std::{
+    io::Read,
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    thread,
+};
+
+#[test]
+fn a_wrong_token_is_refused() {
+    let cluster = Cluster::start();
+    insta::assert_snapshot!(run(cluster.address, "another-token-of-16", "profile list"), @"
+    exit 1
+    refused: token_wrong (4002): the token is not the operators' token
+    Check the token.
+    ");
+    insta::assert_snapshot!(run(cluster.address, "short", "profile list"), @"
+    exit 2
+    --token-file (from RADISHPIN_TOKEN): value hidden: 5 characters; a token has 16 to 256
+    ");
+}
+
+#[test]
+fn a_node_that_is_not_there_is_named() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let shown = run(address, "0123456789abcdef", "status");
+    assert!(
+        shown.starts_with("exit 1\nADDRESS: cannot connect: "),
+        "{shown}"
+    );
+    assert!(
+        shown.ends_with("check --server and whether the node runs"),
+        "{shown}"
+    );
+}
+
+/// Takes one request and hangs up without an answer.
+fn silent_node() -> (SocketAddr, thread::JoinHandle<()>) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let taking = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let _ = stream.read(&mut [0; 4_096]);
+    });
+    (address, taking)
+}
+
+#[test]
+fn a_change_without_an_answer_is_not_known() {
+    let cluster = Cluster::start();
+    let path = cluster.file("slow.json", PROFILE);
+    let (address, taking) = silent_node();
+    let shown = run(
+        address,
+        "0123456789abcdef",
+        &format!("profile set slow {path}"),
+    );
+    taking.join().unwrap();
+    let end = "whether the order was accepted is not known: see `radishpin profile show slow`";
+    assert!(shown.starts_with("exit 1\nADDRESS: "), "{shown}");
+    assert!(shown.ends_with(end), "{shown}");
+}
