Try settings and orders with random input

Cause: arguments, environment and orders come from outside; any of them must end in faults or a code, never in a panic or an endless read.

Change: proptest over arguments, environment, single values and orders to the operators' API; the profile document in the help is parsed by a test; of a token file only the first 4 KiB are read.

--- a/crates/radishpin-server/tests/operator/main.rs
+++ b/crates/radishpin-server/tests/operator/main.rs
@@ -5,6 +5,7 @@
 mod loopback;
 mod profiles;
 mod races;
+mod random;
 mod status;
 mod stops;
 mod token;
--- a/src/settings/values.rs
+++ b/src/settings/values.rs
@@ -5,11 +5,14 @@
 use radishpin_server::Token;
 use std::{
     collections::{BTreeMap, BTreeSet},
-    fs,
+    fs::File,
+    io::{self, Read},
     net::SocketAddr,
     time::Duration,
 };
 
+const TOKEN_FILE_BYTES: u64 = 4_096;
+
 /// The checked settings and operands of a command.
 #[derive(Clone, Debug, Default)]
 pub struct Values {
@@ -206,7 +209,7 @@
 }
 
 fn read_token_file(setting: &Setting, path: &str) -> Result<Value, Fault> {
-    let text = fs::read_to_string(path).map_err(|cause| Fault::NotAllowed {
+    let text = read_start(path).map_err(|cause| Fault::NotAllowed {
         setting: source_label(setting, ""),
         value: path.to_owned(),
         allowed: format!("a readable file ({cause})"),
@@ -214,6 +217,15 @@
     read_token(setting, "", &text)
 }
 
+/// The start of a file, which may be a device without end; longer than any token.
+fn read_start(path: &str) -> io::Result<String> {
+    let mut text = String::new();
+    File::open(path)?
+        .take(TOKEN_FILE_BYTES)
+        .read_to_string(&mut text)?;
+    Ok(text)
+}
+
 fn read_token(setting: &Setting, env: &str, text: &str) -> Result<Value, Fault> {
     Token::new(text)
         .map(Value::Token)
--- a/tests/help.rs
+++ b/tests/help.rs
@@ -85,3 +85,10 @@
     };
     insta::assert_snapshot!(text);
 }
+
+#[test]
+fn the_document_in_the_help_is_sound() {
+    let notes = Command::Profile.spec().notes;
+    let start = notes.find('{').unwrap();
+    radishpin_protocol::Profile::parse(&notes[start..]).unwrap();
+}
