--- a/crates/radishpin-core/src/lib.rs
+++ b/crates/radishpin-core/src/lib.rs
@@ -11,3 +11,4 @@
 mod mutation;
 pub mod process;
 pub mod request;
+pub mod version;
--- /dev/null
+++ b/crates/radishpin-server/src/node/process.rs
@@ -0,0 +1,183 @@
+//! What lives as long as the node's process.
+
+mod error;
+mod metrics;
+mod route;
+mod run;
+
+pub use error::NodeError;
+pub use run::RunningNode;
+
+use super::{connection::AgentLink, request::Refusal, version::Leases};
+use crate::{clock::Clock, operator::StatusBoard, settings::NodeSettings};
+use event_listener::Event;
+use metrics::NodeMetrics;
+use parking_lot::Mutex;
+use radishpin_core::{process::Membership, request::RetryBudgets};
+use radishpin_http::Shutdown;
+use radishpin_protocol::prelude::*;
+use radishpin_runtime::Runtime;
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, AtomicU64, Ordering},
+};
+
+/// Retries that a node may make beyond a tenth of its requests.
+const NODE_RETRY_BURST: u32 = 50;
+/// Retries that a service may cause beyond a tenth of its requests.
+const SERVICE_RETRY_BURST: u32 = 20;
+
+/// When a caller may come back, to this node or another.
+const RETRY_ELSEWHERE: Duration = Duration::from_secs(1);
+
+/// Links to agents by endpoint.
+pub(super) type Links = BTreeMap<EndpointId, Arc<AgentLink>>;
+
+/// A node.
+#[derive(Debug)]
+pub struct Node {
+    pub(super) settings: NodeSettings,
+    pub(super) runtime: Runtime,
+    pub(super) clock: Clock,
+    pub(super) metrics: NodeMetrics,
+    pub(super) shutdown: Shutdown,
+    view: Mutex<Arc<ClusterView>>,
+    links: Mutex<Arc<Links>>,
+    /// Notified when the view or what is known of an endpoint has changed.
+    pub(super) routes_changed: Event,
+    /// Notified when models want grants.
+    pub(super) control_wanted: Event,
+    /// Models that calls wait for without an endpoint that can serve them.
+    pub(super) unmet: Mutex<BTreeSet<ModelId>>,
+    /// Endpoints that refused to load a model for lack of memory, and when.
+    pub(super) unable: Mutex<BTreeMap<(ModelId, EndpointId), Duration>>,
+    /// Notified when the head row should be read at once.
+    pub(super) view_wanted: Event,
+    /// Notified when heartbeats should be sent at once.
+    pub(super) sync_wanted: Event,
+    /// What is known of hosts and endpoints.
+    pub(super) members: Arc<Mutex<Membership>>,
+    /// Hosts of nodes, by the host list.
+    pub(super) nodes: Mutex<BTreeSet<NodeId>>,
+    pub(super) leases: Leases,
+    pub(super) board: Arc<StatusBoard>,
+    retries: Mutex<RetryBudgets>,
+    has_view: AtomicBool,
+    boot_id: u64,
+    last_request: AtomicU64,
+}
+
+impl Node {
+    fn new(settings: NodeSettings, runtime: Runtime, shutdown: Shutdown) -> Self {
+        Self {
+            runtime,
+            clock: Clock::start(),
+            metrics: NodeMetrics::new(),
+            shutdown,
+            view: Mutex::default(),
+            links: Mutex::default(),
+            routes_changed: Event::new(),
+            control_wanted: Event::new(),
+            unmet: Mutex::default(),
+            unable: Mutex::default(),
+            view_wanted: Event::new(),
+            sync_wanted: Event::new(),
+            members: Arc::default(),
+            nodes: Mutex::default(),
+            leases: Leases::new(&settings.name),
+            board: Arc::default(),
+            retries: Mutex::new(RetryBudgets::new(NODE_RETRY_BURST, SERVICE_RETRY_BURST)),
+            has_view: AtomicBool::new(false),
+            boot_id: rand::random(),
+            last_request: AtomicU64::new(0),
+            settings,
+        }
+    }
+
+    /// The view in force.
+    pub(super) fn view(&self) -> Arc<ClusterView> {
+        Arc::clone(&self.view.lock())
+    }
+
+    /// The links to agents.
+    pub(super) fn links(&self) -> Arc<Links> {
+        Arc::clone(&self.links.lock())
+    }
+
+    /// Puts a newer view and its links in force; `false` where it is not newer.
+    pub(super) fn put_view(&self, view: ClusterView, links: Links) -> bool {
+        let mut current = self.view.lock();
+        let first = !self.has_view.swap(true, Ordering::AcqRel);
+        if view.version <= current.version && !first {
+            return false;
+        }
+        self.metrics
+            .view_version
+            .set(i64::try_from(view.version).unwrap_or(i64::MAX));
+        *self.links.lock() = Arc::new(links);
+        *current = Arc::new(view);
+        drop(current);
+        self.routes_changed.notify(usize::MAX);
+        true
+    }
+
+    /// An id that no other request of any node has.
+    pub(super) fn next_request_id(&self) -> RequestId {
+        let number = self.last_request.fetch_add(1, Ordering::Relaxed);
+        format!("{}-{:016x}-{number}", self.settings.name, self.boot_id)
+    }
+
+    /// A random word for a decision.
+    pub(super) fn random(&self) -> u64 {
+        rand::random()
+    }
+
+    /// Counts a request in the retry budgets.
+    pub(super) fn count_request(&self, service: &str) {
+        self.retries.lock().record_request(service);
+    }
+
+    /// Takes a retry out of the budgets.
+    pub(super) fn take_retry(&self, service: &str) -> bool {
+        self.retries.lock().try_take(service)
+    }
+}
+
+/// Counts a request while it is being served.
+#[derive(Debug)]
+pub(super) struct RunningGuard {
+    node: Arc<Node>,
+}
+
+impl Node {
+    /// Counts a request as running until the guard is dropped.
+    pub(super) fn count_running(self: &Arc<Self>) -> RunningGuard {
+        self.metrics.requests.inc();
+        self.metrics.running.inc();
+        RunningGuard {
+            node: Arc::clone(self),
+        }
+    }
+
+    /// Whether requests can be served.
+    ///
+    /// # Errors
+    /// The node has no configuration yet, or is stopping.
+    pub(super) fn check_ready(&self) -> Result<(), Refusal> {
+        if self.shutdown.has_begun() {
+            let reason = "the node is stopping";
+            return Err(Refusal::new(ResultCode::Draining, reason).after(RETRY_ELSEWHERE));
+        }
+        if !self.has_view.load(Ordering::Acquire) {
+            let reason = "the node has no configuration yet";
+            return Err(Refusal::new(ResultCode::NotReady, reason).after(RETRY_ELSEWHERE));
+        }
+        Ok(())
+    }
+}
+
+impl Drop for RunningGuard {
+    fn drop(&mut self) {
+        self.node.metrics.running.dec();
+    }
+}
--- a/crates/radishpin-server/src/operator/profiles.rs
+++ b/crates/radishpin-server/src/operator/profiles.rs
@@ -45,7 +45,7 @@
     context: &OperatorContext,
     name: &ProfileId,
 ) -> Result<Response, Refusal> {
-    let table = context.table();
+    let table = &context.table;
     let earlier = table.profile_history(name).await?;
     if earlier.is_empty() && table.get(&key_of(name)).await?.value.is_none() {
         return Err(unknown_profile(name));
@@ -77,7 +77,7 @@
         invalid(lines.join("; "))
     })?;
     let key = key_of(name);
-    let table = context.table();
+    let table = &context.table;
     let row = table.get(&key).await?;
     check_seen(&key, &row, seen)?;
     let change = Change::new(&key, &row, Some(value_of(&profile)?));
@@ -109,7 +109,7 @@
     seen: Version,
 ) -> Result<Option<Response>, Refusal> {
     let key = key_of(name);
-    let table = context.table();
+    let table = &context.table;
     // Read before the services: an unchanged head proves that no service was added meanwhile.
     let head = table.get(HEAD_KEY).await?;
     let row = table.get(&key).await?;
@@ -129,7 +129,7 @@
 }
 
 async fn refuse_if_used(context: &OperatorContext, name: &str) -> Result<(), Refusal> {
-    let listing = context.table().list(SERVICE_PREFIX).await?;
+    let listing = context.table.list(SERVICE_PREFIX).await?;
     let mut view = ClusterView::default();
     apply_rows(&mut view, listing, |error| {
         Err(Refusal::new(ResultCode::Internal, error.to_string()))
--- a/crates/radishpin-server/src/operator/services.rs
+++ b/crates/radishpin-server/src/operator/services.rs
@@ -44,7 +44,7 @@
     let seen = seen_version(&received.request)?;
     let change: ServiceChange = body_document(&received.body)?;
     let key = key_of(name);
-    let table = context.table();
+    let table = &context.table;
     let row = table.get(&key).await?;
     check_seen(&key, &row, seen)?;
     let service = ServiceRecord {
--- a/crates/radishpin-server/src/operator/stops.rs
+++ b/crates/radishpin-server/src/operator/stops.rs
@@ -42,9 +42,9 @@
     let now_unix_ms = context.now_unix_ms();
     check_plan(&stop, now_unix_ms)?;
     let key = key_of(&stop.id);
-    let table = context.table();
+    let table = &context.table;
     let row = table.get(&key).await?;
-    let warnings = stop_warnings(&context.view.current(), &stop, now_unix_ms);
+    let warnings = stop_warnings(&(context.view)(), &stop, now_unix_ms);
     if let Some(value) = &row.value {
         let standing: StopRecord = record(&key, value)?;
         // The same plan again, after a lost answer.
@@ -62,7 +62,7 @@
 /// `DELETE /v1/stops/ID`
 pub(super) async fn cancel(context: &OperatorContext, id: &str) -> Result<Response, Refusal> {
     let key = key_of(id);
-    let table = context.table();
+    let table = &context.table;
     let row = table.get(&key).await?;
     if row.value.is_none() {
         return Err(unknown_stop(id));
--- a/crates/radishpin-server/src/operator/table.rs
+++ b/crates/radishpin-server/src/operator/table.rs
@@ -10,7 +10,7 @@
 
 /// The platform's table as the operators' API uses it.
 #[derive(Clone, Debug)]
-pub(super) struct Table {
+pub struct Table {
     client: PlatformClient,
     writer: ViewWriter,
 }
@@ -63,7 +63,7 @@
 
 impl Table {
     /// Uses `client`.
-    pub(super) fn new(client: PlatformClient) -> Self {
+    pub fn new(client: PlatformClient) -> Self {
         let writer = ViewWriter::new(client.clone());
         Self { client, writer }
     }
--- a/crates/radishpin-server/tests/operator/fixture.rs
+++ b/crates/radishpin-server/tests/operator/fixture.rs
@@ -8,7 +8,7 @@
 use radishpin_protocol::UnixMs;
 use radishpin_server::{
     Token,
-    operator::{OperatorApi, OperatorContext, StatusBoard},
+    operator::{OperatorApi, OperatorContext, StatusBoard, Table},
 };
 use radishpin_standin::MemoryPlatform;
 use std::{
@@ -52,16 +52,17 @@
         let metrics = PlatformMetrics::unregistered().expect("metrics");
         let client = PlatformClient::new(Arc::new(platform.clone()), settings, metrics, 1);
         let reader = ViewReader::new(client.clone());
+        let handle = reader.handle();
         let board = Arc::new(StatusBoard::default());
         let token = Token::new(TOKEN).expect("a token");
-        let mut context = OperatorContext::new(
-            "node-1".to_owned(),
+        let context = OperatorContext {
+            node: "node-1".to_owned(),
             token,
-            reader.handle(),
-            client,
-            Arc::clone(&board),
-        );
-        context.clock = || UNIX_EPOCH + Duration::from_millis(NOW_UNIX_MS);
+            view: Arc::new(move || handle.current()),
+            table: Table::new(client),
+            board: Arc::clone(&board),
+            clock: || UNIX_EPOCH + Duration::from_millis(NOW_UNIX_MS),
+        };
         let registry = Registry::new();
         let api = Arc::new(OperatorApi::new(context, &registry).expect("an API"));
         Self {
--- a/tests/operator/cluster.rs
+++ b/tests/operator/cluster.rs
@@ -5,7 +5,7 @@
 use radishpin_runtime::Runtime;
 use radishpin_server::{
     Token,
-    operator::{OperatorApi, OperatorContext, StatusBoard, operator_limits},
+    operator::{OperatorApi, OperatorContext, StatusBoard, Table, operator_limits},
 };
 use radishpin_standin::MemoryPlatform;
 use smol::net::TcpListener;
@@ -41,13 +41,15 @@
         let metrics = PlatformMetrics::unregistered().expect("metrics");
         let client = PlatformClient::new(Arc::new(platform.clone()), settings, metrics, 1);
         let reader = ViewReader::new(client.clone());
-        let context = OperatorContext::new(
-            "node-1".to_owned(),
-            Token::new(TOKEN).expect("a token"),
-            reader.handle(),
-            client,
-            Arc::new(StatusBoard::default()),
-        );
+        let handle = reader.handle();
+        let context = OperatorContext {
+            node: "node-1".to_owned(),
+            token: Token::new(TOKEN).expect("a token"),
+            view: Arc::new(move || handle.current()),
+            table: Table::new(client),
+            board: Arc::new(StatusBoard::default()),
+            clock: std::time::SystemTime::now,
+        };
         let api = OperatorApi::new(context, &prometheus::Registry::new()).expect("an API");
         let runtime = Runtime::start(2).expect("threads");
         let listener = smol::block_on(TcpListener::bind("127.0.0.1:0")).expect("a port");
