--- a/crates/radishpin-server/src/node/process/run.rs
+++ b/crates/radishpin-server/src/node/process/run.rs
@@ -31,7 +31,7 @@
         let (callers, address) = listen(settings.listen).await?;
         let (operators, operator_address) = listen(settings.operator_listen).await?;
         let node = Arc::new(Self::new(settings, runtime.clone(), shutdown));
-        let client = platform_client(Arc::clone(&platform), &node.metrics.registry);
+        let client = platform_client(platform, &node.metrics.registry);
         let tasks = vec![
             runtime.spawn(Arc::clone(&node).poll_views(client.clone())),
             runtime.spawn(Arc::clone(&node).poll_hosts(client.clone())),
@@ -41,7 +41,7 @@
         ];
         let servers = vec![
             runtime.spawn(Arc::clone(&node).serve_callers(callers)),
-            runtime.spawn(Arc::clone(&node).serve_operators(operators, platform)),
+            runtime.spawn(Arc::clone(&node).serve_operators(operators, client.clone())),
         ];
         Ok(RunningNode {
             node,
@@ -63,7 +63,7 @@
     async fn serve_operators(
         self: Arc<Self>,
         listener: TcpListener,
-        platform: Arc<dyn Platform>,
+        client: PlatformClient,
     ) -> io::Result<()> {
         let node = Arc::clone(&self);
         let view: ViewSource = Arc::new(move || node.view());
@@ -71,7 +71,7 @@
             node: self.settings.name.clone(),
             token: self.settings.token.clone(),
             view,
-            table: Table::new(platform),
+            table: Table::new(client),
             board: Arc::clone(&self.board),
             clock: SystemTime::now,
         };
