--- a/crates/radishpin-core/src/request.rs
+++ b/crates/radishpin-core/src/request.rs
@@ -15,7 +15,7 @@
 mod stream_cursor;
 mod work_queue;
 
-pub use admission::{AdmissionRefusal, admit, estimate_wait, retry_after};
+pub use admission::{AdmissionRefusal, admit, estimate_wait, queue_wait, retry_after};
 pub use attempt_ledger::{Admission, AttemptLedger, AttemptState, TombstoneOutcome};
 pub use keyed_call::{
     Answer, Dispatch, Fingerprint, INLINE_ANSWER_BYTES, KeyedCall, KeyedRow, KeyedStep, StoreReply,
--- a/crates/radishpin-core/src/request/admission.rs
+++ b/crates/radishpin-core/src/request/admission.rs
@@ -8,6 +8,10 @@
 /// Longest time after which a refused caller is told to come back.
 const RETRY_AFTER_MAX: Duration = Duration::from_secs(120);
 
+/// The mean wait has half as much again added: calls vary in length, and a queue under overload
+/// always stands at the limit, where without a margin every other admission would come too late.
+const WAIT_MARGIN_DIVISOR: u32 = 2;
+
 /// The request cannot be served in time; it was not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AdmissionRefusal {
@@ -49,12 +53,14 @@
     base + Duration::from_millis(random % spread_ms)
 }
 
-/// Time until one more call finds a place among `concurrency`.
-fn queue_wait(outstanding: u32, concurrency: u32, service_time: Duration) -> Duration {
+/// Time within which one more call very likely finds a place among `concurrency`, behind
+/// `outstanding` calls that run or wait before it.
+pub fn queue_wait(outstanding: u32, concurrency: u32, service_time: Duration) -> Duration {
     let places = concurrency.max(1);
     if outstanding < places {
         return Duration::ZERO;
     }
     let ends_needed = outstanding - places + 1;
-    service_time.saturating_mul(ends_needed) / places
+    let mean = service_time.saturating_mul(ends_needed) / places;
+    mean + mean / WAIT_MARGIN_DIVISOR
 }
--- a/crates/radishpin-core/src/request/work_queue.rs
+++ b/crates/radishpin-core/src/request/work_queue.rs
@@ -1,9 +1,16 @@
-//! The bounded queue of an agent: places per service, priorities with ageing, deadlines.
+//! The bounded queue of an agent: fair shares by priority, places per service, deadlines.
+//!
+//! Fair queueing: while several services wait, each is served in proportion to the weight of its
+//! priority, so none starves, and patient callers cannot crowd out impatient ones. Within a
+//! service the order is that of arrival. An item that is given up uses nothing of the share.
 
+mod flow;
+
+use flow::{Flow, Waiting, weight};
 use radishpin_protocol::prelude::*;
 
-/// Highest priority.
-const MAX_PRIORITY: u32 = 9;
+/// Rounds after which the estimate of [`WorkQueue::served_before`] is near enough.
+const ESTIMATE_ROUNDS: u32 = 6;
 
 /// Bounds of a [`WorkQueue`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -12,8 +19,6 @@
     pub capacity: usize,
     /// Places that one service may take.
     pub per_service: usize,
-    /// Waiting time that counts as much as one step of priority.
-    pub ageing: Duration,
 }
 
 /// Why an item is not queued.
@@ -34,25 +39,15 @@
     Expired(T),
 }
 
-/// Order of service: the time of arrival, later by one `ageing` for each step below the highest
-/// priority. The order of two items never changes, so an item is overtaken only by items that
-/// arrive within `9 * ageing` after it.
-type Rank = (Duration, u64);
-
-#[derive(Clone, Debug)]
-struct Waiting<T> {
-    item: T,
-    service: ServiceId,
-    deadline: Duration,
-}
-
 /// Items that wait for a place at the endpoint.
 #[derive(Clone, Debug)]
 pub struct WorkQueue<T> {
     limits: QueueLimits,
-    waiting: BTreeMap<Rank, Waiting<T>>,
-    deadlines: BTreeSet<(Duration, Rank)>,
-    taken: BTreeMap<ServiceId, usize>,
+    flows: BTreeMap<ServiceId, Flow<T>>,
+    // By deadline and order of arrival.
+    deadlines: BTreeMap<(Duration, u64), ServiceId>,
+    // Virtual start time of the item served last.
+    virtual_now: u64,
     sequence: u64,
 }
 
@@ -61,9 +56,9 @@
     pub fn new(limits: QueueLimits) -> Self {
         Self {
             limits,
-            waiting: BTreeMap::new(),
-            deadlines: BTreeSet::new(),
-            taken: BTreeMap::new(),
+            flows: BTreeMap::new(),
+            deadlines: BTreeMap::new(),
+            virtual_now: 0,
             sequence: 0,
         }
     }
@@ -80,23 +75,21 @@
         deadline: Duration,
         now: Duration,
     ) -> Result<(), QueueRefusal> {
-        if self.waiting.len() >= self.limits.capacity {
+        if self.len() >= self.limits.capacity {
             return Err(QueueRefusal::Full);
         }
         if self.len_of(service) >= self.limits.per_service {
             return Err(QueueRefusal::ServiceLimit);
         }
-        let rank = (self.virtual_arrival(priority, now), self.sequence);
+        let sequence = self.sequence;
         self.sequence += 1;
-        *self.taken.entry(service.to_owned()).or_default() += 1;
-        self.deadlines.insert((deadline, rank));
-        let service = service.to_owned();
-        let waiting = Waiting {
-            item,
-            service,
-            deadline,
-        };
-        self.waiting.insert(rank, waiting);
+        self.deadlines
+            .insert((deadline, sequence), service.to_owned());
+        let waiting = Waiting { item, deadline };
+        self.flows
+            .entry(service.to_owned())
+            .or_insert_with(Flow::new)
+            .push(sequence, waiting, priority, self.virtual_now, now);
         Ok(())
     }
 
@@ -105,83 +98,91 @@
         if let Some(item) = self.pop_expired(now) {
             return Some(Popped::Expired(item));
         }
-        let (rank, waiting) = self.waiting.pop_first()?;
-        self.unlist(rank, &waiting);
+        let ranked = self.flows.values_mut().filter_map(|f| Some((f.rank()?, f)));
+        let ((start, sequence), flow) = ranked.min_by_key(|(rank, _)| *rank)?;
+        let waiting = flow.serve()?;
+        self.virtual_now = start;
+        self.deadlines.remove(&(waiting.deadline, sequence));
+        self.flows.retain(|_, flow| !flow.is_idle(start, now));
         Some(Popped::Ready(waiting.item))
     }
 
     /// Takes an item whose deadline passed, also while the endpoint has no free place.
     pub fn pop_expired(&mut self, now: Duration) -> Option<T> {
-        let (deadline, rank) = *self.deadlines.first()?;
+        let entry = self.deadlines.first_entry()?;
+        let (deadline, sequence) = *entry.key();
         if deadline > now {
             return None;
         }
-        self.take(rank)
+        let service = entry.remove();
+        let waiting = self.flows.get_mut(&service)?.remove(sequence)?;
+        Some(waiting.item)
     }
 
     /// The next deadline, for a timer that calls [`Self::pop_expired`].
     pub fn next_deadline(&self) -> Option<Duration> {
-        self.deadlines.first().map(|(deadline, _)| *deadline)
+        self.deadlines.first_key_value().map(|((at, _), _)| *at)
     }
 
     /// Takes out the items that `gone` names, for callers that hung up.
     pub fn remove_if(&mut self, mut gone: impl FnMut(&T) -> bool) -> Vec<T> {
-        let ranks: Vec<Rank> = self
-            .waiting
-            .iter()
-            .filter(|(_, waiting)| gone(&waiting.item))
-            .map(|(rank, _)| *rank)
-            .collect();
-        ranks.into_iter().filter_map(|r| self.take(r)).collect()
+        let mut removed = Vec::new();
+        for flow in self.flows.values_mut() {
+            for sequence in flow.matching(&mut gone) {
+                let Some(waiting) = flow.remove(sequence) else {
+                    continue;
+                };
+                self.deadlines.remove(&(waiting.deadline, sequence));
+                removed.push(waiting.item);
+            }
+        }
+        removed
     }
 
-    /// Takes all items, in order of service.
+    /// Takes all items, in order of arrival.
     pub fn drain(&mut self) -> Vec<T> {
         self.deadlines.clear();
-        self.taken.clear();
-        let waiting = std::mem::take(&mut self.waiting);
-        waiting.into_values().map(|waiting| waiting.item).collect()
+        let flows = std::mem::take(&mut self.flows);
+        let items = flows.into_values().flat_map(Flow::into_items);
+        let ordered: BTreeMap<u64, T> = items.collect();
+        ordered.into_values().collect()
     }
 
-    /// Items that would be served before one that arrives now.
-    pub fn ahead_of(&self, priority: u32, now: Duration) -> usize {
-        let rank = (self.virtual_arrival(priority, now), self.sequence);
-        self.waiting.range(..rank).count()
+    /// Items that will have been served before one of `service` that arrives now, those that
+    /// overtake it included, where the endpoint ends one call each `pace`.
+    pub fn served_before(
+        &self,
+        service: &str,
+        priority: u32,
+        pace: Duration,
+        now: Duration,
+    ) -> usize {
+        let own = self.len_of(service);
+        let own_weight = weight(priority);
+        let mut before = own as f64;
+        for _ in 0..ESTIMATE_ROUNDS {
+            let wait = pace.mul_f64(before);
+            let others = self.flows.iter().filter(|(id, _)| *id != service);
+            let overtaking: f64 = others
+                .map(|(_, flow)| flow.served_before(own, own_weight, wait, now))
+                .sum();
+            before = own as f64 + overtaking;
+        }
+        before.round() as usize
     }
 
     /// Items that wait.
     pub fn len(&self) -> usize {
-        self.waiting.len()
+        self.deadlines.len()
     }
 
     /// Items of one service that wait.
     pub fn len_of(&self, service: &str) -> usize {
-        self.taken.get(service).copied().unwrap_or(0)
+        self.flows.get(service).map_or(0, Flow::len)
     }
 
     /// Whether nothing waits.
     pub fn is_empty(&self) -> bool {
-        self.waiting.is_empty()
-    }
-
-    fn virtual_arrival(&self, priority: u32, now: Duration) -> Duration {
-        let steps_below = MAX_PRIORITY - priority.min(MAX_PRIORITY);
-        now.saturating_add(self.limits.ageing.saturating_mul(steps_below))
-    }
-
-    fn take(&mut self, rank: Rank) -> Option<T> {
-        let waiting = self.waiting.remove(&rank)?;
-        self.unlist(rank, &waiting);
-        Some(waiting.item)
-    }
-
-    fn unlist(&mut self, rank: Rank, waiting: &Waiting<T>) {
-        self.deadlines.remove(&(waiting.deadline, rank));
-        if let Some(taken) = self.taken.get_mut(&waiting.service) {
-            *taken -= 1;
-            if *taken == 0 {
-                self.taken.remove(&waiting.service);
-            }
-        }
+        self.deadlines.is_empty()
     }
 }
