--- a/crates/radishpin-standin/src/plain_service.rs
+++ b/crates/radishpin-standin/src/plain_service.rs
@@ -132,15 +132,11 @@
     }
 
     /// Runs one call to its effect, and returns the effect's number.
-    async fn run(&self, attempt: &str) -> u64 {
+    async fn run(&self, attempt: &str, key: Option<&str>) -> u64 {
         while self.shared.faults.lock().frozen {
             smol::Timer::after(POLL).await;
         }
         let settings = &self.shared.settings;
-        let key = received
-            .request
-            .header(IDEMPOTENCY_KEY_HEADER)
-            .map(|values| values.last().as_str());
         let run = self.shared.journal.start(attempt, &settings.name, key);
         let effect = run.effect();
         if !settings.service_time.is_zero() {
@@ -184,7 +180,11 @@
             .request
             .header(REQUEST_ID_HEADER)
             .map_or("unnamed/1", |values| values.last().as_str());
-        let Some(effect) = self.run(attempt.to_owned()).await else {
+        let key = received
+            .request
+            .header(IDEMPOTENCY_KEY_HEADER)
+            .map(|values| values.last().as_str().to_owned());
+        let Some(effect) = self.run(attempt.to_owned(), key).await else {
             return reply::empty(StatusCode::InternalServerError);
         };
         let mut response = self.service.answer(received, effect);
@@ -197,11 +197,11 @@
         response
     }
 
-    async fn run(&self, attempt: String) -> Option<u64> {
+    async fn run(&self, attempt: String, key: Option<String>) -> Option<u64> {
         let (sender, receiver) = async_channel::bounded(1);
         let service = self.service.clone();
         self.runtime.spawn_detached(async move {
-            let effect = service.run(&attempt).await;
+            let effect = service.run(&attempt, key.as_deref()).await;
             // The peer may have hung up; the effect stands all the same.
             let _ = sender.send(effect).await;
         });
