Run keyed calls through their durable row, and end broken bodies in an error

Cause: a call that may run once only needs its key checked before any answer says 'not run'; a large answer that broke off ended like a whole one; grants planned in one round all went to the endpoint with the least promised memory.

Change: the row of an Idempotency-Key is read first, written before each attempt and closed with the answer; a broken body ends in an error; memory promised within a round counts for the next model.

--- a/crates/radishpin-server/src/agent/process.rs
+++ b/crates/radishpin-server/src/agent/process.rs
@@ -64,10 +64,11 @@
 impl Agent {
     fn new(settings: AgentSettings, runtime: Runtime, shutdown: Shutdown) -> Self {
         let endpoint = Endpoint::new(settings.endpoint, settings.kind);
-        let places = Places::new(settings.concurrency, settings.queue_places as usize);
+        let clock = Clock::start();
+        let places = Places::new(clock, settings.concurrency, settings.queue_places as usize);
         Self {
             runtime,
-            clock: Clock::start(),
+            clock,
             endpoint,
             ledger: Mutex::new(None),
             ledger_changed: Event::new(),
--- a/crates/radishpin-server/src/agent/process/places.rs
+++ b/crates/radishpin-server/src/agent/process/places.rs
@@ -7,8 +7,8 @@
 use radishpin_runtime::timeout;
 use std::sync::Arc;
 
-/// Waiting time that counts as much as one step of priority.
-const AGEING: Duration = Duration::from_millis(500);
+/// Share of the queue that one model, or one plain service, may take: three in four.
+const FLOW_SHARE: (usize, usize) = (3, 4);
 
 /// Tells a waiting attempt that it has a place.
 type Turn = async_channel::Sender<Place>;
@@ -22,6 +22,7 @@
 /// Places of one endpoint; clones share them.
 #[derive(Clone, Debug)]
 pub(in crate::agent) struct Places {
+    clock: Clock,
     concurrency: u32,
     queue_places: usize,
     state: Arc<Mutex<State>>,
@@ -36,15 +37,15 @@
 
 impl Places {
     /// `concurrency` places and `queue_places` behind them.
-    pub(in crate::agent) fn new(concurrency: u32, queue_places: usize) -> Self {
+    pub(in crate::agent) fn new(clock: Clock, concurrency: u32, queue_places: usize) -> Self {
         let limits = QueueLimits {
             capacity: queue_places,
-            per_service: queue_places,
-            ageing: AGEING,
+            per_service: (queue_places * FLOW_SHARE.0 / FLOW_SHARE.1).max(1),
         };
         let queue = WorkQueue::new(limits);
         let state = Arc::new(Mutex::new(State { running: 0, queue }));
         Self {
+            clock,
             concurrency,
             queue_places,
             state,
@@ -67,11 +68,10 @@
     /// The queue is full, or the deadline passed. The attempt has not run.
     pub(in crate::agent) async fn wait(
         &self,
-        clock: &Clock,
         request: &ExecuteRequest,
         deadline: Duration,
     ) -> Result<Place, AttemptRefusal> {
-        let now = clock.now();
+        let now = self.clock.now();
         let turn = match self.enter(request, deadline, now)? {
             Entry::Place(place) => return Ok(place),
             Entry::Queued(turn) => turn,
@@ -118,7 +118,7 @@
         let (turn, my_turn) = async_channel::bounded(1);
         state
             .queue
-            .push(turn, &request.service, request.priority, deadline, now)
+            .push(turn, flow_of(request), request.priority, deadline, now)
             .map_err(refusal_of)?;
         Ok(Entry::Queued(my_turn))
     }
@@ -135,7 +135,7 @@
         loop {
             let turn = {
                 let mut state = self.state.lock();
-                match state.queue.pop(Duration::ZERO) {
+                match state.queue.pop(self.clock.now()) {
                     Some(Popped::Ready(turn)) => turn,
                     Some(Popped::Expired(_)) => continue,
                     None => {
@@ -166,6 +166,15 @@
     }
 }
 
+/// Calls share the endpoint by model, or by service where there is no model.
+fn flow_of(request: &ExecuteRequest) -> &str {
+    if request.model.is_empty() {
+        &request.service
+    } else {
+        &request.model
+    }
+}
+
 fn refusal_of(refusal: QueueRefusal) -> AttemptRefusal {
     match refusal {
         QueueRefusal::Full => {
--- a/crates/radishpin-server/src/agent/request/attempt.rs
+++ b/crates/radishpin-server/src/agent/request/attempt.rs
@@ -40,7 +40,7 @@
         let deadline = self.clock.now() + Duration::from_millis(request.remaining_ms);
         let guard = self.admit(request)?;
         let _residence = residence::ensure(self, request, deadline).await?;
-        let place = self.places.wait(&self.clock, request, deadline).await?;
+        let place = self.places.wait(request, deadline).await?;
         self.refuse_when_leaving()?;
         if !guard.start() {
             let detail = "the attempt was tombstoned while it waited";
--- a/crates/radishpin-server/src/node/process.rs
+++ b/crates/radishpin-server/src/node/process.rs
@@ -9,12 +9,15 @@
 pub use run::RunningNode;
 
 use super::{connection::AgentLink, request::Refusal, version::Leases};
-use crate::{clock::Clock, operator::StatusBoard, settings::NodeSettings};
+use crate::{
+    clock::Clock, operator::StatusBoard, platform::platform_client, settings::NodeSettings,
+};
 use event_listener::Event;
 use metrics::NodeMetrics;
 use parking_lot::Mutex;
 use radishpin_core::{process::Membership, request::RetryBudgets};
 use radishpin_http::Shutdown;
+use radishpin_platform::{Platform, PlatformClient};
 use radishpin_protocol::prelude::*;
 use radishpin_runtime::Runtime;
 use std::sync::{
@@ -41,6 +44,8 @@
     pub(super) clock: Clock,
     pub(super) metrics: NodeMetrics,
     pub(super) shutdown: Shutdown,
+    /// Client of the platform.
+    pub(super) client: PlatformClient,
     view: Mutex<Arc<ClusterView>>,
     links: Mutex<Arc<Links>>,
     /// Notified when the view or what is known of an endpoint has changed.
@@ -68,12 +73,20 @@
 }
 
 impl Node {
-    fn new(settings: NodeSettings, runtime: Runtime, shutdown: Shutdown) -> Self {
+    fn new(
+        settings: NodeSettings,
+        runtime: Runtime,
+        platform: Arc<dyn Platform>,
+        shutdown: Shutdown,
+    ) -> Self {
+        let metrics = NodeMetrics::new();
+        let client = platform_client(platform, &metrics.registry);
         Self {
             runtime,
             clock: Clock::start(),
-            metrics: NodeMetrics::new(),
+            metrics,
             shutdown,
+            client,
             view: Mutex::default(),
             links: Mutex::default(),
             routes_changed: Event::new(),
--- a/crates/radishpin-server/src/node/process/metrics.rs
+++ b/crates/radishpin-server/src/node/process/metrics.rs
@@ -17,6 +17,7 @@
     pub(in crate::node) requests: IntCounter,
     pub(in crate::node) view_version: IntGauge,
     pub(in crate::node) running: IntGauge,
+    pub(in crate::node) replays: IntCounter,
     pub(in crate::node) shards_held: IntGauge,
     pub(in crate::node) polls_failed: IntCounter,
     pub(in crate::node) heartbeats_failed: IntCounter,
@@ -59,6 +60,11 @@
                 "radishpin_requests_running",
                 "Requests being served.",
             ),
+            replays: counter(
+                &registry,
+                "radishpin_replays_total",
+                "Keyed calls answered with the stored answer of an earlier one.",
+            ),
             shards_held: gauge(
                 &registry,
                 "radishpin_shards_held",
--- a/crates/radishpin-server/src/node/process/run.rs
+++ b/crates/radishpin-server/src/node/process/run.rs
@@ -4,7 +4,6 @@
 use crate::{
     node::connection::CallersApi,
     operator::{OperatorApi, OperatorContext, Table, ViewSource, operator_limits},
-    platform::platform_client,
     settings::NodeSettings,
 };
 use radishpin_http::{Server, Shutdown};
@@ -30,8 +29,8 @@
     ) -> Result<RunningNode, NodeError> {
         let (callers, address) = listen(settings.listen).await?;
         let (operators, operator_address) = listen(settings.operator_listen).await?;
-        let node = Arc::new(Self::new(settings, runtime.clone(), shutdown));
-        let client = platform_client(platform, &node.metrics.registry);
+        let node = Arc::new(Self::new(settings, runtime.clone(), platform, shutdown));
+        let client = node.client.clone();
         let tasks = vec![
             runtime.spawn(Arc::clone(&node).poll_views(client.clone())),
             runtime.spawn(Arc::clone(&node).poll_hosts(client.clone())),
@@ -47,7 +46,6 @@
             node,
             address,
             operator_address,
-            client,
             tasks,
             servers,
         })
@@ -106,7 +104,6 @@
     pub address: SocketAddr,
     /// Address for operators.
     pub operator_address: SocketAddr,
-    client: PlatformClient,
     tasks: Vec<Task<()>>,
     servers: Vec<Task<io::Result<()>>>,
 }
@@ -130,6 +127,10 @@
         for task in self.tasks {
             task.cancel().await;
         }
-        timeout(GIVE_BACK_TIMEOUT, self.node.give_leases_back(&self.client)).await;
+        timeout(
+            GIVE_BACK_TIMEOUT,
+            self.node.give_leases_back(&self.node.client),
+        )
+        .await;
     }
 }
--- a/crates/radishpin-server/src/node/request.rs
+++ b/crates/radishpin-server/src/node/request.rs
@@ -5,6 +5,7 @@
 mod call;
 mod dispatch;
 mod events;
+mod keyed;
 mod parse;
 mod refusal;
 
--- a/crates/radishpin-server/src/node/request/attempt.rs
+++ b/crates/radishpin-server/src/node/request/attempt.rs
@@ -1,10 +1,11 @@
 //! One attempt as the node sees it: sent to an agent, its frames read one by one.
 
 use crate::{
+    clock::Clock,
     node::{connection::AgentLink, request::Call},
     rpc::ChannelError,
 };
-use radishpin_core::request::{AttemptOutcome, TombstoneOutcome};
+use radishpin_core::request::{AttemptOutcome, Dispatch, TOMBSTONE_TIMEOUT, TombstoneOutcome};
 use radishpin_protocol::{
     prelude::*,
     wire::{
@@ -25,6 +26,7 @@
     pub(super) number: AttemptNumber,
     pub(super) incarnation: Incarnation,
     started: bool,
+    clock: Clock,
     frames: Streaming<ExecuteReply>,
     _sent: SentGuard,
 }
@@ -65,8 +67,9 @@
         link: &Arc<AgentLink>,
         number: AttemptNumber,
         resume_offset: u64,
-        now: Duration,
+        clock: Clock,
     ) -> Result<Self, FailedAttempt> {
+        let now = clock.now();
         let incarnation = link.incarnation();
         let sent = SentGuard(Arc::clone(link));
         link.count_sent();
@@ -86,12 +89,13 @@
                 number,
                 incarnation,
                 started: false,
+                clock,
                 frames: response.into_inner(),
                 _sent: sent,
             }),
             Some(Err(status)) => {
                 let outcome = outcome_of_status(&status);
-                link.call_failed(now);
+                link.call_failed(clock.now());
                 Err(failed(outcome, status.message().to_owned()))
             }
             None => Err(failed(
@@ -102,11 +106,7 @@
     }
 
     /// The next part of the answer, waiting at most for `limit`.
-    pub(super) async fn next(
-        &mut self,
-        limit: Duration,
-        now: Duration,
-    ) -> Result<Part, FailedAttempt> {
+    pub(super) async fn next(&mut self, limit: Duration) -> Result<Part, FailedAttempt> {
         let deadline_limit = limit + DEADLINE_GRACE;
         loop {
             let frame = match timeout(deadline_limit, self.frames.message()).await {
@@ -115,7 +115,7 @@
                     return Err(self.failed(self.no_answer(), detail.to_owned()));
                 }
                 Some(Err(status)) => {
-                    self.link.call_failed(now);
+                    self.link.call_failed(self.clock.now());
                     return Err(self.failed(self.no_answer(), status.message().to_owned()));
                 }
                 Some(Ok(None)) => {
@@ -125,7 +125,7 @@
                 Some(Ok(Some(frame))) => frame,
             };
             if let Some(load) = frame.load {
-                self.link.note_load(load, now);
+                self.link.note_load(load, self.clock.now());
             }
             match frame.frame {
                 Some(Frame::Started(_)) => self.started = true,
@@ -182,27 +182,56 @@
 
 impl FailedAttempt {
     /// Asks the agent to make sure that the attempt never starts.
-    pub(super) async fn tombstone(&self, call: &Call, limit: Duration) -> AttemptOutcome {
-        let request = TombstoneRequest {
+    pub(super) async fn tombstone(&self, call: &Call) -> AttemptOutcome {
+        let id = AttemptId {
             request_id: call.id.clone(),
-            attempt: self.number,
+            number: self.number,
         };
-        match timeout(limit, self.link.client().tombstone(request)).await {
-            Some(Ok(reply)) => {
-                let reply = reply.into_inner();
-                let outcome = match reply.outcome() {
-                    tombstone_reply::Outcome::NeverRuns => TombstoneOutcome::NeverRuns,
-                    tombstone_reply::Outcome::Started => TombstoneOutcome::Started,
-                    tombstone_reply::Outcome::Finished => TombstoneOutcome::Finished,
-                    tombstone_reply::Outcome::Unspecified => TombstoneOutcome::Unknown,
-                };
-                AttemptOutcome::Tombstoned(outcome.between(self.incarnation, reply.incarnation))
-            }
-            Some(Err(_)) | None => AttemptOutcome::TombstoneLost,
+        match tombstone(&self.link, &id, self.incarnation).await {
+            Some(outcome) => AttemptOutcome::Tombstoned(outcome),
+            None => AttemptOutcome::TombstoneLost,
         }
     }
 }
 
+/// What became of an attempt that another request announced; it never starts from then on,
+/// where the outcome says so.
+pub(super) async fn settle_dispatch(
+    link: Option<&Arc<AgentLink>>,
+    dispatch: &Dispatch,
+) -> TombstoneOutcome {
+    let Some(link) = link else {
+        return TombstoneOutcome::Unknown;
+    };
+    let id = AttemptId {
+        request_id: dispatch.request_id.clone(),
+        number: dispatch.attempt,
+    };
+    let outcome = tombstone(link, &id, dispatch.incarnation).await;
+    outcome.unwrap_or(TombstoneOutcome::Unknown)
+}
+
+/// Tombstones an attempt that was sent to `incarnation` of the agent; `None` without an answer.
+async fn tombstone(
+    link: &AgentLink,
+    id: &AttemptId,
+    incarnation: Incarnation,
+) -> Option<TombstoneOutcome> {
+    let request = TombstoneRequest {
+        request_id: id.request_id.clone(),
+        attempt: id.number,
+    };
+    let reply = timeout(TOMBSTONE_TIMEOUT, link.client().tombstone(request)).await?;
+    let reply = reply.ok()?.into_inner();
+    let outcome = match reply.outcome() {
+        tombstone_reply::Outcome::NeverRuns => TombstoneOutcome::NeverRuns,
+        tombstone_reply::Outcome::Started => TombstoneOutcome::Started,
+        tombstone_reply::Outcome::Finished => TombstoneOutcome::Finished,
+        tombstone_reply::Outcome::Unspecified => TombstoneOutcome::Unknown,
+    };
+    Some(outcome.between(incarnation, reply.incarnation))
+}
+
 fn execute_request(
     call: &Call,
     link: &AgentLink,
--- a/crates/radishpin-server/src/node/request/body.rs
+++ b/crates/radishpin-server/src/node/request/body.rs
@@ -8,7 +8,7 @@
     task::{Context, Poll, ready},
 };
 
-type Pieces = Pin<Box<dyn Stream<Item = Vec<u8>> + Send>>;
+type Pieces = Pin<Box<dyn Stream<Item = io::Result<Vec<u8>>> + Send>>;
 
 /// Reader over a stream of pieces; nothing is produced ahead of the caller's reading but one
 /// piece.
@@ -21,7 +21,7 @@
 
 impl PieceReader {
     /// A reader of `pieces`; empty pieces are passed over.
-    pub(super) fn new(pieces: impl Stream<Item = Vec<u8>> + Send + 'static) -> Self {
+    pub(super) fn new(pieces: impl Stream<Item = io::Result<Vec<u8>>> + Send + 'static) -> Self {
         Self {
             pieces: Mutex::new(Box::pin(pieces)),
             piece: Vec::new(),
@@ -35,7 +35,7 @@
         let reader = self.get_mut();
         while reader.consumed_bytes >= reader.piece.len() {
             match ready!(reader.pieces.get_mut().as_mut().poll_next(context)) {
-                Some(piece) => reader.piece = piece,
+                Some(piece) => reader.piece = piece?,
                 None => return Poll::Ready(Ok(&[])),
             }
             reader.consumed_bytes = 0;
--- a/crates/radishpin-server/src/node/request/dispatch.rs
+++ b/crates/radishpin-server/src/node/request/dispatch.rs
@@ -3,14 +3,19 @@
 use super::{
     Call, Refusal,
     attempt::{Attempt, FailedAttempt, Part},
+    keyed::{KeyCheck, KeyedSession, Replay},
 };
 use crate::node::{Node, connection::AgentLink};
-use radishpin_core::request::{
-    AttemptOutcome, CallFacts, Step, TOMBSTONE_TIMEOUT, next_step, retry_after,
+use radishpin_core::request::{AttemptOutcome, CallFacts, Step, next_step, retry_after};
+use radishpin_protocol::{
+    prelude::*,
+    wire::{Head, Header},
 };
-use radishpin_protocol::{prelude::*, wire::Head};
 use std::sync::Arc;
 
+/// Header on an answer that was stored for an earlier call.
+pub(super) const REPLAYED_HEADER: &str = "idempotent-replayed";
+
 /// An attempt whose answer has begun.
 pub(super) struct Begun {
     /// Status and headers.
@@ -21,6 +26,27 @@
     pub(super) attempt: Option<Attempt>,
 }
 
+impl Begun {
+    /// The stored answer of an earlier call with the same key.
+    fn replayed(replay: Replay) -> Self {
+        let header = |name: &str, value: String| Header {
+            name: name.to_owned(),
+            value: value.into_bytes(),
+        };
+        Self {
+            head: Head {
+                status: u32::from(replay.status),
+                headers: vec![
+                    header("content-type", replay.content_type),
+                    header(REPLAYED_HEADER, "true".to_owned()),
+                ],
+            },
+            first: Some(replay.body),
+            attempt: None,
+        }
+    }
+}
+
 /// How far a request has come.
 pub(super) struct Progress {
     pub(super) node: Arc<Node>,
@@ -29,12 +55,15 @@
     pub(super) attempts: AttemptNumber,
     /// Endpoints whose attempt failed.
     failed_at: BTreeSet<EndpointId>,
+    /// The row of the call's key, where it has one.
+    pub(super) keyed: Option<KeyedSession>,
 }
 
 impl Progress {
     /// A request of which nothing has been tried.
     pub(super) fn new(node: Arc<Node>, call: Call) -> Self {
         Self {
+            keyed: KeyedSession::of(&node, &call),
             node,
             call,
             attempts: 0,
@@ -50,6 +79,9 @@
         self.node.count_request(&self.call.service);
         loop {
             let link = self.node.route(&self.call, &mut self.failed_at).await?;
+            if let Some(replay) = self.announce(&link).await? {
+                return Ok(Begun::replayed(replay));
+            }
             match self.attempt(&link, offset).await {
                 Ok(begun) => return Ok(begun),
                 Err(failed) => self.recover(failed).await?,
@@ -73,7 +105,7 @@
                     return Ok(());
                 }
                 Step::Tombstone => {
-                    outcome = failed.tombstone(&self.call, TOMBSTONE_TIMEOUT).await;
+                    outcome = failed.tombstone(&self.call).await;
                 }
                 Step::Refuse(code) => return Err(self.refusal(code, &failed)),
                 Step::Unknown(code) => return Err(self.refusal(code, &failed)),
@@ -81,14 +113,38 @@
         }
     }
 
+    /// Checks the key of the call, where it has one, before anything else is decided.
+    ///
+    /// # Errors
+    /// The key is not free.
+    pub(super) async fn check_key(&mut self) -> Result<Option<Begun>, Refusal> {
+        let Some(keyed) = self.keyed.as_mut() else {
+            return Ok(None);
+        };
+        match keyed.check(&self.call).await? {
+            KeyCheck::Proceed => Ok(None),
+            KeyCheck::Replay(replay) => Ok(Some(Begun::replayed(replay))),
+        }
+    }
+
+    async fn announce(&mut self, link: &AgentLink) -> Result<Option<Replay>, Refusal> {
+        let Some(keyed) = self.keyed.as_mut() else {
+            return Ok(None);
+        };
+        match keyed.announce(&self.call, link, self.attempts + 1).await? {
+            KeyCheck::Proceed => Ok(None),
+            KeyCheck::Replay(replay) => Ok(Some(replay)),
+        }
+    }
+
     async fn attempt(
         &mut self,
         link: &Arc<AgentLink>,
         offset: u64,
     ) -> Result<Begun, FailedAttempt> {
         self.attempts += 1;
-        let now = self.node.clock.now();
-        let mut attempt = Attempt::send(&self.call, link, self.attempts, offset, now).await?;
+        let clock = self.node.clock;
+        let mut attempt = Attempt::send(&self.call, link, self.attempts, offset, clock).await?;
         let head = match self.next_part(&mut attempt).await? {
             Part::Head(head) => head,
             Part::Chunk(..) | Part::End => return Err(attempt.malformed()),
@@ -109,8 +165,8 @@
     }
 
     async fn next_part(&self, attempt: &mut Attempt) -> Result<Part, FailedAttempt> {
-        let now = self.node.clock.now();
-        attempt.next(self.call.remaining(now), now).await
+        let remaining = self.call.remaining(self.node.clock.now());
+        attempt.next(remaining).await
     }
 
     fn decide(&self, outcome: AttemptOutcome) -> Step {
--- a/crates/radishpin-server/src/node/request/events.rs
+++ b/crates/radishpin-server/src/node/request/events.rs
@@ -4,7 +4,7 @@
     Call, Refusal,
     attempt::{Attempt, FailedAttempt, Part},
     body::PieceReader,
-    dispatch::{Begun, Progress},
+    dispatch::{Begun, Progress, REPLAYED_HEADER},
     refusal::REQUEST_ID_HEADER,
 };
 use crate::node::Node;
@@ -12,7 +12,7 @@
 use http_types::{Body, Response, StatusCode, headers::HeaderName};
 use radishpin_core::request::{AttemptOutcome, ChunkVerdict, StreamCursor};
 use radishpin_protocol::{ErrorBody, engine::STREAM_END, prelude::*, wire::Head};
-use std::{str::FromStr, sync::Arc};
+use std::{io, str::FromStr, sync::Arc};
 
 /// Largest answer that is read whole before the caller gets its first byte.
 const WHOLE_BODY_BYTES_MAX: usize = 1024 * 1024;
@@ -30,16 +30,45 @@
             let begun = progress.begin(0).await?;
             return Ok(event_response(progress, begun));
         }
-        loop {
-            let begun = progress.begin(0).await?;
-            match read_whole(begun).await {
-                Ok(answer) => return Ok(answer.into_response(&progress.call)),
-                Err(failed) => progress.recover(failed).await?,
+        if let Some(replayed) = progress.check_key().await? {
+            return Ok(Answer::from(replayed).into_response(&progress.call));
+        }
+        let served = serve_whole(&mut progress).await;
+        if let (Err(refusal), Some(keyed)) = (&served, progress.keyed.as_mut())
+            && refusal.code.ran() == Ran::No
+        {
+            keyed.release().await;
+        }
+        served
+    }
+}
+
+async fn serve_whole(progress: &mut Progress) -> Result<Response, Refusal> {
+    loop {
+        let begun = progress.begin(0).await?;
+        match read_whole(begun).await {
+            Ok(answer) => {
+                keep_answer(progress, &answer).await;
+                return Ok(answer.into_response(&progress.call));
             }
+            Err(failed) => progress.recover(failed).await?,
         }
     }
 }
 
+/// Writes the answer of a keyed call down for replay; one that is too large to be read whole
+/// is not kept, and a repeated call is told that its outcome is unknown.
+async fn keep_answer(progress: &mut Progress, answer: &Answer) {
+    let status = u16::try_from(answer.head.status).unwrap_or_default();
+    let content_type = answer.header("content-type");
+    let replayed = answer.header(REPLAYED_HEADER).is_some();
+    if let (Some(keyed), None, false) = (progress.keyed.as_mut(), &answer.rest, replayed) {
+        keyed
+            .finish(status, content_type.unwrap_or_default(), &answer.body)
+            .await;
+    }
+}
+
 /// An answer that is whole, or too large to be read whole first.
 struct Answer {
     head: Head,
@@ -48,26 +77,40 @@
 }
 
 async fn read_whole(begun: Begun) -> Result<Answer, FailedAttempt> {
-    let mut body = begun.first.unwrap_or_default();
-    let mut rest = begun.attempt;
-    while let Some(attempt) = rest.as_mut() {
-        if body.len() > WHOLE_BODY_BYTES_MAX {
+    let mut answer = Answer::from(begun);
+    while let Some(attempt) = answer.rest.as_mut() {
+        if answer.body.len() > WHOLE_BODY_BYTES_MAX {
             break;
         }
-        match attempt.next(STALL_TIMEOUT, Duration::ZERO).await? {
-            Part::Chunk(_, data) => body.extend_from_slice(&data),
-            Part::End => rest = None,
+        match attempt.next(STALL_TIMEOUT).await? {
+            Part::Chunk(_, data) => answer.body.extend_from_slice(&data),
+            Part::End => answer.rest = None,
             Part::Head(_) => return Err(attempt.malformed()),
         }
     }
-    Ok(Answer {
-        head: begun.head,
-        body,
-        rest,
-    })
+    Ok(answer)
+}
+
+impl From<Begun> for Answer {
+    fn from(begun: Begun) -> Self {
+        Self {
+            head: begun.head,
+            body: begun.first.unwrap_or_default(),
+            rest: begun.attempt,
+        }
+    }
 }
 
 impl Answer {
+    fn header(&self, name: &str) -> Option<&str> {
+        let header = self
+            .head
+            .headers
+            .iter()
+            .find(|header| header.name == name)?;
+        std::str::from_utf8(&header.value).ok()
+    }
+
     fn into_response(self, call: &Call) -> Response {
         let mut response = response_of(&self.head, call);
         let Some(attempt) = self.rest else {
@@ -79,11 +122,15 @@
             }
             return response;
         };
-        let first = stream::once(self.body);
-        let rest = stream::unfold(attempt, |mut attempt| async {
-            match attempt.next(STALL_TIMEOUT, Duration::ZERO).await {
-                Ok(Part::Chunk(_, data)) => Some((data, attempt)),
-                Ok(Part::End | Part::Head(_)) | Err(_) => None,
+        let first = stream::once(Ok(self.body));
+        // An answer that breaks off must not look whole, so the body ends in an error.
+        let rest = stream::unfold(Some(attempt), |attempt| async {
+            let mut attempt = attempt?;
+            match attempt.next(STALL_TIMEOUT).await {
+                Ok(Part::Chunk(_, data)) => Some((Ok(data), Some(attempt))),
+                Ok(Part::End) => None,
+                Ok(Part::Head(_)) => Some((Err(io::ErrorKind::InvalidData.into()), None)),
+                Err(failed) => Some((Err(io::Error::other(failed.detail)), None)),
             }
         });
         let reader = PieceReader::new(stream::StreamExt::chain(first, rest));
@@ -120,10 +167,10 @@
         let pump = Pump::new(progress, begun);
         PieceReader::new(stream::unfold(pump, |mut pump| async {
             let piece = pump.next_piece().await?;
-            Some((piece, pump))
+            Some((Ok(piece), pump))
         }))
     } else {
-        PieceReader::new(stream::once(begun.first.unwrap_or_default()))
+        PieceReader::new(stream::once(Ok(begun.first.unwrap_or_default())))
     };
     response.set_body(Body::from_reader(reader, None));
     if let Some(content_type) = content_type {
@@ -180,9 +227,8 @@
             let Some(attempt) = self.attempt.as_mut() else {
                 return Ok(None);
             };
-            let now = self.progress.node.clock.now();
             let number = attempt.number;
-            let failed = match attempt.next(STALL_TIMEOUT, now).await {
+            let failed = match attempt.next(STALL_TIMEOUT).await {
                 Ok(Part::Chunk(offset, data)) => match self.cursor.accept(number, offset) {
                     ChunkVerdict::Accept => return Ok(Some(data)),
                     ChunkVerdict::Duplicate => continue,
--- /dev/null
+++ b/crates/radishpin-server/src/node/request/keyed.rs
@@ -0,0 +1,273 @@
+//! A call with an `Idempotency-Key`: its durable row is written before each attempt.
+
+use super::{Call, Refusal, attempt::settle_dispatch};
+use crate::{
+    clock::unix_now_ms,
+    node::{Node, connection::AgentLink},
+};
+use radishpin_core::request::{
+    Answer, Dispatch, KeyedCall, KeyedRow, KeyedStep, StoreReply, after_commit, after_read,
+    finished, key_row, not_run, settle_pending,
+};
+use radishpin_platform::{CallError, Commit, CommitOutcome, Condition, Write};
+use radishpin_protocol::{CALL_PREFIX, prelude::*};
+use radishpin_runtime::timeout;
+use sha2::{Digest, Sha256};
+use std::sync::Arc;
+
+/// Time for which the answer of a finished call is kept for replay.
+const RETENTION: Duration = Duration::from_secs(24 * 3_600);
+/// Time for writing the outcome of a call down, beyond which the caller does not wait.
+const OUTCOME_TIMEOUT: Duration = Duration::from_secs(1);
+/// When a caller may come back whose key is not free yet.
+const RETRY_AFTER: Duration = Duration::from_secs(2);
+/// Steps that one call may take to get its key.
+const STEPS_MAX: u32 = 8;
+
+/// What the row of a key allows.
+pub(super) enum KeyCheck {
+    /// An attempt may be announced.
+    Proceed,
+    /// The call was answered before.
+    Replay(Replay),
+}
+
+/// The stored answer of a finished call.
+pub(super) struct Replay {
+    pub(super) status: u16,
+    pub(super) content_type: String,
+    pub(super) body: Vec<u8>,
+}
+
+/// The row of one call's key, as this node knows it.
+pub(super) struct KeyedSession {
+    node: Arc<Node>,
+    row_key: String,
+    fingerprint: String,
+    /// Version that the next write depends on.
+    version: Version,
+    /// The attempt announced last.
+    call: KeyedCall,
+}
+
+impl KeyedSession {
+    /// A session of a call that may run once only; `None` where the call has no key or needs
+    /// none.
+    pub(super) fn of(node: &Arc<Node>, call: &Call) -> Option<Self> {
+        let key = call.idempotency_key.as_ref().filter(|_| !call.idempotent)?;
+        let fingerprint = fingerprint(call);
+        Some(Self {
+            node: Arc::clone(node),
+            row_key: format!("{CALL_PREFIX}{}/{key}", call.service),
+            version: 0,
+            call: keyed_call(node, call, &fingerprint, None, 0),
+            fingerprint,
+        })
+    }
+
+    /// Reads the row first, as a refusal may say "not run" only where the key is known to be
+    /// free.
+    pub(super) async fn check(&mut self, call: &Call) -> Result<KeyCheck, Refusal> {
+        let mut step = KeyedStep::Read;
+        for _ in 0..STEPS_MAX {
+            step = match step {
+                KeyedStep::Read => self.read(call).await,
+                KeyedStep::Settle { version, dispatch } => self.settle(version, &dispatch).await,
+                KeyedStep::Write { if_version, .. } => {
+                    self.version = if_version;
+                    return Ok(KeyCheck::Proceed);
+                }
+                KeyedStep::Send => return Ok(KeyCheck::Proceed),
+                KeyedStep::Replay { status, answer } => {
+                    return self.replay(status, answer).await.map(KeyCheck::Replay);
+                }
+                KeyedStep::Refuse(code) => return Err(refused(code)),
+            };
+        }
+        Err(refused(ResultCode::KeyInProgress))
+    }
+
+    /// Announces an attempt; returns where it may be sent.
+    pub(super) async fn announce(
+        &mut self,
+        call: &Call,
+        link: &AgentLink,
+        number: AttemptNumber,
+    ) -> Result<KeyCheck, Refusal> {
+        self.call = keyed_call(&self.node, call, &self.fingerprint, Some(link), number);
+        let mut step = key_row(&self.call, self.version);
+        for _ in 0..STEPS_MAX {
+            step = match step {
+                KeyedStep::Write { if_version, row } => {
+                    after_commit(self.write(call, if_version, &row).await)
+                }
+                KeyedStep::Read => self.read(call).await,
+                KeyedStep::Settle { version, dispatch } => self.settle(version, &dispatch).await,
+                KeyedStep::Send => return Ok(KeyCheck::Proceed),
+                KeyedStep::Replay { status, answer } => {
+                    return self.replay(status, answer).await.map(KeyCheck::Replay);
+                }
+                KeyedStep::Refuse(code) => return Err(refused(code)),
+            };
+        }
+        Err(refused(ResultCode::KeyInProgress))
+    }
+
+    /// Writes the answer down for replay. Where that fails, a repeated call is told that the
+    /// outcome is unknown.
+    pub(super) async fn finish(&mut self, status: u16, content_type: &str, body: &[u8]) {
+        let object_key = format!("answers/{}", self.row_key);
+        let answer = Answer::place(content_type, body, &object_key);
+        let write = async {
+            if let Answer::Object { key, .. } = &answer
+                && let Err(cause) = self.node.client.put_object(key, body).await
+            {
+                log::warn!(event = "answer_not_kept", cause:% = cause; "a replay will be refused");
+                return;
+            }
+            let row = finished(&self.call, status, answer.clone());
+            self.write_outcome(&row).await;
+        };
+        timeout(OUTCOME_TIMEOUT, write).await;
+    }
+
+    /// Writes down that the call did not run, so that the key is free again at once.
+    pub(super) async fn release(&mut self) {
+        if self.version == 0 {
+            return;
+        }
+        let row = not_run(&self.call);
+        timeout(OUTCOME_TIMEOUT, self.write_outcome(&row)).await;
+    }
+
+    async fn write_outcome(&self, row: &KeyedRow) {
+        let Some(commit) = self.commit_of(self.version, row) else {
+            return;
+        };
+        if let Err(cause) = self.node.client.commit_once(&commit).await {
+            log::warn!(event = "outcome_not_kept", cause:% = cause; "a repeated call is refused");
+        }
+    }
+
+    async fn read(&mut self, call: &Call) -> KeyedStep {
+        let left = call.remaining(self.node.clock.now());
+        let row = match timeout(left, self.node.client.get(&self.row_key)).await {
+            Some(Ok(row)) => row,
+            Some(Err(_)) | None => return after_read(&self.call, None),
+        };
+        self.version = row.version;
+        match row.value.as_deref().map(serde_json::from_str::<KeyedRow>) {
+            None => after_read(&self.call, Some((row.version, None))),
+            Some(Ok(record)) => after_read(&self.call, Some((row.version, Some(&record)))),
+            // What the row said of the call cannot be read, so nothing is known of it.
+            Some(Err(_)) => KeyedStep::Refuse(ResultCode::OutcomeUnknown),
+        }
+    }
+
+    async fn write(&mut self, call: &Call, if_version: Version, row: &KeyedRow) -> StoreReply {
+        let Some(commit) = self.commit_of(if_version, row) else {
+            return StoreReply::NoEffect;
+        };
+        let left = call.remaining(self.node.clock.now());
+        match timeout(left, self.node.client.commit_once(&commit)).await {
+            Some(Ok(CommitOutcome::Committed(version))) => {
+                self.version = version;
+                StoreReply::Committed
+            }
+            Some(Ok(CommitOutcome::Conflict(_))) => StoreReply::Conflict,
+            Some(Err(CallError::Refused { .. })) => StoreReply::NoEffect,
+            Some(Err(CallError::Unknown { .. })) | None => StoreReply::Unknown,
+        }
+    }
+
+    async fn settle(&self, version: Version, dispatch: &Dispatch) -> KeyedStep {
+        let links = self.node.links();
+        let outcome = settle_dispatch(links.get(&dispatch.endpoint), dispatch).await;
+        settle_pending(&self.call, version, outcome)
+    }
+
+    async fn replay(&self, status: u16, answer: Answer) -> Result<Replay, Refusal> {
+        let (content_type, body) = match answer {
+            Answer::Inline { content_type, body } => (content_type, body.into_bytes()),
+            Answer::Object { content_type, key } => match self.node.client.get_object(&key).await {
+                Ok(Some(body)) => (content_type, body),
+                Ok(None) | Err(_) => return Err(refused(ResultCode::KeyUnchecked)),
+            },
+        };
+        self.node.metrics.replays.inc();
+        Ok(Replay {
+            status,
+            content_type,
+            body,
+        })
+    }
+
+    fn commit_of(&self, if_version: Version, row: &KeyedRow) -> Option<Commit> {
+        Some(Commit {
+            conditions: vec![Condition {
+                key: self.row_key.clone(),
+                version: if_version,
+            }],
+            writes: vec![Write {
+                key: self.row_key.clone(),
+                value: Some(serde_json::to_string(row).ok()?),
+            }],
+        })
+    }
+}
+
+fn keyed_call(
+    node: &Node,
+    call: &Call,
+    fingerprint: &str,
+    link: Option<&AgentLink>,
+    number: AttemptNumber,
+) -> KeyedCall {
+    let now_unix_ms = unix_now_ms();
+    let remaining = call.remaining(node.clock.now());
+    let remaining_ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
+    KeyedCall {
+        fingerprint: fingerprint.to_owned(),
+        dispatch: Dispatch {
+            operation: format!("{}/{number}", call.id),
+            request_id: call.id.clone(),
+            attempt: number,
+            endpoint: link.map(|link| link.endpoint().clone()).unwrap_or_default(),
+            incarnation: link.map(AgentLink::incarnation).unwrap_or_default(),
+            deadline_unix_ms: now_unix_ms.saturating_add(remaining_ms),
+        },
+        now_unix_ms,
+        retention: RETENTION,
+    }
+}
+
+/// Digest of what makes a call the same call. Each part is preceded by its length, so that no
+/// two calls run together.
+fn fingerprint(call: &Call) -> String {
+    let mut digest = Sha256::new();
+    let parts = [
+        call.service.as_bytes(),
+        call.method.as_bytes(),
+        call.path.as_bytes(),
+        &call.body,
+    ];
+    for part in parts {
+        digest.update((part.len() as u64).to_be_bytes());
+        digest.update(part);
+    }
+    format!("{:x}", digest.finalize())
+}
+
+fn refused(code: ResultCode) -> Refusal {
+    let reason = match code {
+        ResultCode::KeyReused => "the Idempotency-Key was used with another request",
+        ResultCode::KeyUnchecked => "the Idempotency-Key cannot be checked now",
+        ResultCode::KeyInProgress => "a call with the same Idempotency-Key is in progress",
+        _ => "an earlier call with the same Idempotency-Key has no known outcome",
+    };
+    let refusal = Refusal::new(code, reason);
+    match code {
+        ResultCode::KeyUnchecked | ResultCode::KeyInProgress => refusal.after(RETRY_AFTER),
+        _ => refusal,
+    }
+}
--- a/crates/radishpin-server/src/node/version/control.rs
+++ b/crates/radishpin-server/src/node/version/control.rs
@@ -2,7 +2,7 @@
 //! model that a caller waits for.
 
 use crate::node::Node;
-use radishpin_core::version::{GrantChange, GrantFacts, plan};
+use radishpin_core::version::{EndpointStanding, GrantChange, GrantFacts, plan};
 use radishpin_platform::{
     CallError, ChangeOutcome, Condition, PlatformClient, RowChange, ViewChange, ViewWriter,
 };
@@ -46,7 +46,7 @@
         let now = self.clock.now();
         let unable = self.take_unable(now);
         let wanted = std::mem::take(&mut *self.unmet.lock());
-        let endpoints = self.standings(view);
+        let mut endpoints = self.standings(view);
         let confirmations = self.confirmations();
         let no_endpoints = BTreeSet::new();
         let mut changes = Vec::new();
@@ -71,10 +71,12 @@
                 confirmations: &confirmations,
                 unable: unable.unwrap_or(&no_endpoints),
             };
+            let row_version = facts.row_version;
             if let Some(change) = plan(&facts) {
+                promise_memory(&mut endpoints, model, &change.record);
                 changes.push(Planned {
                     key,
-                    row_version: facts.row_version,
+                    row_version,
                     lease,
                     change,
                 });
@@ -144,6 +146,24 @@
     }
 }
 
+/// Counts the grants of a planned record, so that the next model of the round goes elsewhere.
+fn promise_memory(
+    endpoints: &mut BTreeMap<EndpointId, EndpointStanding>,
+    old: &ModelRecord,
+    new: &ModelRecord,
+) {
+    for id in new.grants.keys().filter(|id| !old.grants.contains_key(*id)) {
+        if let Some(endpoint) = endpoints.get_mut(id) {
+            endpoint.granted_mb = endpoint.granted_mb.saturating_add(new.size_mb);
+        }
+    }
+    for id in old.grants.keys().filter(|id| !new.grants.contains_key(*id)) {
+        if let Some(endpoint) = endpoints.get_mut(id) {
+            endpoint.granted_mb = endpoint.granted_mb.saturating_sub(old.size_mb);
+        }
+    }
+}
+
 /// Rows of a batch, on condition of what they were planned from.
 fn batch_change(view: &ClusterView, batch: &[Planned]) -> ViewChange {
     let endpoints: BTreeSet<&EndpointId> = batch
