End every connection where the server's future is dropped

Cause: connections run as tasks of their own, so a dropped server (a killed node in an embedded system) went on with the requests that ran. Change: dropping the future of Server::serve cuts the connections at once.

--- a/crates/radishpin-http/src/server.rs
+++ b/crates/radishpin-http/src/server.rs
@@ -104,7 +104,8 @@
     /// Accepts connections until `shutdown` begins, then waits for the running requests.
     ///
     /// Where all connections are taken, one that rests gives way to a new one; where none rests,
-    /// new ones wait in the listener's backlog.
+    /// new ones wait in the listener's backlog. Dropping the future ends every connection at once,
+    /// with the handlers and responses that run on it.
     ///
     /// # Errors
     /// The listener fails for good.
@@ -117,8 +118,7 @@
     ) -> io::Result<()> {
         let limits = limits.clamped();
         let registry = Arc::new(Registry::new(limits.tick()));
-        // Where this future is dropped, the connections end as in a shutdown.
-        let _stop = StopOnDrop(Arc::clone(&registry));
+        let _cut = CutOnDrop(Arc::clone(&registry));
         let _ticker = runtime.spawn(tick(Arc::clone(&registry), limits.tick()));
         let acceptor = Acceptor {
             runtime,
@@ -136,11 +136,12 @@
     }
 }
 
-struct StopOnDrop(Arc<Registry>);
+/// Ends the connections where the server's future is dropped before its end.
+struct CutOnDrop(Arc<Registry>);
 
-impl Drop for StopOnDrop {
+impl Drop for CutOnDrop {
     fn drop(&mut self) {
-        self.0.stop();
+        self.0.cut();
     }
 }
 
--- a/crates/radishpin-http/src/server/accept.rs
+++ b/crates/radishpin-http/src/server/accept.rs
@@ -5,7 +5,10 @@
 use futures_lite::{FutureExt, future};
 use radishpin_runtime::Runtime;
 use smol::net::{TcpListener, TcpStream};
-use std::{io, net::SocketAddr, panic::AssertUnwindSafe, sync::Arc, time::Duration};
+use std::{
+    future::Future, io, net::SocketAddr, panic::AssertUnwindSafe, sync::Arc, task::Poll,
+    time::Duration,
+};
 
 /// Pause after a failed accept, for example where no file descriptor is free.
 const PAUSE: Duration = Duration::from_millis(50);
@@ -88,7 +91,12 @@
         };
         let entry = self.registry.enter();
         let connection = Connection::new(socket, peer, self.limits, entry);
-        let run = connection.run(Arc::clone(&self.handler));
+        let registry = Arc::clone(&self.registry);
+        let mut run = Box::pin(connection.run(Arc::clone(&self.handler)));
+        let run = future::poll_fn(move |context| match registry.is_cut() {
+            true => Poll::Ready(()),
+            false => run.as_mut().poll(context),
+        });
         self.runtime.spawn_detached(async move {
             // A panic in a handler must end its own connection only.
             if AssertUnwindSafe(run).catch_unwind().await.is_err() {
--- a/crates/radishpin-http/src/server/registry.rs
+++ b/crates/radishpin-http/src/server/registry.rs
@@ -101,6 +101,7 @@
     tick_ms: u64,
     now_ms: AtomicU64,
     stopping: AtomicBool,
+    cut: AtomicBool,
     closed: (async_channel::Sender<()>, async_channel::Receiver<()>),
 }
 
@@ -115,6 +116,7 @@
             tick_ms: u64::try_from(tick.as_millis()).unwrap_or(0),
             now_ms: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
+            cut: AtomicBool::new(false),
             closed: async_channel::bounded(1),
         }
     }
@@ -154,6 +156,17 @@
         self.wake(|_| true);
     }
 
+    /// Whether every connection ends at once.
+    pub(crate) fn is_cut(&self) -> bool {
+        self.cut.load(Ordering::Acquire)
+    }
+
+    /// Ends every connection at once, with what runs on it.
+    pub(crate) fn cut(&self) {
+        self.cut.store(true, Ordering::Release);
+        self.wake(|_| true);
+    }
+
     /// Advances the coarse clock and wakes the connections whose deadline has passed.
     pub(crate) fn tick(&self) {
         let now_ms = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(NEVER_MS - 1);
--- a/crates/radishpin-http/tests/http/limits.rs
+++ b/crates/radishpin-http/tests/http/limits.rs
@@ -74,3 +74,19 @@
     );
     server.join();
 }
+
+#[test]
+fn dropping_the_server_ends_what_runs() {
+    let mut server = TestServer::start(ServerLimits::default());
+    let mut resting = server.connect();
+    resting.send(b"GET /1 HTTP/1.1\r\nhost: a\r\n\r\n");
+    assert!(resting.until("\r\n\r\n").starts_with("HTTP/1.1 200 OK"));
+    assert_eq!(server.next_event(), Event::Handled("GET /1".to_owned()));
+    let mut running = server.connect();
+    running.send(b"GET /gate HTTP/1.1\r\nhost: a\r\n\r\n");
+    assert_eq!(server.next_event(), Event::Handled("GET /gate".to_owned()));
+    server.kill();
+    assert_eq!(server.next_event(), Event::HandlerDropped);
+    assert_eq!(running.rest(), "");
+    assert_eq!(resting.rest(), "");
+}
--- a/crates/radishpin-http/tests/http/support.rs
+++ b/crates/radishpin-http/tests/http/support.rs
@@ -221,6 +221,12 @@
         self.events.recv_timeout(FAILSAFE).unwrap()
     }
 
+    /// Drops the server while it runs.
+    pub fn kill(&mut self) {
+        let serving = self.serving.take().unwrap();
+        assert!(smol::block_on(serving.cancel()).is_none());
+    }
+
     /// Waits until `serve` has returned.
     pub fn join(&mut self) {
         let serving = self.serving.take().unwrap();
