Warn of planned stops by the planner of core

Cause: the API judged by itself what a stop will cost, beside the planner in core that decides it; the same logic must not stand twice.

Change: the API fills in the planner's situation from the view and the agents' last reports, and words its warnings.

Conclusion: warnings now name memory, notice and the last replica as the planner sees them; without a report, memory is what the grants leave.

--- a/crates/radishpin-server/src/operator/board.rs
+++ b/crates/radishpin-server/src/operator/board.rs
@@ -50,6 +50,12 @@
         self.agents.lock().retain(|endpoint, _| keep(endpoint));
     }
 
+    /// The last report of an endpoint as it was heard.
+    pub(super) fn last_report(&self, endpoint: &str) -> Option<wire::SyncReply> {
+        let agents = self.agents.lock();
+        Some(agents.get(endpoint)?.word.clone())
+    }
+
     /// Versions in force at other processes.
     pub(super) fn processes(&self, now: Instant) -> Vec<ProcessStatus> {
         let mut processes: Vec<ProcessStatus> = self
--- a/crates/radishpin-server/src/operator/status.rs
+++ b/crates/radishpin-server/src/operator/status.rs
@@ -24,7 +24,7 @@
         endpoints: endpoints(context, &view, now),
         models: models(&view),
         services: services(&view),
-        stops: stops::entries(&view, context.now_unix_ms()),
+        stops: stops::entries(context, &view),
     };
     answer(OK, &report)
 }
--- a/crates/radishpin-server/src/operator/stops.rs
+++ b/crates/radishpin-server/src/operator/stops.rs
@@ -21,7 +21,7 @@
 /// `GET /v1/stops`
 pub(super) async fn list(context: &OperatorContext) -> Result<Response, Refusal> {
     let read = read_view(context, &VIEW_PREFIXES).await?;
-    let stops = entries(&read.view, context.now_unix_ms());
+    let stops = entries(context, &read.view);
     answer(OK, &StopList { stops })
 }
 
@@ -29,7 +29,7 @@
 pub(super) async fn show(context: &OperatorContext, id: &str) -> Result<Response, Refusal> {
     let read = read_view(context, &VIEW_PREFIXES).await?;
     let stop = read.view.stops.get(id).ok_or_else(|| unknown_stop(id))?;
-    answer(OK, &entry(&read.view, stop, context.now_unix_ms()))
+    answer(OK, &entry(context, &read.view, stop))
 }
 
 /// `POST /v1/stops`
@@ -44,7 +44,7 @@
     let key = key_of(&stop.id);
     let table = &context.table;
     let row = table.get(&key).await?;
-    let warnings = stop_warnings(&(context.view)(), &stop, now_unix_ms);
+    let warnings = stop_warnings(&(context.view)(), &context.board, &stop, now_unix_ms);
     if let Some(value) = &row.value {
         let standing: StopRecord = record(&key, value)?;
         // The same plan again, after a lost answer.
@@ -73,18 +73,19 @@
 }
 
 /// All stops of a view with their warnings.
-pub(super) fn entries(view: &ClusterView, now_unix_ms: UnixMs) -> Vec<StopEntry> {
+pub(super) fn entries(context: &OperatorContext, view: &ClusterView) -> Vec<StopEntry> {
     let stops = view.stops.values();
-    stops.map(|stop| entry(view, stop, now_unix_ms)).collect()
+    stops.map(|stop| entry(context, view, stop)).collect()
 }
 
-fn entry(view: &ClusterView, stop: &StopRecord, now_unix_ms: UnixMs) -> StopEntry {
+fn entry(context: &OperatorContext, view: &ClusterView, stop: &StopRecord) -> StopEntry {
+    let now_unix_ms = context.now_unix_ms();
     let version = view.row_versions.get(&key_of(&stop.id)).copied();
     StopEntry {
         stop: stop.clone(),
         version: version.unwrap_or_default(),
         phase: phase(stop, now_unix_ms),
-        warnings: stop_warnings(view, stop, now_unix_ms),
+        warnings: stop_warnings(view, &context.board, stop, now_unix_ms),
     }
 }
 
--- a/crates/radishpin-server/src/operator/warning.rs
+++ b/crates/radishpin-server/src/operator/warning.rs
@@ -1,15 +1,19 @@
-//! What a planned stop will cost as things stand.
+//! What a planned stop will cost as things stand, by the planner that core decides stops with.
 
-use super::document::StopPhase;
+use super::{StatusBoard, document::StopPhase};
+use radishpin_core::request::{StopEndpoint, StopModel, StopSituation, StopWarning, plan_stop};
 use radishpin_protocol::{
-    ClusterView, EndpointRecord, GrantState, ServiceKind, StopRecord, StopTarget, UnixMs,
+    EndpointRecord, GrantState, ModelRecord, StopRecord, StopTarget, UnixMs, prelude::*, wire,
 };
-use std::time::Duration;
 
-/// Notice below which models may not be loaded elsewhere in time.
-const SHORT_NOTICE: Duration = Duration::from_secs(60);
-/// Models and services named one by one.
-const NAMED: usize = 20;
+/// Loads that the weight store serves at once at full speed.
+const PARALLEL_LOADS: u32 = 4;
+/// Time of a load where no endpoint has reported one yet.
+const DEFAULT_LOAD_TIME: Duration = Duration::from_secs(10);
+/// Longest call expected of a model.
+const STREAM_TIME: Duration = Duration::from_secs(30);
+/// Warnings shown one by one.
+const SHOWN: usize = 20;
 
 /// Where a stop stands at `now_unix_ms`.
 pub(super) fn phase(stop: &StopRecord, now_unix_ms: UnixMs) -> StopPhase {
@@ -22,83 +26,165 @@
     }
 }
 
-/// What will be refused during the window of `stop`, counting all stops that overlap it.
+/// What `stop` will cost, with all stops that overlap it.
 pub(super) fn stop_warnings(
     view: &ClusterView,
+    board: &StatusBoard,
     stop: &StopRecord,
     now_unix_ms: UnixMs,
 ) -> Vec<String> {
     if phase(stop, now_unix_ms) == StopPhase::Over {
         return Vec::new();
     }
-    let covered = |endpoint: &EndpointRecord| {
-        covers(&stop.target, endpoint) || overlapping(view, stop, endpoint)
-    };
-    let mut warnings = Vec::new();
-    if !view.endpoints.values().any(|e| covers(&stop.target, e)) {
-        warnings.push("no endpoint is known there; check the name".to_owned());
-        return warnings;
+    let situation = situation(view, board, stop, now_unix_ms);
+    if situation.stopping.is_empty() {
+        return vec!["no endpoint is known there; check the name".to_owned()];
     }
-    let notice_ms = stop.from_unix_ms.saturating_sub(now_unix_ms);
-    if u128::from(notice_ms) < SHORT_NOTICE.as_millis() {
-        warnings.push(format!(
-            "short notice: {} s until the window opens; models may not be loaded elsewhere in time",
-            notice_ms / 1_000
-        ));
+    let warnings = plan_stop(&situation).warnings;
+    let more = warnings.len().saturating_sub(SHOWN);
+    let mut lines: Vec<String> = warnings.iter().take(SHOWN).map(line).collect();
+    if more > 0 {
+        lines.push(format!("and {more} more"));
     }
-    warnings.extend(named("model", stranded_models(view, &covered)));
-    warnings.extend(named("service", stranded_services(view, &covered)));
-    warnings
+    lines
 }
 
-/// Models whose every grant is at an endpoint that stops.
-fn stranded_models<'a>(
-    view: &'a ClusterView,
-    covered: &impl Fn(&EndpointRecord) -> bool,
-) -> Vec<&'a str> {
-    let stranded = view.models.iter().filter(|(_, model)| {
-        let mut held = model
-            .grants
-            .iter()
-            .filter(|(_, grant)| grant.state == GrantState::Held)
-            .peekable();
-        held.peek().is_some()
-            && held.all(|(endpoint, _)| view.endpoints.get(endpoint).is_none_or(covered))
-    });
-    stranded.map(|(name, _)| name.as_str()).collect()
+fn line(warning: &StopWarning) -> String {
+    match warning {
+        StopWarning::LastReplica { model, gap } => format!(
+            "model {model}: its only loaded replica moves; callers wait up to {} ms for a load",
+            gap.as_millis()
+        ),
+        StopWarning::TooLittleMemory {
+            model,
+            size_mb,
+            refused: true,
+        } => format!(
+            "model {model}: no endpoint that stays has {size_mb} MB for it; its calls are refused \
+             during the window"
+        ),
+        StopWarning::TooLittleMemory { model, size_mb, .. } => format!(
+            "model {model}: no further endpoint that stays takes its {size_mb} MB; it has fewer \
+             replicas during the window"
+        ),
+        StopWarning::TooShortNotice { model, missing } => format!(
+            "model {model}: its replacement is loaded {} ms too late for the window",
+            missing.as_millis()
+        ),
+        StopWarning::LastEndpoint { service } => format!(
+            "service {service}: none of its endpoints stays; its calls are refused during the \
+             window"
+        ),
+    }
 }
 
-/// Plain services whose every endpoint stops.
-fn stranded_services<'a>(
-    view: &'a ClusterView,
-    covered: &impl Fn(&EndpointRecord) -> bool,
-) -> Vec<&'a str> {
-    let stranded = view.services.iter().filter(|(name, service)| {
-        let mut endpoints = view
-            .endpoints
-            .values()
-            .filter(|endpoint| endpoint.service == **name)
-            .peekable();
-        service.kind == ServiceKind::Plain && endpoints.peek().is_some() && endpoints.all(covered)
+fn situation(
+    view: &ClusterView,
+    board: &StatusBoard,
+    stop: &StopRecord,
+    now_unix_ms: UnixMs,
+) -> StopSituation {
+    let stopping: BTreeSet<EndpointId> = view
+        .endpoints
+        .iter()
+        .filter(|(_, endpoint)| covers(&stop.target, endpoint))
+        .map(|(id, _)| id.clone())
+        .collect();
+    let reports: BTreeMap<&EndpointId, wire::SyncReply> = view
+        .endpoints
+        .keys()
+        .filter_map(|id| Some((id, board.last_report(id)?)))
+        .collect();
+    let endpoints = view.endpoints.iter().map(|(id, record)| {
+        let usable = !overlapping(view, stop, record) && !leaves(reports.get(id));
+        let endpoint = StopEndpoint {
+            host: record.host.clone(),
+            availability_zone: record.availability_zone.clone(),
+            service: record.service.clone(),
+            memory_mb: record.memory_mb,
+            free_mb: free_mb(view, id, record.memory_mb, reports.get(id)),
+            usable,
+        };
+        (id.clone(), endpoint)
+    });
+    let load_time = load_time(&reports);
+    let models = view.models.iter().filter_map(|(id, model)| {
+        let grants = held_grants(id, model, &reports);
+        if !grants.keys().any(|endpoint| stopping.contains(endpoint)) {
+            return None;
+        }
+        let profile = view.profile_of(&model.service)?;
+        Some(StopModel {
+            model: id.clone(),
+            service: model.service.clone(),
+            class: profile.class,
+            patience: profile.patience(),
+            size_mb: model.size_mb,
+            grants,
+            max_replicas: profile.max_replicas,
+            load_time,
+            stream_time: STREAM_TIME,
+        })
     });
-    stranded.map(|(name, _)| name.as_str()).collect()
+    StopSituation {
+        now: Duration::ZERO,
+        from: Duration::from_millis(stop.from_unix_ms.saturating_sub(now_unix_ms)),
+        endpoints: endpoints.collect(),
+        models: models.collect(),
+        stopping,
+        parallel_loads: PARALLEL_LOADS,
+    }
 }
 
-fn named(what: &str, names: Vec<&str>) -> Option<String> {
-    let rest = names.len().saturating_sub(NAMED);
-    let shown: Vec<&str> = names.into_iter().take(NAMED).collect();
-    if shown.is_empty() {
-        return None;
-    }
-    let more = match rest {
-        0 => String::new(),
-        rest => format!(" and {rest} more"),
+/// The grants that may be used, and whether the replica was last reported as loaded.
+fn held_grants(
+    model: &str,
+    record: &ModelRecord,
+    reports: &BTreeMap<&EndpointId, wire::SyncReply>,
+) -> BTreeMap<EndpointId, bool> {
+    let is_loaded = |endpoint: &EndpointId| {
+        let replicas = reports.get(endpoint).map(|report| report.replicas.iter());
+        replicas
+            .into_iter()
+            .flatten()
+            .any(|replica| replica.model == model && replica.state() == wire::ReplicaState::Loaded)
     };
-    Some(format!(
-        "nothing outside the stop serves {what} {}{more}; calls are refused during the window \
-         unless that changes",
-        shown.join(", ")
-    ))
+    let held = record.grants.iter();
+    held.filter(|(_, grant)| grant.state == GrantState::Held)
+        .map(|(endpoint, _)| (endpoint.clone(), is_loaded(endpoint)))
+        .collect()
+}
+
+/// Memory that is free by report; where none was heard, what the grants there leave.
+fn free_mb(
+    view: &ClusterView,
+    endpoint: &EndpointId,
+    memory_mb: SizeMb,
+    report: Option<&wire::SyncReply>,
+) -> SizeMb {
+    if let Some(load) = report.and_then(|report| report.load) {
+        return memory_mb.saturating_sub(load.memory_used_mb);
+    }
+    let granted = view.models.values();
+    let granted_mb = granted
+        .filter(|model| model.grants.contains_key(endpoint))
+        .fold(0_u32, |sum, model| sum.saturating_add(model.size_mb));
+    memory_mb.saturating_sub(granted_mb)
+}
+
+fn leaves(report: Option<&wire::SyncReply>) -> bool {
+    let load = report.and_then(|report| report.load);
+    load.is_some_and(|load| load.leaving)
+}
+
+/// The longest load time reported.
+fn load_time(reports: &BTreeMap<&EndpointId, wire::SyncReply>) -> Duration {
+    let times = reports.values().filter_map(|report| report.load);
+    let longest_ms = times.map(|load| load.load_time_ms).max();
+    match longest_ms {
+        None | Some(0) => DEFAULT_LOAD_TIME,
+        Some(longest_ms) => Duration::from_millis(longest_ms),
+    }
 }
 
 fn overlapping(view: &ClusterView, stop: &StopRecord, endpoint: &EndpointRecord) -> bool {
--- a/crates/radishpin-server/tests/operator/stops.rs
+++ b/crates/radishpin-server/tests/operator/stops.rs
@@ -1,7 +1,9 @@
 //! Planned stops: plans, warnings, repeated plans.
 
-use crate::fixture::{Answer, Fixture, NOW_UNIX_MS, refusal, version};
+use crate::fixture::{Answer, Fixture, NOW_UNIX_MS, PROFILE, refusal, version};
 use http_types::Method;
+use radishpin_protocol::wire;
+use std::time::Instant;
 
 const HOUR_MS: u64 = 3_600_000;
 
@@ -47,6 +49,7 @@
     put_model(&fixture, "single", &["e1"]);
     put_model(&fixture, "nowhere", &[]);
     let services = &fixture.platform;
+    services.put_row("profile/slow", Some(PROFILE));
     services.put_row(
         "service/drafting",
         Some(r#"{"kind":"models","profile":"slow"}"#),
@@ -76,6 +79,58 @@
     insta::assert_json_snapshot!(list);
 }
 
+fn report(endpoint: &str, memory_used_mb: u32, loaded: &[&str]) -> wire::SyncReply {
+    let replica = |model: &&str| wire::ReplicaReport {
+        model: (*model).to_owned(),
+        state: wire::ReplicaState::Loaded.into(),
+        ..wire::ReplicaReport::default()
+    };
+    wire::SyncReply {
+        endpoint: endpoint.to_owned(),
+        load: Some(wire::Load {
+            memory_used_mb,
+            load_time_ms: 4_000,
+            ..wire::Load::default()
+        }),
+        replicas: loaded.iter().map(replica).collect(),
+        ..wire::SyncReply::default()
+    }
+}
+
+#[test]
+fn warnings_go_by_what_the_agents_report() {
+    let fixture = cluster();
+    let now = Instant::now();
+    fixture
+        .board
+        .heard_agent(report("e1", 200, &["single", "spread"]), now);
+    fixture
+        .board
+        .heard_agent(report("e2", 950, &["spread"]), now);
+    let full = plan(&fixture, "s1", r#"{"host":"h1"}"#, HOUR_MS, 2 * HOUR_MS);
+    fixture
+        .board
+        .heard_agent(report("e2", 100, &["spread"]), now);
+    let late = plan(&fixture, "s2", r#"{"host":"h1"}"#, 5_000, HOUR_MS);
+    let lines = [full, late].map(|answer| warnings(&answer));
+    insta::assert_snapshot!(lines.join("\n\n"), @"
+    model single: no endpoint that stays has 100 MB for it; its calls are refused during the window
+    model spread: no further endpoint that stays takes its 100 MB; it has fewer replicas during the window
+    service booking: none of its endpoints stays; its calls are refused during the window
+
+    model spread: no further endpoint that stays takes its 100 MB; it has fewer replicas during the window
+    model single: its replacement is loaded 6000 ms too late for the window
+    service booking: none of its endpoints stays; its calls are refused during the window
+    ");
+}
+
+fn warnings(answer: &Answer) -> String {
+    let body: serde_json::Value = serde_json::from_str(&answer.body).expect("JSON");
+    let warnings = body["warnings"].as_array().cloned().unwrap_or_default();
+    let lines: Vec<&str> = warnings.iter().filter_map(|line| line.as_str()).collect();
+    lines.join("\n")
+}
+
 #[test]
 fn the_same_plan_again_changes_nothing() {
     let fixture = cluster();
@@ -86,7 +141,7 @@
     assert_eq!(again.status, 200, "{again:?}");
     assert_eq!(version(&first), version(&again));
     let other = plan(&fixture, "s1", target, HOUR_MS, 3 * HOUR_MS);
-    insta::assert_snapshot!(refusal(&other), @"409 version_conflict ran=no current 10: stop/s1 exists at version 10; the order names none");
+    insta::assert_snapshot!(refusal(&other), @"409 version_conflict ran=no current 11: stop/s1 exists at version 11; the order names none");
 }
 
 #[test]
