--- a/crates/radishpin-server/src/rpc/channel.rs
+++ b/crates/radishpin-server/src/rpc/channel.rs
@@ -94,11 +94,6 @@
             }),
         }
     }
-
-    /// Address of the peer.
-    pub fn address(&self) -> SocketAddr {
-        self.shared.address
-    }
 }
 
 impl Shared {
