--- a/crates/radishpin-http/src/server/accept.rs
+++ b/crates/radishpin-http/src/server/accept.rs
@@ -5,10 +5,15 @@
 use futures_lite::{FutureExt, future};
 use radishpin_runtime::Runtime;
 use smol::net::{TcpListener, TcpStream};
-use std::{io, net::SocketAddr, panic::AssertUnwindSafe, sync::Arc, time::Duration};
+use std::{
+    future::Future, io, net::SocketAddr, panic::AssertUnwindSafe, sync::Arc, task::Poll,
+    time::Duration,
+};
 
 /// Pause after a failed accept, for example where no file descriptor is free.
 const PAUSE: Duration = Duration::from_millis(50);
+/// Connections that the kernel accepts ahead, so that a burst of callers needn't try again.
+const BACKLOG: i32 = 4096;
 /// Failures in a row after which the listener is given up.
 const MOST_FAILURES: u32 = 200;
 
@@ -27,6 +32,7 @@
     /// # Errors
     /// Accepting failed many times in a row.
     pub(super) async fn run(self, shutdown: &Shutdown) -> io::Result<()> {
+        rustix::net::listen(&self.listener, BACKLOG)?;
         let mut failures = 0;
         while let Some(accepted) = until(shutdown, self.accept()).await {
             match accepted {
@@ -85,7 +91,12 @@
         };
         let entry = self.registry.enter();
         let connection = Connection::new(socket, peer, self.limits, entry);
-        let run = connection.run(Arc::clone(&self.handler));
+        let registry = Arc::clone(&self.registry);
+        let mut run = Box::pin(connection.run(Arc::clone(&self.handler)));
+        let run = future::poll_fn(move |context| match registry.is_cut() {
+            true => Poll::Ready(()),
+            false => run.as_mut().poll(context),
+        });
         self.runtime.spawn_detached(async move {
             // A panic in a handler must end its own connection only.
             if AssertUnwindSafe(run).catch_unwind().await.is_err() {
--- a/crates/radishpin-server/src/operator/stops.rs
+++ b/crates/radishpin-server/src/operator/stops.rs
@@ -2,11 +2,12 @@
 
 use super::{
     api::OperatorContext,
-    change::{accepted, answer, commit, conflict, unchanged, write},
+    change::{accepted, answer, conflict, settled},
     document::{StopEntry, StopList, StopPlan},
     is_name,
     read::{body_document, invalid, read_view, record, value_of},
     refusal::Refusal,
+    table::Change,
     warning::{phase, stop_warnings},
 };
 use http_types::Response;
@@ -20,7 +21,7 @@
 /// `GET /v1/stops`
 pub(super) async fn list(context: &OperatorContext) -> Result<Response, Refusal> {
     let read = read_view(context, &VIEW_PREFIXES).await?;
-    let stops = entries(&read.view, context.now_unix_ms());
+    let stops = entries(context, &read.view);
     answer(OK, &StopList { stops })
 }
 
@@ -28,7 +29,7 @@
 pub(super) async fn show(context: &OperatorContext, id: &str) -> Result<Response, Refusal> {
     let read = read_view(context, &VIEW_PREFIXES).await?;
     let stop = read.view.stops.get(id).ok_or_else(|| unknown_stop(id))?;
-    answer(OK, &entry(&read.view, stop, context.now_unix_ms()))
+    answer(OK, &entry(context, &read.view, stop))
 }
 
 /// `POST /v1/stops`
@@ -41,8 +42,9 @@
     let now_unix_ms = context.now_unix_ms();
     check_plan(&stop, now_unix_ms)?;
     let key = key_of(&stop.id);
-    let row = context.table.get(&key).await?;
-    let warnings = stop_warnings(&(context.view)(), &stop, now_unix_ms);
+    let table = &context.table;
+    let row = table.get(&key).await?;
+    let warnings = stop_warnings(&(context.view)(), &context.board, &stop, now_unix_ms);
     if let Some(value) = &row.value {
         let standing: StopRecord = record(&key, value)?;
         // The same plan again, after a lost answer.
@@ -51,38 +53,39 @@
         }
         return Err(conflict(&key, row.version, 0));
     }
-    let conditions = vec![unchanged(&key, &row)];
-    let writes = vec![write(&key, Some(value_of(&stop)?))];
-    let version = commit(&context.table, &key, &row, conditions, writes).await?;
+    let change = Change::new(&key, &row, Some(value_of(&stop)?));
+    let outcome = table.commit(change).await?;
+    let version = settled(table, &key, &row, outcome).await?;
     accepted(&row, version, warnings)
 }
 
 /// `DELETE /v1/stops/ID`
 pub(super) async fn cancel(context: &OperatorContext, id: &str) -> Result<Response, Refusal> {
     let key = key_of(id);
-    let row = context.table.get(&key).await?;
+    let table = &context.table;
+    let row = table.get(&key).await?;
     if row.value.is_none() {
         return Err(unknown_stop(id));
     }
-    let conditions = vec![unchanged(&key, &row)];
-    let writes = vec![write(&key, None)];
-    let version = commit(&context.table, &key, &row, conditions, writes).await?;
+    let outcome = table.commit(Change::new(&key, &row, None)).await?;
+    let version = settled(table, &key, &row, outcome).await?;
     accepted(&row, version, Vec::new())
 }
 
 /// All stops of a view with their warnings.
-pub(super) fn entries(view: &ClusterView, now_unix_ms: UnixMs) -> Vec<StopEntry> {
+pub(super) fn entries(context: &OperatorContext, view: &ClusterView) -> Vec<StopEntry> {
     let stops = view.stops.values();
-    stops.map(|stop| entry(view, stop, now_unix_ms)).collect()
+    stops.map(|stop| entry(context, view, stop)).collect()
 }
 
-fn entry(view: &ClusterView, stop: &StopRecord, now_unix_ms: UnixMs) -> StopEntry {
+fn entry(context: &OperatorContext, view: &ClusterView, stop: &StopRecord) -> StopEntry {
+    let now_unix_ms = context.now_unix_ms();
     let version = view.row_versions.get(&key_of(&stop.id)).copied();
     StopEntry {
         stop: stop.clone(),
         version: version.unwrap_or_default(),
         phase: phase(stop, now_unix_ms),
-        warnings: stop_warnings(view, stop, now_unix_ms),
+        warnings: stop_warnings(view, &context.board, stop, now_unix_ms),
     }
 }
 
