Count the tries of a rate-limited call within its limit

Change: rate_limit_retries lies within tries; the import is there.

Conclusion: the limit of tries holds for every cause.

--- a/crates/radishpin-platform/src/client.rs
+++ b/crates/radishpin-platform/src/client.rs
@@ -24,7 +24,7 @@
     pub call_timeout: Duration,
     /// Tries of one call.
     pub tries: u32,
-    /// Retries of one call that met the platform's rate limit.
+    /// Retries of one call that met the platform's rate limit, within `tries`.
     pub rate_limit_retries: u32,
     /// Waits between tries.
     pub backoff: Backoff,
@@ -256,10 +256,12 @@
 
     /// Retries that a call may make after a failure of this cause.
     fn retries_after(&self, cause: &Cause) -> u32 {
+        let settings = &self.shared.settings;
+        let retries = settings.tries.saturating_sub(1);
         match cause {
             Cause::BreakerOpen | Cause::Paced | Cause::Abandoned => 0,
-            Cause::Platform(PlatformError::RateLimited) => self.shared.settings.rate_limit_retries,
-            Cause::Platform(_) | Cause::Timeout => self.shared.settings.tries.saturating_sub(1),
+            Cause::Platform(PlatformError::RateLimited) => retries.min(settings.rate_limit_retries),
+            Cause::Platform(_) | Cause::Timeout => retries,
         }
     }
 
--- a/crates/radishpin-platform/tests/client.rs
+++ b/crates/radishpin-platform/tests/client.rs
@@ -6,7 +6,7 @@
 use prometheus::{Registry, TextEncoder};
 use radishpin_platform::{
     CallError, Cause, Commit, CommitOutcome, Condition, OperationSweep, PlatformClient,
-    PlatformMetrics, Settled, Write,
+    PlatformError, PlatformMetrics, Settled, Write,
 };
 use radishpin_standin::{Faults, MemoryPlatform, Outage};
 use smol::block_on;
