Write the kind's head in the recovery example

Cause: the example wrote the head by hand, so every kind was listed.

Change: it writes the head of the models last.

Conclusion: the example reads the view as nodes do.

--- a/crates/radishpin-platform/examples/recovery.rs
+++ b/crates/radishpin-platform/examples/recovery.rs
@@ -104,7 +104,9 @@
         );
         platform.put_row(&format!("model/m{index}"), Some(&value));
     }
+    // The head of the kind comes last, so that the reader takes its word for what has changed.
     platform.put_row("head", Some("{}"));
+    platform.put_row("head/model", Some("{}"));
 }
 
 fn start_clients(
