Bring the earlier view up to date instead of copying the present one

Cause: each change of the view copied all its rows at every node.

Change: the view before the present one is kept with the rows that it missed, and becomes the next copy once nobody holds it.

--- a/crates/radishpin-platform/src/view_reader.rs
+++ b/crates/radishpin-platform/src/view_reader.rs
@@ -10,14 +10,19 @@
 //! or any row. It is then exactly the table at that version: no kind can lack a row up to it,
 //! and no row is newer.
 
-use crate::{CallError, Listing, PlatformClient};
+use crate::{CallError, ListedRow, Listing, PlatformClient};
 use parking_lot::Mutex;
-use radishpin_protocol::{ClusterView, HEAD_KEY, HEAD_KIND_PREFIX, VIEW_PREFIXES, Version};
+use radishpin_protocol::{
+    ClusterView, HEAD_KEY, HEAD_KIND_PREFIX, RowError, VIEW_PREFIXES, Version,
+};
 use std::sync::Arc;
 
 /// Rounds of listings in one poll; what is still behind then is listed by the next poll.
 const MAX_ROUNDS: u32 = 8;
 
+/// Rows up to which an earlier view is brought up to date rather than copied anew.
+const MAX_MISSED_ROWS: usize = 1_000;
+
 /// The latest view; clones share it.
 #[derive(Clone, Debug, Default)]
 pub struct ViewHandle {
@@ -45,6 +50,7 @@
     client: PlatformClient,
     handle: ViewHandle,
     staged: Option<Staged>,
+    spare: Option<Spare>,
 }
 
 /// A copy of the view with rows of versions that may not fit together yet.
@@ -57,6 +63,17 @@
     kinds: [Kind; VIEW_PREFIXES.len()],
     /// Newest version seen in a head or any row.
     newest: Version,
+    /// Rows that were put into the copy.
+    applied: Vec<ListedRow>,
+}
+
+/// An earlier view, which becomes the next copy once nobody holds it any more: putting a few
+/// rows into it costs far less than a copy of all rows.
+#[derive(Debug)]
+struct Spare {
+    view: Arc<ClusterView>,
+    /// Rows that lead from it to the present view.
+    missed: Vec<ListedRow>,
 }
 
 /// What is known of one kind of row.
@@ -75,6 +92,7 @@
             client,
             handle: ViewHandle::default(),
             staged: None,
+            spare: None,
         }
     }
 
@@ -98,7 +116,7 @@
                 if heads.rows.is_empty() {
                     return Ok(None);
                 }
-                Staged::new(&current, heads)
+                Staged::new(self.copy_of(&current), heads)
             }
         };
         let caught_up = self.catch_up(&mut staged).await;
@@ -106,11 +124,21 @@
             self.staged = Some(staged);
             return caught_up.map(|_| None);
         }
-        let view = Arc::new(staged.into_view());
+        let (view, applied) = staged.into_view();
+        let view = Arc::new(view);
         self.handle.publish(Arc::clone(&view));
+        self.spare = Spare::new(current, applied);
         Ok(Some(view))
     }
 
+    /// A copy of the present view, out of the spare one where nobody holds that.
+    fn copy_of(&mut self, current: &ClusterView) -> ClusterView {
+        let spare = self.spare.take();
+        spare
+            .and_then(|spare| spare.caught_up(current.version))
+            .unwrap_or_else(|| current.clone())
+    }
+
     /// Lists what is behind until nothing is; false where that takes too long.
     async fn catch_up(&self, staged: &mut Staged) -> Result<bool, CallError> {
         for round in 0..MAX_ROUNDS {
@@ -134,13 +162,12 @@
         let known_to = staged.kinds[index].known_to;
         let listing = self.client.list(prefix, known_to).await?;
         for listed in listing.rows {
-            let row = listed.row;
-            staged.newest = staged.newest.max(row.version);
-            let value = row.value.as_deref();
-            if let Err(error) = staged.view.apply_row(&listed.key, row.version, value) {
+            staged.newest = staged.newest.max(listed.row.version);
+            if let Err(error) = apply(&mut staged.view, &listed) {
                 log::error!("row_malformed error=\"{error}\"");
                 self.client.metrics().row_malformed();
             }
+            staged.applied.push(listed);
         }
         staged.kinds[index].known_to = known_to.max(listing.version);
         Ok(())
@@ -148,7 +175,7 @@
 }
 
 impl Staged {
-    fn new(view: &ClusterView, heads: Listing) -> Self {
+    fn new(view: ClusterView, heads: Listing) -> Self {
         let kind = Kind {
             known_to: view.version,
             // Without a view, all rows have to be listed.
@@ -158,7 +185,8 @@
             heads_known_to: view.version,
             kinds: [kind; VIEW_PREFIXES.len()],
             newest: view.version,
-            view: view.clone(),
+            view,
+            applied: Vec::new(),
         };
         staged.take_heads(heads);
         staged
@@ -196,14 +224,39 @@
         self.kinds.iter().all(|kind| kind.known_to >= self.newest)
     }
 
-    fn into_view(self) -> ClusterView {
-        ClusterView {
+    /// The view, and the rows that led to it.
+    fn into_view(self) -> (ClusterView, Vec<ListedRow>) {
+        let view = ClusterView {
             version: self.newest,
             ..self.view
+        };
+        (view, self.applied)
+    }
+}
+
+impl Spare {
+    /// Keeps an earlier view, unless so much has changed that a copy costs no more.
+    fn new(view: Arc<ClusterView>, missed: Vec<ListedRow>) -> Option<Self> {
+        (missed.len() <= MAX_MISSED_ROWS).then_some(Self { view, missed })
+    }
+
+    /// The view with the rows that it missed; `None` where somebody holds it still.
+    fn caught_up(self, version: Version) -> Option<ClusterView> {
+        let mut view = Arc::try_unwrap(self.view).ok()?;
+        for listed in &self.missed {
+            // A row that cannot be read was reported when it came, and is left out here too.
+            let _ = apply(&mut view, listed);
         }
+        view.version = version;
+        Some(view)
     }
 }
 
+fn apply(view: &mut ClusterView, listed: &ListedRow) -> Result<(), RowError> {
+    let row = &listed.row;
+    view.apply_row(&listed.key, row.version, row.value.as_deref())
+}
+
 impl Kind {
     fn is_behind(&self) -> bool {
         self.known_to < self.changed_at
--- a/crates/radishpin-platform/tests/view.rs
+++ b/crates/radishpin-platform/tests/view.rs
@@ -10,6 +10,7 @@
 };
 use radishpin_protocol::Version;
 use radishpin_standin::MemoryPlatform;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
 use smol::block_on;
 use std::sync::Arc;
 use support::{SEED, client};
@@ -48,9 +49,7 @@
         let number = *next;
         *next += 1;
         let profile = profile(number);
-        let stop = format!(
-            r#"{{"id":"s","target":{{"host":"h"}},"from_unix_ms":{number},"to_unix_ms":{number}}}"#
-        );
+        let stop = stop(number);
         let rows = [
             ("profile/p", profile),
             ("stop/s", stop),
@@ -120,6 +119,12 @@
     )
 }
 
+fn stop(unix_ms: u64) -> String {
+    format!(
+        r#"{{"id":"s","target":{{"host":"h"}},"from_unix_ms":{unix_ms},"to_unix_ms":{unix_ms}}}"#
+    )
+}
+
 fn change(key: &str, expected_version: Version, value: &str) -> ViewChange {
     ViewChange {
         rows: vec![RowChange {
@@ -205,6 +210,53 @@
     insta::assert_compact_json_snapshot!(reads, @"[1, 7, 1, 2, 7]");
 }
 
+/// Random changes, with earlier views held or let go: each view equals that of a new reader.
+#[test]
+fn a_view_brought_up_to_date_equals_one_read_anew() {
+    for seed in [1, 2, 3, 5, 8, 13] {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let platform = MemoryPlatform::new(seed);
+        let writer = ViewWriter::new(client(&platform));
+        let mut reader = ViewReader::new(client(&platform));
+        let mut held = Vec::new();
+        for _ in 0..200 {
+            let rows = (0..random.random_range(1..4)).map(|_| {
+                let kind = ["profile", "stop"][random.random_range(0..2)];
+                random_row(&platform, kind, &mut random)
+            });
+            let change = ViewChange {
+                rows: rows.collect(),
+                ..ViewChange::default()
+            };
+            assert!(block_on(writer.commit(&change)).is_ok());
+            if random.random_bool(0.7) {
+                let view = block_on(reader.poll()).unwrap().unwrap();
+                let anew = block_on(ViewReader::new(client(&platform)).poll());
+                assert_eq!(Ok(Some(Arc::clone(&view))), anew, "seed {seed}");
+                held.push(view);
+            }
+            if random.random_bool(0.5) {
+                held.clear();
+            }
+        }
+    }
+}
+
+fn random_row(platform: &MemoryPlatform, kind: &str, random: &mut SmallRng) -> RowChange {
+    let key = format!("{kind}/{}", random.random_range(0..4));
+    let number = random.random_range(100..1_000);
+    let value = match (kind, random.random_bool(0.3)) {
+        (_, true) => None,
+        ("profile", _) => Some(profile(number)),
+        _ => Some(stop(number)),
+    };
+    RowChange {
+        expected_version: platform.row(&key).version,
+        key,
+        value,
+    }
+}
+
 #[test]
 fn an_older_head_leaves_the_view() {
     let platform = MemoryPlatform::new(SEED);
--- a/crates/radishpin-standin/tests/engine_http.rs
+++ b/crates/radishpin-standin/tests/engine_http.rs
@@ -195,6 +195,21 @@
     assert_eq!(attempts, ["lost/1", "broken/1", "broken/2", "crossed/1"]);
 }
 
+#[test]
+fn a_lost_stream_stops_halfway_until_the_peer_hangs_up() {
+    let (engine, served) = serve_loaded(EngineSettings::instant());
+    engine.change_faults(|faults| faults.lose_replies = 1);
+    let mut stream = served
+        .send(completion(&served, "s/1", 4, true))
+        .expect("a head");
+    let mut received = Vec::new();
+    assert!(stays_open(stream.read_to_end(&mut received)).is_none());
+    let received = String::from_utf8_lossy(&received);
+    assert_eq!(received.matches("data: ").count(), 2, "{received}");
+    drop(stream);
+    eventually(|| engine.journal().runs_of("s")[0].end == RunEnd::Cancelled);
+}
+
 #[test]
 fn a_frozen_engine_answers_when_it_thaws() {
     let (engine, served) = serve_loaded(EngineSettings::instant());
