--- a/crates/radishpin-local/src/cluster.rs
+++ b/crates/radishpin-local/src/cluster.rs
@@ -2,12 +2,12 @@
 
 use crate::{
     ClusterPlan, EndpointPlan, LocalError,
-    seed::{host_list, node_name, write_rows},
+    seed::{node_name, seed_platform},
 };
 use radishpin_http::{ServerLimits, Shutdown};
 use radishpin_platform::Platform;
 use radishpin_protocol::{ServiceKind, prelude::*};
-use radishpin_runtime::Runtime;
+use radishpin_runtime::{IsolatedRuntime, Runtime};
 use radishpin_server::{
     Agent, AgentSettings, Node, NodeSettings, RunningAgent, RunningNode, Token,
 };
@@ -25,6 +25,8 @@
 const OPERATOR_TOKEN: &str = "local-operator-token";
 /// Longest life of an order to a stand-in.
 const ORDER_LIFE: Duration = Duration::from_secs(10);
+/// Tasks of one node or agent that run at once.
+const PARALLEL: usize = 4;
 /// Time between two looks at whether the system is ready.
 const READY_LOOK: Duration = Duration::from_millis(20);
 
@@ -40,10 +42,9 @@
     /// The stand-in weight store.
     pub weight_store: WeightStore,
     /// Nodes that run, by name.
-    pub nodes: BTreeMap<NodeId, RunningNode>,
+    pub nodes: BTreeMap<NodeId, LocalNode>,
     /// Endpoints with their agents, by endpoint.
     pub agents: BTreeMap<EndpointId, LocalAgent>,
-    node_stops: BTreeMap<NodeId, Shutdown>,
     standin_stop: Shutdown,
     standins: Vec<Task<io::Result<()>>>,
 }
@@ -60,6 +61,16 @@
     /// The agent, while it runs.
     pub running: Option<RunningAgent>,
     stop: Shutdown,
+    process: Option<IsolatedRuntime>,
+}
+
+/// A node.
+#[derive(Debug)]
+pub struct LocalNode {
+    /// The node.
+    pub running: RunningNode,
+    stop: Shutdown,
+    process: IsolatedRuntime,
 }
 
 impl LocalCluster {
@@ -69,8 +80,7 @@
     /// An address cannot be taken, or the plan cannot be written as records.
     pub async fn start(plan: ClusterPlan, runtime: Runtime) -> Result<Self, LocalError> {
         let platform = MemoryPlatform::new(plan.seed);
-        write_rows(&platform, &plan)?;
-        platform.set_hosts(host_list(&plan));
+        seed_platform(&platform, &plan)?;
         let weight_store = WeightStore::new(plan.weight_store);
         let mut cluster = Self {
             runtime,
@@ -78,7 +88,6 @@
             weight_store,
             nodes: BTreeMap::new(),
             agents: BTreeMap::new(),
-            node_stops: BTreeMap::new(),
             standin_stop: Shutdown::default(),
             standins: Vec::new(),
             plan,
@@ -102,7 +111,10 @@
 
     /// Addresses for callers, in order of the nodes' names.
     pub fn addresses(&self) -> Vec<SocketAddr> {
-        self.nodes.values().map(|node| node.address).collect()
+        self.nodes
+            .values()
+            .map(|node| node.running.address)
+            .collect()
     }
 
     /// Token that the operators' API asks for.
@@ -137,28 +149,43 @@
             poll_interval: self.plan.poll_interval,
         };
         let stop = Shutdown::default();
-        let node = Node::start(
-            settings,
-            self.runtime.clone(),
-            self.platform(),
-            stop.clone(),
-        )
-        .await?;
-        self.nodes.insert(name.clone(), node);
-        self.node_stops.insert(name, stop);
+        let process = IsolatedRuntime::new(&self.runtime, PARALLEL);
+        let running =
+            Node::start(settings, process.handle(), self.platform(), stop.clone()).await?;
+        let node = LocalNode {
+            running,
+            stop,
+            process,
+        };
+        self.nodes.insert(name, node);
         Ok(())
     }
 
     /// Kills a node: nothing of it goes on.
     pub fn kill_node(&mut self, name: &str) {
         self.nodes.remove(name);
-        self.node_stops.remove(name);
+    }
+
+    /// Pauses a node, as a frozen host does; `false` lets it go on.
+    pub fn pause_node(&mut self, name: &str, paused: bool) {
+        if let Some(node) = self.nodes.get_mut(name) {
+            pause(&mut node.process, paused);
+        }
+    }
+
+    /// Pauses an agent, as a frozen host does; `false` lets it go on.
+    pub fn pause_agent(&mut self, endpoint: &str, paused: bool) {
+        let agent = self.agents.get_mut(endpoint);
+        if let Some(process) = agent.and_then(|agent| agent.process.as_mut()) {
+            pause(process, paused);
+        }
     }
 
     /// Kills the agent of an endpoint; the endpoint goes on.
     pub fn kill_agent(&mut self, endpoint: &str) {
         if let Some(agent) = self.agents.get_mut(endpoint) {
             agent.running = None;
+            agent.process = None;
         }
     }
 
@@ -168,12 +195,14 @@
     /// The address cannot be taken, as where the predecessor still holds it.
     pub async fn start_agent(&mut self, endpoint: &str) -> Result<(), LocalError> {
         let platform = self.platform();
-        let runtime = self.runtime.clone();
+        let process = IsolatedRuntime::new(&self.runtime, PARALLEL);
         if let Some(agent) = self.agents.get_mut(endpoint) {
             agent.stop = Shutdown::default();
             let settings = agent.settings.clone();
-            let running = Agent::start(settings, runtime, platform, agent.stop.clone()).await?;
+            let stop = agent.stop.clone();
+            let running = Agent::start(settings, process.handle(), platform, stop).await?;
             agent.running = Some(running);
+            agent.process = Some(process);
         }
         Ok(())
     }
@@ -185,16 +214,17 @@
             if let Some(running) = agent.running.take() {
                 running.stopped().await;
             }
+            agent.process = None;
         }
     }
 
     /// Stops everything in good order: nodes drain, then agents, then the stand-ins.
     pub async fn stop(mut self) {
-        for stop in self.node_stops.values() {
-            stop.begin();
+        for node in self.nodes.values() {
+            node.stop.begin();
         }
         for node in std::mem::take(&mut self.nodes).into_values() {
-            node.stopped().await;
+            node.running.stopped().await;
         }
         for endpoint in self.agents.keys().cloned().collect::<Vec<_>>() {
             self.stop_agent(&endpoint).await;
@@ -239,6 +269,7 @@
             plain,
             running: None,
             stop: Shutdown::default(),
+            process: None,
         };
         self.agents.insert(name.to_owned(), agent);
         self.start_agent(name).await?;
@@ -295,8 +326,9 @@
             .values()
             .filter_map(|agent| agent.running.as_ref());
         let registered: Vec<_> = agents.map(|running| &running.agent).collect();
-        self.nodes.values().all(|node| {
-            let view = node.node.current_view();
+        self.nodes.values().all(|local| {
+            let node = &local.running.node;
+            let view = node.current_view();
             let granted = view
                 .models
                 .values()
@@ -305,11 +337,19 @@
                 .iter()
                 .all(|agent| agent.incarnation() > 0 && agent.view_version() >= view.version);
             let complete = view.endpoints.len() == self.agents.len();
-            complete && granted && heard && node.node.has_heard_all()
+            complete && granted && heard && node.has_heard_all()
         })
     }
 }
 
+fn pause(process: &mut IsolatedRuntime, paused: bool) {
+    if paused {
+        process.pause();
+    } else {
+        process.resume();
+    }
+}
+
 fn loopback() -> SocketAddr {
     (Ipv4Addr::LOCALHOST, 0).into()
 }
--- a/crates/radishpin-local/src/lib.rs
+++ b/crates/radishpin-local/src/lib.rs
@@ -5,6 +5,7 @@
 mod plan;
 mod seed;
 
-pub use cluster::{LocalAgent, LocalCluster};
+pub use cluster::{LocalAgent, LocalCluster, LocalNode};
 pub use error::LocalError;
 pub use plan::{ClusterPlan, EndpointPlan, EnginePlan, ModelPlan, ServicePlan};
+pub use seed::seed_platform;
--- a/crates/radishpin-local/src/seed.rs
+++ b/crates/radishpin-local/src/seed.rs
@@ -9,8 +9,11 @@
 use radishpin_standin::MemoryPlatform;
 use serde_json::to_string;
 
-/// Writes profiles, services, models and adapters, the head row last.
-pub(crate) fn write_rows(platform: &MemoryPlatform, plan: &ClusterPlan) -> Result<(), LocalError> {
+/// Writes the first rows of a plan, the head row last, and its host list.
+///
+/// # Errors
+/// A record cannot be written as JSON.
+pub fn seed_platform(platform: &MemoryPlatform, plan: &ClusterPlan) -> Result<(), LocalError> {
     for (name, profile) in &plan.profiles {
         put(platform, PROFILE_PREFIX, name, &to_string(profile)?);
     }
@@ -46,11 +49,12 @@
         operation: "seed".to_owned(),
     };
     platform.put_row(HEAD_KEY, Some(&to_string(&head)?));
+    platform.set_hosts(host_list(plan));
     Ok(())
 }
 
 /// The host list of a plan: a host for each node and those of the endpoints.
-pub(crate) fn host_list(plan: &ClusterPlan) -> Vec<HostEntry> {
+fn host_list(plan: &ClusterPlan) -> Vec<HostEntry> {
     let live = |host: &str, zone: &str, peer_address: Option<String>| HostEntry {
         host: host.to_owned(),
         availability_zone: zone.to_owned(),
--- /dev/null
+++ b/crates/radishpin-runtime/src/runtime.rs
@@ -0,0 +1,89 @@
+//! One `smol` executor driven by a fixed number of threads.
+
+use smol::{Executor, Task, channel};
+use std::{
+    future::Future,
+    io,
+    sync::{Arc, Weak},
+    thread,
+    time::Duration,
+};
+
+/// Handle to an executor; clones share it.
+///
+/// The threads end when the last clone of the handle that [`Runtime::start`] returned is dropped.
+#[derive(Clone, Debug)]
+pub struct Runtime {
+    handle: Handle,
+}
+
+#[derive(Clone, Debug)]
+enum Handle {
+    /// Of the process's own executor.
+    Process {
+        executor: Arc<Executor<'static>>,
+        // Dropping the last sender ends the threads.
+        _alive: channel::Sender<()>,
+    },
+    /// Of an executor that ends with its owner, so its tasks must not keep it.
+    Isolated(Weak<Executor<'static>>),
+}
+
+impl Runtime {
+    /// Starts `threads` worker threads, at least one.
+    ///
+    /// # Errors
+    /// The operating system refuses a thread.
+    pub fn start(threads: usize) -> io::Result<Self> {
+        let executor = Arc::new(Executor::new());
+        let (alive, ended) = channel::bounded::<()>(1);
+        for index in 0..threads.max(1) {
+            let executor = Arc::clone(&executor);
+            let ended = ended.clone();
+            let run = move || {
+                // An error here means that the last handle is gone.
+                let _ = smol::block_on(executor.run(ended.recv()));
+            };
+            thread::Builder::new()
+                .name(format!("worker-{index}"))
+                .spawn(run)?;
+        }
+        let handle = Handle::Process {
+            executor,
+            _alive: alive,
+        };
+        Ok(Self { handle })
+    }
+
+    /// A handle that does not keep `executor` alive.
+    pub(crate) fn of(executor: &Arc<Executor<'static>>) -> Self {
+        Self {
+            handle: Handle::Isolated(Arc::downgrade(executor)),
+        }
+    }
+
+    /// Starts a task; dropping the task cancels it. On an executor that has ended, the future
+    /// is dropped, and awaiting the task never ends.
+    pub fn spawn<T: Send + 'static>(
+        &self,
+        future: impl Future<Output = T> + Send + 'static,
+    ) -> Task<T> {
+        match &self.handle {
+            Handle::Process { executor, .. } => executor.spawn(future),
+            Handle::Isolated(executor) => match executor.upgrade() {
+                Some(executor) => executor.spawn(future),
+                None => Executor::new().spawn(std::future::pending()),
+            },
+        }
+    }
+
+    /// Starts a task that runs to its end by itself.
+    pub fn spawn_detached(&self, future: impl Future<Output = ()> + Send + 'static) {
+        self.spawn(future).detach();
+    }
+
+    /// Waits for `duration`.
+    pub async fn sleep(duration: Duration) {
+        smol::Timer::after(duration).await;
+    }
+}
--- /dev/null
+++ b/crates/radishpin-runtime/src/timeout.rs
@@ -0,0 +1,13 @@
+//! Bounds on the time that a future may take.
+
+use std::{future::Future, time::Duration};
+
+/// Runs `future` for at most `limit`; `None` when the time is over.
+pub async fn timeout<T>(limit: Duration, future: impl Future<Output = T>) -> Option<T> {
+    let work = async { Some(future.await) };
+    let expiry = async {
+        smol::Timer::after(limit).await;
+        None
+    };
+    futures_lite::future::or(work, expiry).await
+}
--- a/crates/radishpin-server/src/agent/process.rs
+++ b/crates/radishpin-server/src/agent/process.rs
@@ -98,6 +98,11 @@
         self.told_to_leave.load(Ordering::Acquire) || self.shutdown.has_begun()
     }
 
+    /// Calls that the endpoint works on.
+    pub fn running_calls(&self) -> u32 {
+        self.places.running()
+    }
+
     /// Load of the endpoint now.
     pub(super) fn load(&self) -> Load {
         let (memory_used_mb, loading) = self.memory_and_loads();
--- a/crates/radishpin-server/src/rpc/channel.rs
+++ b/crates/radishpin-server/src/rpc/channel.rs
@@ -118,6 +118,18 @@
         Ok(sender)
     }
 
+    /// A connection made after `failed` ended.
+    async fn reconnect(
+        &self,
+        failed: &SendRequest<Body>,
+    ) -> Result<SendRequest<Body>, ChannelError> {
+        if failed.is_closed() {
+            return self.sender().await;
+        }
+        *self.sender.lock() = None;
+        self.sender().await
+    }
+
     async fn connect(&self) -> Result<SendRequest<Body>, ChannelError> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address))
             .await
@@ -171,6 +183,15 @@
         Box::pin(async move {
             shared.address_request(&mut request)?;
             let mut sender = shared.sender().await?;
+            let mut failed = match sender.try_send_request(request).await {
+                Ok(response) => return Ok(response),
+                Err(failed) => failed,
+            };
+            // A request that comes back was never written: the connection had ended unnoticed.
+            let Some(request) = failed.take_message() else {
+                return Err(ChannelError::Transport(failed.into_error()));
+            };
+            let mut sender = shared.reconnect(&sender).await?;
             sender
                 .send_request(request)
                 .await
--- a/src/command/try.rs
+++ b/src/command/try.rs
@@ -101,7 +101,7 @@
         let token = cluster.operator_token();
         text.push_str(&format!(
             "RADISHPIN_TOKEN={token} radishpin status --server {}\n",
-            node.operator_address
+            node.running.operator_address
         ));
     }
     for address in &addresses[1..] {
