--- a/crates/radishpin-core/src/request/routing.rs
+++ b/crates/radishpin-core/src/request/routing.rs
@@ -6,6 +6,9 @@
 /// Time that a hop into another availability zone adds to a call.
 const ZONE_COST: Duration = Duration::from_millis(2);
 
+/// Age up to which a report tells whether an endpoint has a free place.
+const LOAD_AGE_MAX: Duration = Duration::from_secs(60);
+
 /// Where the weights of a model are nearest to an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Tier {
@@ -57,10 +60,19 @@
     pub leaving: bool,
     /// Whether it may hold a cached prefix of the request.
     pub affinity: bool,
-    /// Age of the last report in `outstanding`.
+    /// Age of the last report in `outstanding`; [`Duration::MAX`] where there was none.
     pub load_age: Duration,
 }
 
+/// The replicas of a model that a node considers, at most `limit`, so that what it has to know of
+/// them stays small and recent. `node_rank` is the node's place among the live nodes in order of
+/// name: successive nodes take successive replicas, so each is considered by as many nodes.
+pub fn subset(replicas: usize, limit: usize, node_rank: usize) -> impl Iterator<Item = usize> {
+    let count = replicas.min(limit);
+    let first = node_rank * count;
+    (0..count).map(move |index| (first + index) % replicas)
+}
+
 /// Chooses an endpoint; `None` where there is none to try.
 ///
 /// Order: not suspected, then loaded, then a load in flight, then the grant with the best tier;
@@ -129,36 +141,30 @@
         .copied()
         .filter(|i| candidates[*i].availability_zone_local)
         .collect();
-    let best = match two_choices(candidates, &local, random) {
-        Some(near) if is_idle(&candidates[near]) => near,
-        near => {
-            let any = two_choices(candidates, members, random)?;
-            near.map_or(any, |near| nearer_of(candidates, near, any))
-        }
-    };
+    let any = two_choices(candidates, members, random)?;
+    let near = two_choices(candidates, &local, random);
+    let best = near
+        .filter(|near| costs_nothing(&candidates[*near], &candidates[any]))
+        .unwrap_or(any);
     let limit = estimate_wait(&candidates[best]);
     let hinted = members
         .iter()
         .copied()
         .filter(|i| candidates[*i].affinity && estimate_wait(&candidates[*i]) <= limit)
-        .min_by_key(|i| candidates[*i].outstanding);
+        .min_by_key(|i| relative_load(&candidates[*i]));
     Some(hinted.unwrap_or(best))
 }
 
-fn nearer_of(candidates: &[Candidate], near: usize, any: usize) -> usize {
-    let near_wait = estimate_wait(&candidates[near]);
-    let any_wait = estimate_wait(&candidates[any]);
-    if near_wait <= any_wait.saturating_add(ZONE_COST) {
-        near
+/// Without a recent report every endpoint looks idle, so there the lesser load decides: always
+/// taking the near one would overload the zones that have few replicas.
+fn costs_nothing(near: &Candidate, any: &Candidate) -> bool {
+    if near.load_age <= LOAD_AGE_MAX {
+        estimate_wait(near) <= estimate_wait(any).saturating_add(ZONE_COST)
     } else {
-        any
+        relative_load(near) <= relative_load(any)
     }
 }
 
-fn is_idle(candidate: &Candidate) -> bool {
-    estimate_wait(candidate).is_zero()
-}
-
 fn two_choices(candidates: &[Candidate], members: &[usize], random: u64) -> Option<usize> {
     let count = members.len() as u64;
     if count == 0 {
