--- /dev/null
+++ b/crates/radishpin-core/tests/request_retry.rs
@@ -0,0 +1,196 @@
+//! Retries: only where harmless, within the budget, with codes that say the truth.
+
+use proptest::{prelude::*, test_runner::RngSeed};
+use radishpin_core::request::{
+    AttemptOutcome, CallFacts, MAX_ATTEMPTS, RetryBudget, RetryBudgets, RetryReason, Step,
+    TombstoneOutcome, next_step,
+};
+use radishpin_protocol::prelude::*;
+
+const LEFT: Duration = Duration::from_secs(9);
+
+fn outcomes() -> Vec<AttemptOutcome> {
+    let refused = |not_run| {
+        let of_code = move |code: &ResultCode| AttemptOutcome::Refused {
+            code: *code,
+            not_run,
+        };
+        ResultCode::ALL.iter().map(of_code)
+    };
+    let tombstones = [
+        TombstoneOutcome::NeverRuns,
+        TombstoneOutcome::Started,
+        TombstoneOutcome::Finished,
+        TombstoneOutcome::Unknown,
+    ];
+    let mut all = vec![
+        AttemptOutcome::NotSent,
+        AttemptOutcome::NoAnswer,
+        AttemptOutcome::BrokenBeforeAnswer,
+        AttemptOutcome::BrokenInAnswer { resumable: true },
+        AttemptOutcome::BrokenInAnswer { resumable: false },
+        AttemptOutcome::Crossed,
+        AttemptOutcome::TombstoneLost,
+    ];
+    all.extend(tombstones.map(AttemptOutcome::Tombstoned));
+    all.extend(refused(true));
+    all.extend(refused(false));
+    all
+}
+
+fn is_proven_not_run(outcome: AttemptOutcome) -> bool {
+    matches!(
+        outcome,
+        AttemptOutcome::NotSent
+            | AttemptOutcome::Refused { not_run: true, .. }
+            | AttemptOutcome::Tombstoned(TombstoneOutcome::NeverRuns)
+    )
+}
+
+fn all_facts() -> Vec<CallFacts> {
+    let mut all = Vec::new();
+    for idempotent in [false, true] {
+        for remaining in [Duration::ZERO, LEFT] {
+            for attempts in [1, MAX_ATTEMPTS] {
+                for another_endpoint in [false, true] {
+                    for expected in [Duration::ZERO, LEFT * 2] {
+                        all.push(CallFacts {
+                            idempotent,
+                            remaining,
+                            expected,
+                            attempts,
+                            another_endpoint,
+                        });
+                    }
+                }
+            }
+        }
+    }
+    all
+}
+
+#[test]
+fn codes_say_the_truth_and_retries_are_harmless() {
+    let mut checked = 0;
+    for outcome in outcomes() {
+        for facts in all_facts() {
+            for budget in [false, true] {
+                let step = next_step(outcome, facts, || budget);
+                let context = format!("{outcome:?} {facts:?} {budget} -> {step:?}");
+                let proven = is_proven_not_run(outcome);
+                match step {
+                    Step::Retry(reason) => {
+                        assert!(proven || facts.idempotent, "{context}");
+                        assert!(facts.remaining >= facts.expected.max(LEFT / 9), "{context}");
+                        assert!(facts.attempts < MAX_ATTEMPTS, "{context}");
+                        assert!(budget || !reason.is_budgeted(), "{context}");
+                    }
+                    Step::Refuse(code) => {
+                        assert!(proven, "{context}");
+                        assert_eq!(code.ran(), Ran::No, "{context}");
+                    }
+                    Step::Unknown(code) => assert_eq!(code.ran(), Ran::Unknown, "{context}"),
+                    Step::Tombstone => assert_eq!(outcome, AttemptOutcome::NoAnswer, "{context}"),
+                }
+                checked += 1;
+            }
+        }
+    }
+    insta::assert_snapshot!(checked, @"5824");
+}
+
+#[test]
+fn steps_of_the_usual_cases() {
+    let facts = |idempotent| CallFacts {
+        idempotent,
+        remaining: LEFT,
+        expected: Duration::ZERO,
+        attempts: 1,
+        another_endpoint: true,
+    };
+    let refused = |code| AttemptOutcome::Refused {
+        code,
+        not_run: true,
+    };
+    let cases = [
+        AttemptOutcome::NotSent,
+        refused(ResultCode::EndpointLeaving),
+        refused(ResultCode::QueueFull),
+        refused(ResultCode::InvalidField),
+        AttemptOutcome::NoAnswer,
+        AttemptOutcome::Tombstoned(TombstoneOutcome::NeverRuns),
+        AttemptOutcome::Tombstoned(TombstoneOutcome::Started),
+        AttemptOutcome::TombstoneLost,
+        AttemptOutcome::BrokenBeforeAnswer,
+        AttemptOutcome::BrokenInAnswer { resumable: true },
+        AttemptOutcome::Crossed,
+    ];
+    let row = |outcome| {
+        let [once, again] = [false, true].map(|i| next_step(outcome, facts(i), || true));
+        format!("{outcome:?}: {once:?} | idempotent: {again:?}")
+    };
+    insta::assert_snapshot!(cases.map(row).join("\n"), @r"
+    NotSent: Retry(NotSent) | idempotent: Retry(NotSent)
+    Refused { code: EndpointLeaving, not_run: true }: Retry(Leaving) | idempotent: Retry(Leaving)
+    Refused { code: QueueFull, not_run: true }: Retry(QueueFull) | idempotent: Retry(QueueFull)
+    Refused { code: InvalidField, not_run: true }: Refuse(InvalidField) | idempotent: Refuse(InvalidField)
+    NoAnswer: Tombstone | idempotent: Retry(IdempotentNoAnswer)
+    Tombstoned(NeverRuns): Retry(NeverRuns) | idempotent: Retry(NeverRuns)
+    Tombstoned(Started): Unknown(OutcomeUnknown) | idempotent: Retry(IdempotentNoAnswer)
+    TombstoneLost: Unknown(OutcomeUnknown) | idempotent: Retry(IdempotentNoAnswer)
+    BrokenBeforeAnswer: Unknown(OutcomeUnknown) | idempotent: Retry(IdempotentNoAnswer)
+    BrokenInAnswer { resumable: true }: Unknown(AnswerBroken) | idempotent: Retry(Resume)
+    Crossed: Unknown(AnswerCrossed) | idempotent: Retry(IdempotentCrossed)
+    ");
+}
+
+#[test]
+fn reasons_have_counters_of_their_own() {
+    let names: BTreeSet<&str> = RetryReason::ALL.iter().map(|r| r.name()).collect();
+    assert_eq!(names.len(), RetryReason::ALL.len());
+    let free = RetryReason::ALL.iter().filter(|r| !r.is_budgeted());
+    let free: Vec<&str> = free.map(|r| r.name()).collect();
+    insta::assert_snapshot!(free.join(" "), @"not_sent leaving not_granted no_memory never_runs");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(4819),
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(500)
+    })]
+
+    /// Whatever the order: retries <= burst + a tenth of the requests, of each service and in all.
+    #[test]
+    fn retries_stay_within_a_tenth(events in prop::collection::vec((0..3_usize, any::<bool>()), 0..600)) {
+        const NODE_BURST: u32 = 7;
+        const SERVICE_BURST: u32 = 4;
+        let mut budgets = RetryBudgets::new(NODE_BURST, SERVICE_BURST);
+        let mut requests = [0_u32; 3];
+        let mut retries = [0_u32; 3];
+        for (service, is_request) in events {
+            let name = ["a", "b", "c"][service];
+            if is_request {
+                budgets.record_request(name);
+                requests[service] += 1;
+            } else if budgets.try_take(name) {
+                retries[service] += 1;
+            }
+            prop_assert!(retries[service] <= SERVICE_BURST + requests[service] / 10);
+            let (all, made): (u32, u32) = (requests.iter().sum(), retries.iter().sum());
+            prop_assert!(made <= NODE_BURST + all / 10);
+        }
+    }
+}
+
+#[test]
+fn ten_requests_earn_one_retry() {
+    let mut budget = RetryBudget::new(1);
+    assert!(budget.try_take());
+    for _ in 0..9 {
+        budget.record_request();
+    }
+    assert!(!budget.try_take());
+    budget.record_request();
+    assert!(budget.try_take());
+}
