Load an embedded system, with faults brought about at random

Cause: the load tool needed a system of its own, and what came of requests was not checked while things fail.

--- a/src/command/load/driver.rs
+++ b/src/command/load/driver.rs
@@ -99,9 +99,12 @@
             true => phase.settings.key_retries,
             false => 0,
         };
+        let Some(address) = phase.address(number) else {
+            return;
+        };
         let mut due = due;
         for _ in 0..=retries {
-            let measured = call(&phase.client, phase.address, &phase.settings, planned, due).await;
+            let measured = call(&phase.client, address, &phase.settings, planned, due).await;
             self.recorder.take(number, planned, &measured);
             if !measured.outcome.is_open() {
                 return;
--- a/src/command/load/models.rs
+++ b/src/command/load/models.rs
@@ -32,8 +32,8 @@
     settings: &LoadSettings,
 ) -> Result<Arc<Vec<String>>, CommandError> {
     let mut models = settings.models.clone();
-    if models.is_empty() {
-        let list: ModelList = get(client, settings.target, MODELS_PATH).await?;
+    if let ([], Some(address)) = (models.as_slice(), settings.targets.first()) {
+        let list: ModelList = get(client, *address, MODELS_PATH).await?;
         models = list.data.into_iter().map(|entry| entry.id).collect();
     }
     if let Some(address) = settings.direct {
--- a/src/command/load/phase.rs
+++ b/src/command/load/phase.rs
@@ -1,20 +1,22 @@
-//! The load on one address.
+//! The load on some addresses.
 
 use super::{
-    driver::Drive, plan::Planner, recorder::Claims, report::PhaseReport, settings::LoadSettings,
+    driver::Drive, plan::Planner, processor::Processor, recorder::Claims, report::PhaseReport,
+    settings::LoadSettings,
 };
+use crate::CommandError;
 use radishpin_http::Client;
 use radishpin_runtime::Runtime;
 use std::{net::SocketAddr, sync::Arc, time::Instant};
 
-/// The load on one address.
+/// The load on some addresses, called in turn.
 #[derive(Debug)]
 pub(super) struct Phase {
     pub(super) settings: Arc<LoadSettings>,
     pub(super) client: Client,
     pub(super) models: Arc<Vec<String>>,
     pub(super) run_id: String,
-    pub(super) address: SocketAddr,
+    pub(super) addresses: Vec<SocketAddr>,
     /// Whether plain services are called too.
     pub(super) services: bool,
 }
@@ -38,20 +40,35 @@
         )
     }
 
+    /// The address that a caller or an arrival calls.
+    pub(super) fn address(&self, number: u64) -> Option<SocketAddr> {
+        let count = self.addresses.len() as u64;
+        let index = number.checked_rem(count)?;
+        usize::try_from(index)
+            .ok()
+            .and_then(|index| self.addresses.get(index).copied())
+    }
+
     /// Sends the load and waits for every answer.
-    pub(super) async fn run(self, runtime: &Runtime) -> Finished {
-        let address = self.address;
+    ///
+    /// # Errors
+    /// The measured process is not there.
+    pub(super) async fn run(self, runtime: &Runtime) -> Result<Finished, CommandError> {
+        let addresses = self.addresses.clone();
         let rate = self.settings.rate_per_second;
+        let before = self.settings.process.map(Processor::read).transpose()?;
         let started = Instant::now();
         let drive = Arc::new(Drive::new(self));
         match rate {
             Some(rate) => drive.open(runtime, rate).await,
             None => drive.closed(runtime).await,
         }
+        let took = started.elapsed();
+        let processor = before.map(Processor::elapsed).transpose()?;
         let record = drive.recorder.finish();
-        Finished {
-            report: PhaseReport::new(address, started.elapsed(), &record),
+        Ok(Finished {
+            report: PhaseReport::new(addresses, took, processor, &record),
             claims: record.claims,
-        }
+        })
     }
 }
--- a/src/command/load/report.rs
+++ b/src/command/load/report.rs
@@ -7,6 +7,9 @@
 use serde::Serialize;
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
+/// Microseconds in a second.
+const MICROSECONDS_PER_SECOND: u64 = 1_000_000;
+
 /// Quantiles of times in microseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize)]
@@ -30,15 +33,17 @@
     }
 }
 
-/// What came of the load on one address.
+/// What came of a phase.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize)]
 pub(super) struct PhaseReport {
-    pub(super) address: SocketAddr,
+    pub(super) addresses: Vec<SocketAddr>,
     /// From the first request to the last answer.
     pub(super) took_ms: u64,
     pub(super) sent: u64,
     pub(super) answered_per_second: u64,
+    /// Processor time of the measured process for each request sent.
+    pub(super) processor_us_per_request: Option<u64>,
     /// Due in an open loop, but not sent as too many were on their way.
     pub(super) not_sent: u64,
     pub(super) whole: u64,
@@ -58,9 +63,15 @@
 
 impl PhaseReport {
     /// The report of a record.
-    pub(super) fn new(address: SocketAddr, took: Duration, record: &Record) -> Self {
+    pub(super) fn new(
+        addresses: Vec<SocketAddr>,
+        took: Duration,
+        processor: Option<Duration>,
+        record: &Record,
+    ) -> Self {
         Self {
-            address,
+            addresses,
+            processor_us_per_request: processor.map(|time| share_us(time, record.sent)),
             took_ms: u64::try_from(took.as_millis()).unwrap_or(u64::MAX),
             sent: record.sent,
             answered_per_second: per_second(record.whole, took),
@@ -80,8 +91,14 @@
     }
 }
 
+/// Time for each of `count`.
+fn share_us(time: Duration, count: u64) -> u64 {
+    let time_us = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+    time_us / count.max(1)
+}
+
 /// Count over a time.
-pub(super) fn per_second(count: u64, took: Duration) -> u64 {
+fn per_second(count: u64, took: Duration) -> u64 {
     let seconds = took.as_secs_f64().max(1e-9);
     (count as f64 / seconds) as u64
 }
@@ -96,18 +113,30 @@
     pub(super) whole_answer_p99_us: i64,
     /// Whole answers a second at the target, over those at the direct address.
     pub(super) throughput_ratio: f64,
+    /// Processor time for each request at the target, less that of a direct one.
+    pub(super) processor_us_per_request: Option<i64>,
+    /// Requests for each second of that added processor time.
+    pub(super) requests_per_core_second: Option<u64>,
 }
 
 impl Added {
     /// The difference of two phases.
     pub(super) fn between(direct: &PhaseReport, target: &PhaseReport) -> Self {
         let direct_per_second = direct.answered_per_second.max(1) as f64;
+        let processor = target
+            .processor_us_per_request
+            .zip(direct.processor_us_per_request)
+            .map(|(target_us, direct_us)| less(target_us, direct_us));
         Self {
             first_token_p50_us: less(target.first_token.p50_us, direct.first_token.p50_us),
             first_token_p99_us: less(target.first_token.p99_us, direct.first_token.p99_us),
             whole_answer_p50_us: less(target.whole_answer.p50_us, direct.whole_answer.p50_us),
             whole_answer_p99_us: less(target.whole_answer.p99_us, direct.whole_answer.p99_us),
             throughput_ratio: target.answered_per_second as f64 / direct_per_second,
+            processor_us_per_request: processor,
+            requests_per_core_second: processor
+                .and_then(|added_us| u64::try_from(added_us).ok())
+                .and_then(|added_us| MICROSECONDS_PER_SECOND.checked_div(added_us)),
         }
     }
 }
@@ -125,8 +154,8 @@
     pub(super) target: PhaseReport,
     pub(super) direct: Option<PhaseReport>,
     pub(super) added: Option<Added>,
-    /// Requests for each second of the measured process's processor time.
-    pub(super) requests_per_core_second: Option<u64>,
+    /// How often each fault was brought about.
+    pub(super) faults: Option<BTreeMap<&'static str, u64>>,
     pub(super) truth: Option<Truth>,
 }
 
--- a/src/command/load/settings.rs
+++ b/src/command/load/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of `radishpin load`.
 
+use super::faults::{self, FaultKind};
 use crate::{
     command::{CommandSpec, no_operands},
     settings::{
@@ -17,9 +18,38 @@
 
 static TARGET: Setting = Setting::with_default(
     "target",
-    Kind::Address,
+    Kind::Addresses,
     "127.0.0.1:8080",
-    "Address of a node's callers' listener.",
+    "Addresses of nodes' callers' listeners, called in turn.",
+);
+
+static EMBEDDED: Setting = Setting::optional(
+    "embedded",
+    Kind::Switch,
+    "Start the system of `radishpin try` in this process and take its addresses for --target, \
+     --direct and --journal.",
+);
+
+static INSTANT: Setting = Setting::optional(
+    "instant",
+    Kind::Switch,
+    "With --embedded: engines that take no time, so that what lies before them is measured.",
+);
+
+static FAULTS: Setting = Setting::optional(
+    "faults",
+    Kind::Names,
+    "With --embedded: faults to bring about at random while the load runs, or all.",
+);
+
+static FAULT_EVERY: Setting = Setting::with_default(
+    "fault-every",
+    Kind::Duration {
+        min: Duration::from_millis(10),
+        max: Duration::from_secs(3_600),
+    },
+    "500ms",
+    "Time between two faults.",
 );
 
 static RATE: Setting = Setting::optional(
@@ -179,7 +209,11 @@
 /// Settings of `radishpin load`.
 #[derive(Clone, Debug)]
 pub(super) struct LoadSettings {
-    pub(super) target: SocketAddr,
+    pub(super) targets: Vec<SocketAddr>,
+    pub(super) embedded: bool,
+    pub(super) instant: bool,
+    pub(super) faults: Vec<FaultKind>,
+    pub(super) fault_every: Duration,
     pub(super) direct: Option<SocketAddr>,
     pub(super) journals: Vec<SocketAddr>,
     pub(super) process: Option<u64>,
@@ -207,7 +241,11 @@
     /// A setting is missing; checked values have them all.
     pub(super) fn new(values: &Values) -> Result<Self, Vec<Fault>> {
         Ok(Self {
-            target: values.address(&TARGET)?,
+            targets: values.addresses(&TARGET),
+            embedded: values.switch(&EMBEDDED),
+            instant: values.switch(&INSTANT),
+            faults: faults::named(&values.names(&FAULTS)),
+            fault_every: values.duration(&FAULT_EVERY)?,
             direct: values.optional_address(&DIRECT),
             journals: values.addresses(&JOURNAL),
             process: values.optional_number(&PROCESS),
@@ -237,6 +275,10 @@
     usages: &["[FLAGS]"],
     settings: &[
         &TARGET,
+        &EMBEDDED,
+        &INSTANT,
+        &FAULTS,
+        &FAULT_EVERY,
         &RATE,
         &CONCURRENCY,
         &DURATION,
@@ -260,6 +302,8 @@
     ],
     examples: &[
         "radishpin load --concurrency 64 --duration 5s",
+        "radishpin load --embedded --instant --concurrency 64 --stream-percent 0",
+        "radishpin load --embedded --services booking --faults all --rate 200 --duration 30s",
         "radishpin load --rate 2000 --services bookings --journal 127.0.0.1:7001,127.0.0.1:7002",
         "radishpin load --models m1 --stream-percent 0 --direct 127.0.0.1:7001 --json",
     ],
@@ -267,5 +311,26 @@
             measures a system before stand-ins. Exit code 1 if a promise was broken: a request\n\
             dropped or cut short, an answer to another caller, a keyed call run twice, or a\n\
             request run that was answered \"not run\".\n",
-    check: no_operands,
+    check,
 };
+
+fn check(values: &Values) -> Vec<Fault> {
+    let mut found = no_operands(values);
+    let unknown = values.names(&FAULTS);
+    let unknown = unknown.iter().filter(|name| !faults::is_name(name));
+    found.extend(unknown.map(|name| Fault::NotAllowed {
+        setting: format!("--{}", FAULTS.flag),
+        value: name.clone(),
+        allowed: faults::allowed(),
+    }));
+    if !values.switch(&EMBEDDED) {
+        let only_embedded = [&INSTANT, &FAULTS].into_iter();
+        let given = only_embedded.filter(|setting| values.is_given(setting));
+        found.extend(given.map(|setting| Fault::Contradiction {
+            setting: setting.label(),
+            value: "given".to_owned(),
+            allowed: "with --embedded".to_owned(),
+        }));
+    }
+    found
+}
--- a/src/command/load/table.rs
+++ b/src/command/load/table.rs
@@ -5,6 +5,7 @@
     report::{Added, PhaseReport, Quantiles, Report},
 };
 use crate::output::{table, table_text};
+use std::{collections::BTreeMap, net::SocketAddr};
 
 /// All tables of the report.
 pub(super) fn report(report: &Report) -> String {
@@ -16,8 +17,8 @@
     if let Some(added) = &report.added {
         parts.push(added_text(added));
     }
-    if let Some(per_core) = report.requests_per_core_second {
-        parts.push(format!("requests a second per core: {per_core}"));
+    if let Some(faults) = report.faults.as_ref().filter(|faults| !faults.is_empty()) {
+        parts.push(faults_text(faults));
     }
     parts.push(match &report.truth {
         Some(truth) => truth_text(truth),
@@ -29,9 +30,28 @@
 fn phase(title: &str, phase: &PhaseReport) -> String {
     let head = format!(
         "{title} {}: {} whole answers a second over {} ms",
-        phase.address, phase.answered_per_second, phase.took_ms
+        addresses(&phase.addresses),
+        phase.answered_per_second,
+        phase.took_ms
     );
-    [head, counts(phase), latencies(phase)].join("\n")
+    let mut parts = vec![head, counts(phase), latencies(phase)];
+    if let Some(time_us) = phase.processor_us_per_request {
+        parts.push(format!("processor time a request: {time_us} us"));
+    }
+    parts.join("\n")
+}
+
+fn addresses(addresses: &[SocketAddr]) -> String {
+    let texts: Vec<String> = addresses.iter().map(ToString::to_string).collect();
+    texts.join(",")
+}
+
+fn faults_text(faults: &BTreeMap<&'static str, u64>) -> String {
+    let mut rows = table(&["FAULTS", "COUNT"]);
+    for (name, count) in faults {
+        rows.add_row([(*name).to_owned(), count.to_string()]);
+    }
+    table_text(&rows)
 }
 
 fn counts(phase: &PhaseReport) -> String {
@@ -91,7 +111,14 @@
         signed_ms(added.whole_answer_p99_us),
     ]);
     let ratio = format!("throughput over direct: {:.2}", added.throughput_ratio);
-    [table_text(&rows), ratio].join("\n")
+    let mut parts = vec![table_text(&rows), ratio];
+    if let Some(time_us) = added.processor_us_per_request {
+        parts.push(format!("processor time added to a request: {time_us} us"));
+    }
+    if let Some(count) = added.requests_per_core_second {
+        parts.push(format!("requests a second per core of it: {count}"));
+    }
+    parts.join("\n")
 }
 
 fn truth_text(truth: &Truth) -> String {
--- a/src/error.rs
+++ b/src/error.rs
@@ -39,14 +39,6 @@
         Refused { text: String } {
             display("{text}")
         }
-        /// A measured run cannot be made.
-        Load { cause: String } {
-            display("{cause}")
-        }
-        /// A measured run found a broken promise; its report tells more.
-        Promise { text: String } {
-            display("{text}")
-        }
         /// A node cannot start.
         Node(cause: radishpin_server::NodeError) {
             display("{cause}")
