Count arrivals from the return on; change faults under one lock

Cause: the recovery example counted arrivals of the outage's last part of a second as arrivals after it; change_faults could undo a counted fault that a call had used meanwhile.

Change: both.

Conclusion: the figure after the outage is one of calls after it.

--- a/crates/radishpin-platform/examples/recovery.rs
+++ b/crates/radishpin-platform/examples/recovery.rs
@@ -12,7 +12,7 @@
     PlatformClient, PlatformMetrics, ViewHandle, ViewReader, Write, jittered,
 };
 use radishpin_runtime::Runtime;
-use radishpin_standin::{Faults, MemoryPlatform, Outage};
+use radishpin_standin::{Faults, MemoryPlatform, Outage, SecondCounts};
 use std::{
     sync::Arc,
     time::{Duration, Instant},
@@ -61,9 +61,10 @@
         write_models(&platform, 1, MODELS_CHANGED);
         platform.set_faults(limits(Outage::None, writes_per_second));
         let back = start.elapsed();
+        let at_return = platform.counts().seconds.last().copied();
         let caught_up = caught_up(&platform, &views).await;
         smol::Timer::after((back + AFTER).saturating_sub(start.elapsed())).await;
-        report(&platform, back, caught_up);
+        report(&platform, at_return.unwrap_or_default(), caught_up);
     });
     Ok(())
 }
@@ -171,20 +172,35 @@
     back.elapsed()
 }
 
-fn report(platform: &MemoryPlatform, back: Duration, caught_up: Duration) {
+/// Prints the arrivals; those of the second of the return count from the return on.
+fn report(platform: &MemoryPlatform, at_return: SecondCounts, caught_up: Duration) {
     let counts = platform.counts();
-    println!("second reads writes  (arrivals; the platform is back at {back:.1?})");
+    println!(
+        "second reads writes  (arrivals; the platform is back within {})",
+        at_return.second
+    );
     for second in &counts.seconds {
         println!("{:6} {:5} {:6}", second.second, second.reads, second.writes);
     }
     let after = counts
         .seconds
         .iter()
-        .filter(|second| second.second >= back.as_secs());
-    let reads = after.clone().map(|second| second.reads).max();
-    let writes = after.map(|second| second.writes).max();
+        .filter(|second| second.second >= at_return.second)
+        .map(|second| since(second, &at_return));
+    let (reads, writes): (Vec<u64>, Vec<u64>) = after.unzip();
+    let reads = reads.into_iter().max();
+    let writes = writes.into_iter().max();
     println!("most in a second after the outage: reads {reads:?} writes {writes:?}");
     println!("refused by the rate limits in all: {}", counts.rate_limited);
     println!("writes served in all: {}", counts.writes);
     println!("every view caught up after {caught_up:.1?}");
 }
+
+fn since(second: &SecondCounts, at_return: &SecondCounts) -> (u64, u64) {
+    if second.second != at_return.second {
+        return (second.reads, second.writes);
+    }
+    let reads = second.reads - at_return.reads;
+    let writes = second.writes - at_return.writes;
+    (reads, writes)
+}
--- a/crates/radishpin-standin/src/lib.rs
+++ b/crates/radishpin-standin/src/lib.rs
@@ -19,7 +19,7 @@
 pub use engine::{Call, CallRequest, Engine, EngineFaults, EngineSettings, token};
 pub use journal::{Journal, JournalSnapshot, Overcommit, Run, RunEnd, RunGuard};
 pub use plain_service::{PlainService, PlainServiceFaults, PlainServiceSettings, ServiceReply};
-pub use platform::{Counts, Faults, MemoryPlatform, Outage};
+pub use platform::{Counts, Faults, MemoryPlatform, Outage, SecondCounts};
 pub use rate::Rate;
 pub use weight_store::{
     Lane, WeightStore, WeightStoreError, WeightStoreFaults, WeightStoreSettings,
--- a/crates/radishpin-standin/src/platform.rs
+++ b/crates/radishpin-standin/src/platform.rs
@@ -5,7 +5,7 @@
 mod http;
 mod table;
 
-pub use faults::{Counts, Faults, Outage};
+pub use faults::{Counts, Faults, Outage, SecondCounts};
 
 use crate::{clock::Clock, lagged::Lagged};
 use call::{CallKind, Gate, Verdict};
@@ -61,9 +61,11 @@
 
     /// Changes the faults in place.
     pub fn change_faults(&self, change: impl FnOnce(&mut Faults)) {
-        let mut faults = self.faults();
+        let now = self.shared.clock.now();
+        let mut gate = self.shared.gate.lock();
+        let mut faults = gate.faults();
         change(&mut faults);
-        self.set_faults(faults);
+        gate.set_faults(faults, now);
     }
 
     /// The faults that are left.
