Change a profile by the operators' API in the test of a lowered count

Cause: the view is now read by kind of row, so a row written past the writer is not seen; the test wrote the row itself.

Change: the test uses the operators' API, as an operator would.

Conclusion: as strict as before, and closer to use.

--- a/crates/radishpin-local/tests/cluster/leaving.rs
+++ b/crates/radishpin-local/tests/cluster/leaving.rs
@@ -1,6 +1,7 @@
 //! Endpoints that leave: by the host list, by a stop in good order, by a changed profile.
 
-use crate::support::{Caller, eventually, loaded_at, with_cluster};
+use crate::support::{Caller, Got, eventually, loaded_at, with_cluster};
+use http_types::Method;
 use radishpin_local::LocalCluster;
 use radishpin_platform::{HostEntry, HostState};
 use radishpin_protocol::{ModelRecord, prelude::*};
@@ -53,11 +54,8 @@
         caller.complete("repair-notes", "x").await;
         let mut profile = cluster.plan.profiles["drafting"].clone();
         profile.max_replicas = 1;
-        let document = serde_json::to_string(&profile).unwrap();
-        cluster
-            .platform
-            .put_row("profile/drafting", Some(&document));
-        touch_head(&cluster);
+        let changed = put_profile(&cluster, "drafting", &profile).await;
+        assert_eq!(changed.status, 200, "{}", changed.body);
         eventually("one grant", || {
             let record = model(&cluster, "repair-notes");
             record.replicas == 1 && record.grants.len() == 1
@@ -69,10 +67,18 @@
     });
 }
 
-fn touch_head(cluster: &LocalCluster) {
-    cluster
-        .platform
-        .put_row("head", Some(r#"{"operation":"test"}"#));
+/// Replaces a profile by the operators' API of the first node.
+async fn put_profile(cluster: &LocalCluster, name: &str, profile: &Profile) -> Got {
+    let operator = Caller::operator(cluster, 0);
+    let authorization = format!("Bearer {}", cluster.operator_token());
+    let version = cluster.platform.row(&format!("profile/{name}")).version;
+    let headers = [
+        ("authorization", authorization.as_str()),
+        ("if-match", &version.to_string()),
+    ];
+    let document = serde_json::to_string(profile).unwrap();
+    let path = format!("/v1/profiles/{name}");
+    operator.call(Method::Put, &path, &headers, &document).await
 }
 
 fn model(cluster: &LocalCluster, name: &str) -> ModelRecord {
--- a/crates/radishpin-local/tests/cluster/support.rs
+++ b/crates/radishpin-local/tests/cluster/support.rs
@@ -124,6 +124,15 @@
         }
     }
 
+    /// An operator at the node with this index.
+    pub fn operator(cluster: &LocalCluster, node: usize) -> Self {
+        let nodes: Vec<_> = cluster.nodes.values().collect();
+        Self {
+            client: Client::new(ClientLimits::default()),
+            address: nodes[node].running.operator_address,
+        }
+    }
+
     /// Sends a request and returns the response's head.
     pub async fn send(
         &self,
