Carry out planned stops: load ahead, refuse new work, move streams

Cause: a planned stop was stored and warned of, but nothing acted on it.

Change: from the stop's lead on, nodes choose other endpoints and agents refuse; interactive models that are loaded there are loaded at another holder ahead of it, those whose callers can wait are not; streams that still run two seconds before the window go on elsewhere without a retry from the budget.

--- a/crates/radishpin-local/src/cluster.rs
+++ b/crates/radishpin-local/src/cluster.rs
@@ -147,6 +147,7 @@
             limits: ServerLimits::default(),
             drain_timeout: self.plan.drain_timeout,
             poll_interval: self.plan.poll_interval,
+            stop_lead: self.plan.stop_lead,
         };
         let stop = Shutdown::default();
         let process = IsolatedRuntime::new(&self.runtime, PARALLEL);
--- a/crates/radishpin-local/src/plan.rs
+++ b/crates/radishpin-local/src/plan.rs
@@ -26,6 +26,8 @@
     pub weight_store: WeightStoreSettings,
     /// Time between two reads of the head row.
     pub poll_interval: Duration,
+    /// Time before a planned stop at which its endpoints take no new work.
+    pub stop_lead: Duration,
     /// Time that running work gets at a stop.
     pub drain_timeout: Duration,
 }
@@ -98,6 +100,7 @@
                 ..WeightStoreSettings::default()
             },
             poll_interval: Duration::from_millis(250),
+            stop_lead: Duration::from_secs(30),
             drain_timeout: Duration::from_secs(10),
         }
     }
--- a/crates/radishpin-local/tests/cluster/leaving.rs
+++ b/crates/radishpin-local/tests/cluster/leaving.rs
@@ -1,10 +1,14 @@
 //! Endpoints that leave: by the host list, by a stop in good order, by a changed profile.
 
-use crate::support::{Caller, Got, eventually, loaded_at, with_cluster};
+use crate::support::{Caller, Got, eventually, loaded_at, small_plan, with_cluster, with_plan};
 use http_types::Method;
 use radishpin_local::LocalCluster;
 use radishpin_platform::{HostEntry, HostState};
 use radishpin_protocol::{ModelRecord, prelude::*};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Tokens of a stream that runs beyond the start of a planned stop.
+const LONG: u32 = 4_000;
 
 #[test]
 fn a_host_that_the_platform_reclaims_gets_no_new_work() {
@@ -81,6 +85,80 @@
     operator.call(Method::Put, &path, &headers, &document).await
 }
 
+#[test]
+fn a_planned_stop_loads_ahead_and_moves_streams() {
+    let mut plan = small_plan();
+    plan.stop_lead = Duration::from_secs(2);
+    with_plan(plan, |cluster| async move {
+        let caller = Caller::of(&cluster, 0);
+        let whole = caller
+            .stream("repair-notes", "long", LONG)
+            .await
+            .rest()
+            .await;
+        let stopping = loaded_at(&cluster, "repair-notes")[0].clone();
+        let streaming = caller.clone();
+        let stream = cluster.runtime.spawn(async move {
+            streaming
+                .stream("repair-notes", "long", LONG)
+                .await
+                .rest()
+                .await
+        });
+        plan_stop(&cluster, &stopping, Duration::from_secs(4)).await;
+        eventually("loaded elsewhere", || {
+            loaded_at(&cluster, "repair-notes").len() == 2
+        })
+        .await;
+        let agent = &cluster.agents[&stopping].running.as_ref().unwrap().agent;
+        eventually("the agent knows", || agent.leaving()).await;
+        for i in 0..20 {
+            let got = caller.complete("repair-notes", &format!("{i}")).await;
+            assert_eq!(got.to_string(), "200 ok");
+        }
+        assert_eq!(stream.await, whole);
+        eventually("nothing runs there", || agent.running_calls() == 0).await;
+    });
+}
+
+#[test]
+fn a_cancelled_stop_lets_the_endpoint_work_on() {
+    let mut plan = small_plan();
+    plan.stop_lead = Duration::from_secs(60);
+    with_plan(plan, |cluster| async move {
+        let id = plan_stop(&cluster, "booking-1", Duration::from_secs(30)).await;
+        let agent = &cluster.agents["booking-1"].running.as_ref().unwrap().agent;
+        eventually("the agent knows", || agent.leaving()).await;
+        let authorization = format!("Bearer {}", cluster.operator_token());
+        let headers = [("authorization", authorization.as_str())];
+        let operator = Caller::operator(&cluster, 1);
+        let path = format!("/v1/stops/{id}");
+        let cancelled = operator.call(Method::Delete, &path, &headers, "").await;
+        assert_eq!(cancelled.status, 200, "{}", cancelled.body);
+        eventually("the agent works on", || !agent.leaving()).await;
+    });
+}
+
+/// Plans a stop of an endpoint's host by the operators' API; returns its id.
+async fn plan_stop(cluster: &LocalCluster, endpoint: &str, begins_in: Duration) -> String {
+    let host = &cluster.plan.endpoints[endpoint].host;
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    let from = (now + begins_in).as_millis();
+    let to = (now + begins_in + Duration::from_secs(600)).as_millis();
+    let id = "window-1";
+    let stop = format!(
+        r#"{{"id":"{id}","target":{{"host":"{host}"}},"from_unix_ms":{from},"to_unix_ms":{to}}}"#
+    );
+    let authorization = format!("Bearer {}", cluster.operator_token());
+    let headers = [("authorization", authorization.as_str())];
+    let operator = Caller::operator(cluster, 0);
+    let planned = operator
+        .call(Method::Post, "/v1/stops", &headers, &stop)
+        .await;
+    assert_eq!(planned.status, 201, "{}", planned.body);
+    id.to_owned()
+}
+
 fn model(cluster: &LocalCluster, name: &str) -> ModelRecord {
     let row = cluster.platform.row(&format!("model/{name}"));
     serde_json::from_str(&row.value.unwrap()).unwrap()
--- a/crates/radishpin-protocol/src/view.rs
+++ b/crates/radishpin-protocol/src/view.rs
@@ -3,7 +3,7 @@
 use crate::{
     ADAPTER_PREFIX, AdapterId, AdapterRecord, ENDPOINT_PREFIX, EndpointId, EndpointRecord, Grant,
     MODEL_PREFIX, ModelId, ModelRecord, PROFILE_PREFIX, Profile, ProfileId, SERVICE_PREFIX,
-    STOP_PREFIX, ServiceId, ServiceRecord, SizeMb, StopId, StopRecord, StopTarget, Version,
+    STOP_PREFIX, ServiceId, ServiceRecord, SizeMb, StopId, StopRecord, StopTarget, UnixMs, Version,
 };
 use quick_error::quick_error;
 use serde::de::DeserializeOwned;
@@ -107,22 +107,23 @@
         })
     }
 
-    /// Whether a planned stop whose window opens before `until_unix_ms` takes the endpoint out.
-    pub fn stops_endpoint(
+    /// Time until the first planned stop of the endpoint that is not over; zero while one is
+    /// open, `None` where none is planned.
+    pub fn stop_begins_in(
         &self,
         endpoint: &EndpointRecord,
-        now_unix_ms: u64,
-        lead: Duration,
-    ) -> bool {
-        let until_unix_ms =
-            now_unix_ms.saturating_add(u64::try_from(lead.as_millis()).unwrap_or(u64::MAX));
-        self.stops.values().any(|stop| {
-            let covers = match &stop.target {
-                StopTarget::Host(host) => *host == endpoint.host,
-                StopTarget::AvailabilityZone(zone) => *zone == endpoint.availability_zone,
-            };
-            covers && stop.from_unix_ms <= until_unix_ms && now_unix_ms < stop.to_unix_ms
-        })
+        now_unix_ms: UnixMs,
+    ) -> Option<Duration> {
+        let covers = |target: &StopTarget| match target {
+            StopTarget::Host(host) => *host == endpoint.host,
+            StopTarget::AvailabilityZone(zone) => *zone == endpoint.availability_zone,
+        };
+        let ahead = self
+            .stops
+            .values()
+            .filter(|stop| covers(&stop.target) && now_unix_ms < stop.to_unix_ms);
+        let first = ahead.map(|stop| stop.from_unix_ms).min()?;
+        Some(Duration::from_millis(first.saturating_sub(now_unix_ms)))
     }
 
     /// The part of the view that the agent of `endpoint` needs.
--- a/crates/radishpin-server/src/agent/process.rs
+++ b/crates/radishpin-server/src/agent/process.rs
@@ -1,5 +1,6 @@
 //! What lives as long as the agent's process.
 
+mod departure;
 mod error;
 mod housekeeping;
 mod loader;
@@ -14,6 +15,7 @@
 
 use super::connection::Endpoint;
 use crate::{clock::Clock, settings::AgentSettings, shards::Shards};
+use departure::Departure;
 use event_listener::Event;
 use loader::Loader;
 use meter::LoadMeter;
@@ -27,7 +29,7 @@
 use radishpin_http::Shutdown;
 use radishpin_protocol::{engine::Tier, prelude::*, wire::Load};
 use radishpin_runtime::Runtime;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 
 /// Shards of the ledger of attempts.
 const ATTEMPT_SHARDS: usize = 16;
@@ -57,7 +59,7 @@
     pub(super) metrics: AgentMetrics,
     pub(super) tiers: Mutex<BTreeMap<ModelId, Tier>>,
     pub(super) incarnation: AtomicU64,
-    pub(super) told_to_leave: AtomicBool,
+    pub(super) departure: Departure,
     pub(super) shutdown: Shutdown,
 }
 
@@ -82,7 +84,7 @@
             metrics: AgentMetrics::new(),
             tiers: Mutex::default(),
             incarnation: AtomicU64::new(0),
-            told_to_leave: AtomicBool::new(false),
+            departure: Departure::default(),
             shutdown,
             settings,
         }
@@ -95,7 +97,7 @@
 
     /// Whether new attempts are refused because the endpoint is to go.
     pub fn leaving(&self) -> bool {
-        self.told_to_leave.load(Ordering::Acquire) || self.shutdown.has_begun()
+        self.departure.is_leaving(self.clock.now()) || self.shutdown.has_begun()
     }
 
     /// Calls that the endpoint works on.
--- /dev/null
+++ b/crates/radishpin-server/src/agent/process/departure.rs
@@ -0,0 +1,64 @@
+//! Whether and when the endpoint is to go, as nodes tell it.
+
+use radishpin_protocol::prelude::*;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Time for which one node's word that the endpoint is to go counts. Nodes repeat it with every
+/// heartbeat; those that have not heard of it yet say nothing against it.
+const WORD_KEEP: Duration = Duration::from_secs(3);
+/// Time before a planned stop at which streams are moved elsewhere.
+const MOVE_TIME: Duration = Duration::from_secs(2);
+/// Stands for "no planned stop".
+const NEVER: u64 = u64::MAX;
+
+/// What nodes last said of the endpoint's departure.
+#[derive(Debug)]
+pub(in crate::agent) struct Departure {
+    leaving_until_ms: AtomicU64,
+    streams_move_at_ms: AtomicU64,
+}
+
+impl Default for Departure {
+    fn default() -> Self {
+        Self {
+            leaving_until_ms: AtomicU64::new(0),
+            streams_move_at_ms: AtomicU64::new(NEVER),
+        }
+    }
+}
+
+impl Departure {
+    /// Takes a node's word; `true` where the endpoint begins to leave with it.
+    pub(in crate::agent) fn told(
+        &self,
+        leaving: bool,
+        stop_in: Option<Duration>,
+        now: Duration,
+    ) -> bool {
+        if !leaving {
+            return false;
+        }
+        let was_leaving = self.is_leaving(now);
+        self.leaving_until_ms
+            .store(as_ms(now + WORD_KEEP), Ordering::Release);
+        let move_at_ms = stop_in.map_or(NEVER, |stop_in| {
+            as_ms((now + stop_in).saturating_sub(MOVE_TIME))
+        });
+        self.streams_move_at_ms.store(move_at_ms, Ordering::Release);
+        !was_leaving
+    }
+
+    /// Whether new work is refused.
+    pub(in crate::agent) fn is_leaving(&self, now: Duration) -> bool {
+        as_ms(now) < self.leaving_until_ms.load(Ordering::Acquire)
+    }
+
+    /// Whether streams that still run must go on elsewhere.
+    pub(in crate::agent) fn moves_streams(&self, now: Duration) -> bool {
+        self.is_leaving(now) && as_ms(now) >= self.streams_move_at_ms.load(Ordering::Acquire)
+    }
+}
+
+fn as_ms(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(NEVER)
+}
--- a/crates/radishpin-server/src/agent/request/relay.rs
+++ b/crates/radishpin-server/src/agent/request/relay.rs
@@ -68,6 +68,10 @@
                 let chunk = Chunk { offset, data };
                 frames.send(Frame::Chunk(chunk), None).await;
                 offset += 1;
+                if agent.departure.moves_streams(agent.clock.now()) {
+                    let detail = "the endpoint stops soon and the stream goes on elsewhere";
+                    return Err(AttemptRefusal::unknown(ResultCode::EndpointLeaving, detail));
+                }
             }
             StreamEvent::Done => return Ok(()),
         }
--- a/crates/radishpin-server/src/agent/version/sync.rs
+++ b/crates/radishpin-server/src/agent/version/sync.rs
@@ -8,14 +8,15 @@
     prelude::*,
     wire::{self, GrantView, ReplicaReport, SyncReply, SyncRequest},
 };
-use std::sync::atomic::Ordering;
 
 impl Agent {
     /// Takes the node's view, unless an older one, and tells the endpoint's state.
     pub(in crate::agent) fn sync(&self, request: SyncRequest) -> SyncReply {
-        let newest = request.view_version >= self.view_version();
-        if newest && request.leaving != self.told_to_leave.swap(request.leaving, Ordering::AcqRel) {
-            self.leaving_changed(request.leaving);
+        let stop_in = request.stop_in_ms.map(Duration::from_millis);
+        let now = self.clock.now();
+        if self.departure.told(request.leaving, stop_in, now) {
+            log::info!(event = "leaving"; "told to leave");
+            self.places.clear_queue();
         }
         if request.registered_incarnation > self.incarnation() {
             self.superseded();
@@ -33,13 +34,6 @@
         }
     }
 
-    fn leaving_changed(&self, leaving: bool) {
-        log::info!(event = "leaving_changed", leaving; "told whether to leave");
-        if leaving {
-            self.places.clear_queue();
-        }
-    }
-
     /// Another agent was registered for the endpoint: this one gives no more orders.
     fn superseded(&self) {
         if let Some(ledger) = self.ledger.lock().as_mut()
--- a/crates/radishpin-server/src/node/connection/agent_link.rs
+++ b/crates/radishpin-server/src/node/connection/agent_link.rs
@@ -57,6 +57,8 @@
     members: Arc<Mutex<Membership>>,
     outstanding: AtomicU32,
     syncing: AtomicBool,
+    /// Models that the last full heartbeat asked to be loaded ahead of a stop.
+    preloads: Mutex<BTreeSet<ModelId>>,
     known: Mutex<Known>,
 }
 
@@ -83,6 +85,7 @@
             members,
             outstanding: AtomicU32::new(0),
             syncing: AtomicBool::new(false),
+            preloads: Mutex::default(),
             known: Mutex::new(known),
         }
     }
@@ -127,6 +130,33 @@
         !self.syncing.swap(true, Ordering::AcqRel)
     }
 
+    /// Takes what the next full heartbeat asks to be loaded; `true` where it differs.
+    pub(in crate::node) fn preloads_changed(&self, wanted: &BTreeSet<ModelId>) -> bool {
+        let mut last = self.preloads.lock();
+        if *last == *wanted {
+            return false;
+        }
+        last.clone_from(wanted);
+        true
+    }
+
+    /// Whether the model is loaded there or is being loaded, as last heard.
+    pub(in crate::node) fn has_replica(&self, model: &str) -> bool {
+        let known = self.known.lock();
+        let state = known.replicas.get(model).map(|replica| replica.state);
+        matches!(
+            state,
+            Some(wire::ReplicaState::Loaded | wire::ReplicaState::Loading)
+        )
+    }
+
+    /// Expected time of a load of the model there.
+    pub(in crate::node) fn load_time(&self, model: &str) -> Duration {
+        let known = self.known.lock();
+        let tier = known.replicas.get(model).map(|replica| replica.tier);
+        known.load_time(tier.unwrap_or(wire::Tier::Remote))
+    }
+
     /// Lets the next heartbeat be sent.
     pub(in crate::node) fn end_sync(&self) {
         self.syncing.store(false, Ordering::Release);
--- a/crates/radishpin-server/src/node/process.rs
+++ b/crates/radishpin-server/src/node/process.rs
@@ -15,7 +15,10 @@
 use event_listener::Event;
 use metrics::NodeMetrics;
 use parking_lot::Mutex;
-use radishpin_core::{process::Membership, request::RetryBudgets};
+use radishpin_core::{
+    process::{Membership, Standing},
+    request::RetryBudgets,
+};
 use radishpin_http::Shutdown;
 use radishpin_platform::{Platform, PlatformClient};
 use radishpin_protocol::prelude::*;
@@ -117,6 +120,17 @@
         self.view()
     }
 
+    /// Whether the endpoint gets new work, as far as this node knows.
+    pub fn trusts(&self, endpoint: &str) -> bool {
+        let links = self.links();
+        let Some(link) = links.get(endpoint) else {
+            return false;
+        };
+        let now = self.clock.now();
+        let members = self.members.lock();
+        members.standing(endpoint, &link.record().host, now) == Standing::Usable
+    }
+
     /// Whether every agent of the view in force has answered a heartbeat under it.
     pub fn has_heard_all(&self) -> bool {
         let version = self.view().version;
--- a/crates/radishpin-server/src/node/process/route.rs
+++ b/crates/radishpin-server/src/node/process/route.rs
@@ -5,6 +5,7 @@
     connection::AgentLink,
     request::{Call, Refusal},
 };
+use radishpin_core::process::Standing;
 use radishpin_core::request::{
     Candidate, ReplicaReadiness, admit, choose, estimate_wait, retry_after,
 };
@@ -69,7 +70,10 @@
             .filter(|endpoint| !failed_at.contains(*endpoint))
             .filter_map(|endpoint| links.get(endpoint))
             .map(|link| {
-                let standing = members.standing(link.endpoint(), &link.record().host, now);
+                let standing = match self.stops_soon(&view, link.record()) {
+                    true => Standing::Leaving,
+                    false => members.standing(link.endpoint(), &link.record().host, now),
+                };
                 link.candidate(call.model(), zone, standing, now)
             })
             .collect()
--- a/crates/radishpin-server/src/node/request/events.rs
+++ b/crates/radishpin-server/src/node/request/events.rs
@@ -249,8 +249,7 @@
     /// Goes on at another endpoint, or the same, where the caller's stream stands.
     async fn resume(&mut self, mut failed: FailedAttempt) -> Result<Option<Vec<u8>>, Refusal> {
         self.attempt = None;
-        let resumable = self.progress.call.idempotent;
-        failed.outcome = AttemptOutcome::BrokenInAnswer { resumable };
+        failed.outcome = broken_in_answer(failed.outcome, self.progress.call.idempotent);
         let now = self.progress.node.clock.now();
         self.progress.call.deadline = now + self.progress.call.patience;
         self.progress.recover(failed).await?;
@@ -279,6 +278,21 @@
     }
 }
 
+/// What a break in the middle of a stream means: an endpoint that leaves hands the rest over in
+/// good order, which costs no retry.
+fn broken_in_answer(outcome: AttemptOutcome, resumable: bool) -> AttemptOutcome {
+    match outcome {
+        AttemptOutcome::Refused {
+            code: ResultCode::EndpointLeaving,
+            ..
+        } if resumable => AttemptOutcome::Refused {
+            code: ResultCode::EndpointLeaving,
+            not_run: true,
+        },
+        _ => AttemptOutcome::BrokenInAnswer { resumable },
+    }
+}
+
 fn event(data: &[u8]) -> Vec<u8> {
     let mut text = Vec::with_capacity(data.len() + 8);
     text.extend_from_slice(b"data: ");
--- a/crates/radishpin-server/src/node/version.rs
+++ b/crates/radishpin-server/src/node/version.rs
@@ -4,6 +4,7 @@
 mod grants;
 mod leases;
 mod poll;
+mod stops;
 mod sync;
 
 pub(super) use leases::Leases;
--- a/crates/radishpin-server/src/node/version/sync.rs
+++ b/crates/radishpin-server/src/node/version/sync.rs
@@ -24,8 +24,6 @@
 const AGENTS_FOR_ALL: usize = 64;
 /// Nodes that send heartbeats to one agent where there are more.
 const NODES_PER_AGENT: usize = 3;
-/// Time before a planned stop's window at which an endpoint takes no new work.
-const STOP_LEAD: Duration = Duration::from_secs(30);
 
 impl Node {
     /// Sends heartbeats until the process ends.
@@ -79,38 +77,42 @@
 
     fn sync_request(&self, link: &AgentLink) -> SyncRequest {
         let view = self.view();
-        let full = link.view_version() < view.version;
+        let preloads = self.preloads(&view, link.endpoint());
+        let full = link.view_version() < view.version || link.preloads_changed(&preloads);
         let grants = if full {
-            grant_views(&view, link.endpoint())
+            grant_views(&view, link.endpoint(), &preloads)
         } else {
             Vec::new()
         };
-        let stops = view.stops_endpoint(link.record(), unix_now_ms(), STOP_LEAD);
-        let leaving = stops || self.host_leaves(link.record());
+        let stop_in = view.stop_begins_in(link.record(), unix_now_ms());
+        let stops = stop_in.is_some_and(|stop_in| stop_in <= self.settings.stop_lead);
+        let stop_in_ms = stop_in.map(|stop_in| u64::try_from(stop_in.as_millis()));
         SyncRequest {
             node: self.settings.name.clone(),
             view_version: view.version,
             full,
             grants,
-            leaving,
+            leaving: stops || self.host_leaves(link.record()),
             registered_incarnation: link.record().incarnation,
+            stop_in_ms: stop_in_ms.and_then(Result::ok),
         }
     }
 }
 
-fn grant_views(view: &ClusterView, endpoint: &str) -> Vec<GrantView> {
+fn grant_views(view: &ClusterView, endpoint: &str, preloads: &BTreeSet<ModelId>) -> Vec<GrantView> {
     let agent_view = view.for_agent(endpoint);
     let grants = agent_view.grants.into_iter().map(|(model, grant)| {
         let state = match grant.grant.state {
             GrantState::Held => wire::GrantState::Held,
             GrantState::Revoking => wire::GrantState::Revoking,
         };
+        let keep_loaded = grant.keep_loaded || preloads.contains(&model);
         GrantView {
             model,
             size_mb: grant.size_mb,
             state: state.into(),
             granted_version: grant.grant.since_version,
-            keep_loaded: grant.keep_loaded,
+            keep_loaded,
             idle_unload_ms: u64::try_from(grant.idle_unload.as_millis()).unwrap_or(u64::MAX),
         }
     });
--- a/crates/radishpin-server/src/settings.rs
+++ b/crates/radishpin-server/src/settings.rs
@@ -36,6 +36,8 @@
     pub drain_timeout: Duration,
     /// Time between two reads of the head row.
     pub poll_interval: Duration,
+    /// Time before a planned stop at which its endpoints take no new work.
+    pub stop_lead: Duration,
 }
 
 /// Settings of an agent.
--- a/src/command/node.rs
+++ b/src/command/node.rs
@@ -126,6 +126,17 @@
 )
 .env("RADISHPIN_POLL_INTERVAL");
 
+static STOP_LEAD: Setting = Setting::with_default(
+    "stop-lead",
+    Kind::Duration {
+        min: Duration::from_secs(1),
+        max: Duration::from_secs(3_600),
+    },
+    "30s",
+    "Time before a planned stop at which its endpoints take no new work.",
+)
+.env("RADISHPIN_STOP_LEAD");
+
 pub(super) static SPEC: CommandSpec = CommandSpec {
     name: "node",
     summary: "Run the node of an entry host: takes callers' requests and operators' orders.",
@@ -150,6 +161,7 @@
         &WRITE_TIMEOUT,
         &DRAIN_TIMEOUT,
         &POLL_INTERVAL,
+        &STOP_LEAD,
         &LOG_LEVEL,
     ],
     examples: &[
@@ -203,5 +215,6 @@
         },
         drain_timeout: values.duration(&DRAIN_TIMEOUT)?,
         poll_interval: values.duration(&POLL_INTERVAL)?,
+        stop_lead: values.duration(&STOP_LEAD)?,
     })
 }
