Name the answer that a run belies; test the embedded system under load

Cause: 'said not run but run' didn't tell which refusal was false. Change: the report names code, attempt and end of the run; refusals without a word on running are counted apart; a test holds the embedded system to all promises.

--- a/src/command/load/journal.rs
+++ b/src/command/load/journal.rs
@@ -70,9 +70,12 @@
             }
         }
         for run in &runs {
-            if is_denied(run, claims) {
+            if let Some(answer) = denial(run, claims) {
                 truth.not_run_but_run += 1;
-                truth.name(format!("request {} ran", run.request_id));
+                truth.name(format!(
+                    "request {} was answered {answer}, and attempt {} of {} ran: {:?}",
+                    run.request_id, run.attempt, run.model, run.end
+                ));
             }
         }
         for (key, claim) in &claims.keys {
@@ -91,11 +94,14 @@
     }
 }
 
-/// Whether the answers say that this run did not happen.
-fn is_denied(run: &Run, claims: &Claims) -> bool {
+/// The answer that says that this run did not happen, if there is one.
+fn denial<'a>(run: &Run, claims: &'a Claims) -> Option<&'a str> {
     let key = run.idempotency_key.as_ref();
     let claim = key.and_then(|key| claims.keys.get(key));
-    claims.not_run.contains(&run.request_id) || claim == Some(&KeyClaim::NotRun)
+    match claims.not_run.get(&run.request_id) {
+        Some(name) => Some(name),
+        None => (claim == Some(&KeyClaim::NotRun)).then_some("not run"),
+    }
 }
 
 fn runs_of_keys<'a>(runs: &[&'a Run]) -> BTreeMap<&'a str, u64> {
--- a/src/command/load/recorder.rs
+++ b/src/command/load/recorder.rs
@@ -7,10 +7,7 @@
 use hdrhistogram::Histogram;
 use parking_lot::Mutex;
 use radishpin_protocol::{Ran, RequestId};
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
 /// Locks over which records are spread.
 const SHARDS: usize = 16;
@@ -71,8 +68,8 @@
 /// What the answers say about running, to be checked against the journals.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(super) struct Claims {
-    /// Requests that were answered "not run".
-    pub(super) not_run: BTreeSet<RequestId>,
+    /// Requests that were answered "not run", with the name of the code.
+    pub(super) not_run: BTreeMap<RequestId, String>,
     /// What was said of each key.
     pub(super) keys: BTreeMap<String, KeyClaim>,
 }
@@ -82,7 +79,8 @@
         let said = match outcome {
             Outcome::Whole => KeyClaim::Whole,
             Outcome::Refused(refused) if refused.ran == Some(Ran::No) => {
-                self.not_run.insert(refused.request_id.clone());
+                self.not_run
+                    .insert(refused.request_id.clone(), refused.name.clone());
                 KeyClaim::NotRun
             }
             Outcome::NotConnected => KeyClaim::NotRun,
@@ -107,6 +105,7 @@
     pub(super) whole: u64,
     pub(super) refused: BTreeMap<String, u64>,
     pub(super) unknown: u64,
+    pub(super) unsaid: u64,
     pub(super) cut: u64,
     pub(super) dropped: u64,
     pub(super) not_connected: u64,
@@ -126,6 +125,7 @@
             whole: 0,
             refused: BTreeMap::new(),
             unknown: 0,
+            unsaid: 0,
             cut: 0,
             dropped: 0,
             not_connected: 0,
@@ -168,8 +168,10 @@
 
     fn refused(&mut self, refused: &Refused) {
         *self.refused.entry(refused.name.clone()).or_default() += 1;
-        if refused.ran != Some(Ran::No) {
-            self.unknown += 1;
+        match refused.ran {
+            Some(Ran::No) => {}
+            Some(Ran::Unknown) => self.unknown += 1,
+            None => self.unsaid += 1,
         }
     }
 
@@ -178,6 +180,7 @@
         self.not_sent += other.not_sent;
         self.whole += other.whole;
         self.unknown += other.unknown;
+        self.unsaid += other.unsaid;
         self.cut += other.cut;
         self.dropped += other.dropped;
         self.not_connected += other.not_connected;
--- a/src/command/load/report.rs
+++ b/src/command/load/report.rs
@@ -51,6 +51,8 @@
     pub(super) refused: BTreeMap<String, u64>,
     /// Refused or broken off with the word that it may have run.
     pub(super) unknown: u64,
+    /// Refused without a word on whether it ran, as by an endpoint itself.
+    pub(super) unsaid: u64,
     pub(super) cut_short: u64,
     pub(super) dropped: u64,
     pub(super) not_connected: u64,
@@ -79,6 +81,7 @@
             whole: record.whole,
             refused: record.refused.clone(),
             unknown: record.unknown,
+            unsaid: record.unsaid,
             cut_short: record.cut,
             dropped: record.dropped,
             not_connected: record.not_connected,
--- a/src/command/load/table.rs
+++ b/src/command/load/table.rs
@@ -66,6 +66,7 @@
         row(&format!("refused: {name}"), *count);
     }
     row("unknown, and said so", phase.unknown);
+    row("refused without saying whether it ran", phase.unsaid);
     row("cut short", phase.cut_short);
     row("dropped", phase.dropped);
     row("not connected", phase.not_connected);
--- a/tests/load.rs
+++ b/tests/load.rs
@@ -292,3 +292,34 @@
     let report: Value = serde_json::from_slice(&output.stdout).unwrap();
     assert_snapshot!(counts("target", &report["target"]).join("\n"));
 }
+
+#[test]
+fn the_embedded_system_keeps_its_promises() {
+    let output = Command::new(env!("CARGO_BIN_EXE_radishpin"))
+        .args(["load", "--embedded", "--services", "booking", "--json"])
+        .args([
+            "--requests",
+            "60",
+            "--concurrency",
+            "8",
+            "--log-level",
+            "off",
+        ])
+        .output()
+        .unwrap();
+    let report: Value = serde_json::from_slice(&output.stdout).unwrap();
+    let mut lines = counts("target", &report["target"]);
+    lines.retain(|line| !line.contains("processor"));
+    lines.extend(counts("truth", &report["truth"]));
+    assert_snapshot!(lines.join("\n"));
+}
+
+#[test]
+fn faults_are_for_an_embedded_system() {
+    let output = Command::new(env!("CARGO_BIN_EXE_radishpin"))
+        .args(["load", "--faults", "kill-agent,earthquake", "--instant"])
+        .output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    assert_snapshot!(String::from_utf8_lossy(&output.stderr));
+}
