Prove the operators' pages against the whole system

Cause: the pages on outages and planned stops promise what goes on; a page is only as good as the run that shows it.

Orders are logged with an event each.

--- a/crates/radishpin-server/src/operator/api.rs
+++ b/crates/radishpin-server/src/operator/api.rs
@@ -114,7 +114,13 @@
     fn refusal_response(&self, refusal: &Refusal, request_id: &str) -> Response {
         let code = refusal.code();
         self.refusals.with_label_values(&[code.name()]).inc();
-        log::info!(request_id, code = code.name(), reason = refusal.reason(); "order refused");
+        log::info!(
+            event = "order_refused",
+            request_id,
+            code = code.number(),
+            name = code.name();
+            "{}", refusal.reason()
+        );
         refusal.response(request_id)
     }
 }
@@ -127,6 +133,7 @@
             Err(refusal) => self.refusal_response(&refusal, &request_id),
         };
         log::info!(
+            event = "order_answered",
             request_id = request_id.as_str(),
             method = received.request.method().as_ref(),
             path = received.request.url().path(),
--- /dev/null
+++ b/tests/local/change.rs
@@ -0,0 +1,40 @@
+//! A change of a profile: accepted at one node, in force everywhere, never taken back.
+
+use crate::system::System;
+use radishpin_protocol::Profile;
+use radishpin_server::operator::document::ProfileEntry;
+use std::{env, fs, time::Instant};
+
+#[test]
+fn an_accepted_change_comes_into_force_at_every_process() {
+    let system = System::start();
+    let (code, text) = system.run("profile show drafting --json");
+    assert_eq!(code, 0, "{text}");
+    let entry: ProfileEntry = serde_json::from_str(&text).unwrap();
+    let profile = Profile {
+        patience_ms: entry.profile.patience_ms + 1,
+        ..entry.profile
+    };
+    let path = env::temp_dir().join(format!("radishpin-change-{}.json", std::process::id()));
+    fs::write(&path, serde_json::to_string(&profile).unwrap()).unwrap();
+    let set = format!("profile set drafting {} --if-version", path.display());
+    let accepted_at = Instant::now();
+    let version = system.accepted(&format!("{set} {}", entry.version));
+    let agents = system.cluster.agents.len();
+    system.wait_for("the change in force", |report| {
+        let in_force = report.processes.iter().filter(|p| p.version >= version);
+        report.view_version >= version && in_force.count() >= agents
+    });
+    println!("in force at all agents after {:?}", accepted_at.elapsed());
+    for node in system.cluster.nodes.values() {
+        let (code, text) = system.run_at(node.operator_address, "profile show drafting --json");
+        assert_eq!(code, 0, "{text}");
+        let shown: ProfileEntry = serde_json::from_str(&text).unwrap();
+        assert_eq!(shown.profile, profile);
+    }
+    // The version that the operator saw has gone: the same order again is refused.
+    let (code, text) = system.run(&format!("{set} {}", entry.version));
+    assert_eq!(code, 1, "{text}");
+    assert!(text.starts_with("refused: version_conflict"), "{text}");
+    fs::remove_file(&path).unwrap();
+}
--- /dev/null
+++ b/tests/local/outage.rs
@@ -0,0 +1,62 @@
+//! While the platform is down: what `docs/operators/store-outage.md` says goes on.
+
+use crate::system::{Answer, System};
+
+const MODEL: &str = "repair-notes";
+const OTHER_MODEL: &str = "season-summary";
+
+/// Name of the code and the word on whether it ran.
+fn refusal(answer: &Answer) -> String {
+    let body: serde_json::Value = serde_json::from_str(&answer.body).expect("JSON");
+    let error = &body["error"];
+    format!("{} {} ran={}", answer.status, error["name"], error["ran"])
+}
+
+#[test]
+fn calls_go_on_and_changes_are_refused() {
+    let system = System::start();
+    let warm = system.complete(MODEL);
+    assert_eq!(warm.status, 200, "{warm:?}");
+    system.platform_down(true);
+
+    let loaded = system.complete(MODEL);
+    assert_eq!(loaded.status, 200, "a loaded model: {loaded:?}");
+    let cold = system.complete(OTHER_MODEL);
+    assert_eq!(cold.status, 200, "a cold start under a grant: {cold:?}");
+    let plain = system.call("/services/booking/appointments", None, "tuner at nine");
+    assert_eq!(plain.status, 200, "a plain service: {plain:?}");
+    let keyed = system.call(
+        "/services/booking/appointments",
+        Some("k-1"),
+        "tuner at ten",
+    );
+    insta::assert_snapshot!(refusal(&keyed), @r#"503 "key_unchecked" ran="unknown""#);
+
+    let version = system.status().view_version;
+    assert!(version > 0, "status answers from the view");
+    let (code, list) = system.run("profile list --json");
+    assert_eq!(code, 0, "{list}");
+    assert!(list.contains("\"source\":\"view\""), "{list}");
+    let (code, stops) = system.run("stop list");
+    assert_eq!(code, 0, "{stops}");
+    for change in [
+        "profile history drafting",
+        "profile delete drafting --if-version 1",
+        "stop plan --host host-runner-1 --from +1h --to +2h",
+    ] {
+        let (code, text) = system.run(change);
+        assert_eq!(code, 1, "{change}: {text}");
+        assert!(
+            text.starts_with("refused: platform_down"),
+            "{change}: {text}"
+        );
+    }
+
+    system.platform_down(false);
+    let window = "--from 2100-01-31T04:00:00Z --to 2100-01-31T06:00:00Z";
+    system.accepted_again(&format!(
+        "stop plan --host host-runner-1 {window} --id later"
+    ));
+    let report = system.wait_for("the stop in force", |report| !report.stops.is_empty());
+    assert!(report.view_version > version, "{report:?}");
+}
