--- a/src/command/agent.rs
+++ b/src/command/agent.rs
@@ -24,11 +24,10 @@
 const CHECKED: &str = "checked";
 const IGNORED: &str = "ignored";
 
-static LISTEN: Setting = Setting::with_default(
+static LISTEN: Setting = Setting::required(
     "listen",
     Kind::Address,
-    "0.0.0.0:8090",
-    "Address of the listener for nodes.",
+    "Address of the listener for nodes, by which they reach the agent; port 0 takes a free one.",
 )
 .env("RADISHPIN_LISTEN");
 
@@ -134,10 +133,10 @@
     ],
     examples: &[
         "RADISHPIN_INTERNAL_TOKEN=fedcba9876543210 radishpin agent --name runner-1 \
-         --availability-zone gondar --host host-2 --endpoint 127.0.0.1:7000 --service drafting \
+         --availability-zone gondar --host host-2 --listen 127.0.0.1:8090 --endpoint 127.0.0.1:7000 --service drafting \
          --memory-mb 40960 --platform 127.0.0.1:9000",
         "RADISHPIN_INTERNAL_TOKEN=fedcba9876543210 radishpin agent --name booking-1 \
-         --availability-zone recife-a --host host-3 --endpoint 127.0.0.1:7001 --service booking \
+         --availability-zone recife-a --host host-3 --listen 127.0.0.1:8090 --endpoint 127.0.0.1:7001 --service booking \
          --kind plain --platform 127.0.0.1:9000",
     ],
     notes: "",
@@ -146,6 +145,16 @@
 
 fn check(values: &Values) -> Vec<Fault> {
     let mut faults = no_operands(values);
+    // Nodes read this address in the table, so it must lead to this host from elsewhere.
+    if let Ok(address) = values.address(&LISTEN)
+        && address.ip().is_unspecified()
+    {
+        faults.push(Fault::NotAllowed {
+            setting: LISTEN.label(),
+            value: address.to_string(),
+            allowed: "an address of this host that nodes can reach, not one for all".into(),
+        });
+    }
     let kind = values.optional_text(&KIND);
     let memory_mb = values.optional_number(&MEMORY);
     match (kind, memory_mb) {
--- a/src/error.rs
+++ b/src/error.rs
@@ -63,6 +63,14 @@
             source(cause)
             from()
         }
+        /// A measured run cannot be made.
+        Load { cause: String } {
+            display("{cause}")
+        }
+        /// A measured run found a broken promise; its report tells more.
+        Promise { text: String } {
+            display("{text}")
+        }
         /// Standard output or another local resource failed.
         Io(cause: std::io::Error) {
             display("{cause}")
--- a/tests/local/system.rs
+++ b/tests/local/system.rs
@@ -80,7 +80,7 @@
     /// Runs `radishpin` against the first node; exit code and output.
     pub fn run(&self, args: &str) -> (i32, String) {
         let node = self.cluster.nodes.values().next().expect("a node");
-        self.run_at(node.operator_address, args)
+        self.run_at(node.running.operator_address, args)
     }
 
     pub fn run_at(&self, address: SocketAddr, args: &str) -> (i32, String) {
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -67,12 +67,19 @@
 #[test]
 fn rules_between_settings_are_checked() {
     let agent = "agent --name e1 --availability-zone gondar --host h1 --platform 127.0.0.1:9000 \
-                 --endpoint 127.0.0.1:7000 --service drafting";
+                 --listen 127.0.0.1:0 --endpoint 127.0.0.1:7000 --service drafting";
     let plain = format!("{agent} --kind plain --memory-mb 5");
     insta::assert_snapshot!(faults(agent, &TOKENS), @"--memory-mb or RADISHPIN_MEMORY_MB: 0 contradicts another setting; allowed: 1 to 16777216 MiB with --kind models");
     insta::assert_snapshot!(faults(&plain, &TOKENS), @"--memory-mb or RADISHPIN_MEMORY_MB: 5 contradicts another setting; allowed: 0 with --kind plain");
 }
 
+#[test]
+fn an_agent_listens_where_nodes_can_reach_it() {
+    let agent = "agent --name e1 --availability-zone gondar --host h1 --platform 127.0.0.1:9000 \
+                 --memory-mb 1 --endpoint 127.0.0.1:7000 --service drafting --listen 0.0.0.0:8090";
+    insta::assert_snapshot!(faults(agent, &TOKENS), @r#"--listen or RADISHPIN_LISTEN: "0.0.0.0:8090" is not allowed; allowed: an address of this host that nodes can reach, not one for all"#);
+}
+
 #[test]
 fn check_finds_the_same_faults_as_the_role() {
     let checked = format!("check {NODE} --threads 0");
