--- a/src/error.rs
+++ b/src/error.rs
@@ -14,10 +14,6 @@
             display("{}", lines(faults))
             from()
         }
-        /// The command has no implementation in this build.
-        Unavailable { command: &'static str } {
-            display("`radishpin {command}` is not available in this build")
-        }
         /// A file cannot be read.
         File { path: String, cause: std::io::Error } {
             display("{path}: {cause}; check the path and its permissions")
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,6 +3,7 @@
 //! Each setting is declared once as a [`Setting`]. [`Values::read`] checks all of a command's
 //! settings before any of them is used, so that every fault is reported at once.
 
+mod args;
 pub(crate) mod common;
 mod fault;
 mod help;
--- a/tests/local/change.rs
+++ b/tests/local/change.rs
@@ -27,7 +27,10 @@
     });
     println!("in force at all agents after {:?}", accepted_at.elapsed());
     for node in system.cluster.nodes.values() {
-        let (code, text) = system.run_at(node.running.operator_address, "profile show drafting --json");
+        let (code, text) = system.run_at(
+            node.running.operator_address,
+            "profile show drafting --json",
+        );
         assert_eq!(code, 0, "{text}");
         let shown: ProfileEntry = serde_json::from_str(&text).unwrap();
         assert_eq!(shown.profile, profile);
