Show the version of each service in the status

Cause: an operator who lets a service pick another profile has to name the service's version, and saw it only in a refusal. Change: status shows it. Conclusion: profile assign can be given right the first time.

--- a/crates/radishpin-server/src/operator/document.rs
+++ b/crates/radishpin-server/src/operator/document.rs
@@ -270,6 +270,8 @@
 pub struct ServiceStatus {
     /// Name.
     pub name: ServiceId,
+    /// Version to present in `If-Match` when it picks another profile.
+    pub version: Version,
     /// What its endpoints do.
     pub kind: ServiceKind,
     /// The profile that it picked.
--- a/crates/radishpin-server/src/operator/services.rs
+++ b/crates/radishpin-server/src/operator/services.rs
@@ -11,7 +11,9 @@
 use http_types::Response;
 use radishpin_http::Received;
 use radishpin_platform::Row;
-use radishpin_protocol::{PROFILE_PREFIX, ResultCode, SERVICE_PREFIX, ServiceKind, ServiceRecord};
+use radishpin_protocol::{
+    ClusterView, PROFILE_PREFIX, ResultCode, SERVICE_PREFIX, ServiceKind, ServiceRecord, Version,
+};
 
 const OK: u16 = 200;
 
@@ -22,12 +24,11 @@
         read.view.services.get(name).ok_or_else(|| {
             Refusal::new(ResultCode::UnknownService, format!("no service {name}"))
         })?;
-    let version = read.view.row_versions.get(&key_of(name)).copied();
     answer(
         OK,
         &ServiceEntry {
             name: name.to_owned(),
-            version: version.unwrap_or_default(),
+            version: version_of(&read.view, name),
             kind: service.kind,
             profile: service.profile.clone(),
             source: read.source,
@@ -82,6 +83,12 @@
     }
 }
 
+/// Version of a service's row in a view.
+pub(super) fn version_of(view: &ClusterView, name: &str) -> Version {
+    let version = view.row_versions.get(&key_of(name));
+    version.copied().unwrap_or_default()
+}
+
 fn key_of(name: &str) -> String {
     format!("{SERVICE_PREFIX}{name}")
 }
--- a/crates/radishpin-server/src/operator/status.rs
+++ b/crates/radishpin-server/src/operator/status.rs
@@ -5,7 +5,7 @@
     change::answer,
     document::{EndpointStatus, ModelStatus, ServiceStatus, StatusReport},
     refusal::Refusal,
-    stops,
+    services, stops,
 };
 use http_types::Response;
 use radishpin_protocol::ClusterView;
@@ -23,7 +23,7 @@
         processes: context.board.processes(now),
         endpoints: endpoints(context, &view, now),
         models: models(&view),
-        services: services(&view),
+        services: service_list(&view),
         stops: stops::entries(context, &view),
     };
     answer(OK, &report)
@@ -58,11 +58,12 @@
         .collect()
 }
 
-fn services(view: &ClusterView) -> Vec<ServiceStatus> {
+fn service_list(view: &ClusterView) -> Vec<ServiceStatus> {
     let services = view.services.iter();
     services
         .map(|(name, service)| ServiceStatus {
             name: name.clone(),
+            version: services::version_of(view, name),
             kind: service.kind,
             profile: service.profile.clone(),
         })
--- a/src/command/status/table.rs
+++ b/src/command/status/table.rs
@@ -115,13 +115,18 @@
 }
 
 fn services(services: &[ServiceStatus]) -> String {
-    let mut rows = table(&["SERVICE", "KIND", "PROFILE"]);
+    let mut rows = table(&["SERVICE", "KIND", "PROFILE", "VERSION"]);
     for service in services {
         let kind = match service.kind {
             ServiceKind::Models => "models",
             ServiceKind::Plain => "plain",
         };
-        rows.add_row([service.name.as_str(), kind, service.profile.as_str()]);
+        rows.add_row([
+            service.name.clone(),
+            kind.to_owned(),
+            service.profile.clone(),
+            service.version.to_string(),
+        ]);
     }
     table_text(&rows)
 }
