--- a/crates/radishpin-server/src/agent/connection/endpoint.rs
+++ b/crates/radishpin-server/src/agent/connection/endpoint.rs
@@ -1,6 +1,6 @@
 //! Calls to the endpoint: completions at a model engine, any call at a plain service.
 
-use futures_lite::{AsyncBufReadExt, AsyncReadExt};
+use futures_lite::{AsyncBufRead, AsyncBufReadExt, AsyncReadExt};
 use http_types::{Method, Request, Response, StatusCode, Url, headers::HeaderName};
 use quick_error::quick_error;
 use radishpin_http::{Client, ClientError, ClientLimits};
@@ -13,7 +13,7 @@
     wire::{ExecuteRequest, Header},
 };
 use serde::Deserialize;
-use std::{net::SocketAddr, str::FromStr};
+use std::{net::SocketAddr, pin::Pin, str::FromStr};
 
 /// Largest line of an event stream.
 const EVENT_BYTES_MAX: usize = 1024 * 1024;
@@ -197,14 +197,10 @@
         content_type.is_some_and(|mime| mime.essence() == "text/event-stream")
     }
 
-    /// The next bytes of the body, at most `limit`; empty at its end.
-    pub(in crate::agent) async fn next_bytes(
-        &mut self,
-        limit: usize,
-    ) -> Result<Vec<u8>, EndpointError> {
-        let mut bytes = vec![0; limit];
-        let length = self.response.read(&mut bytes).await.map_err(broken)?;
-        bytes.truncate(length);
+    /// The next bytes of the body, as they came; empty at its end.
+    pub(in crate::agent) async fn next_bytes(&mut self) -> Result<Vec<u8>, EndpointError> {
+        let bytes = self.response.fill_buf().await.map_err(broken)?.to_vec();
+        Pin::new(&mut self.response).consume(bytes.len());
         Ok(bytes)
     }
 
--- a/crates/radishpin-server/src/agent/request/relay.rs
+++ b/crates/radishpin-server/src/agent/request/relay.rs
@@ -11,9 +11,6 @@
 };
 use radishpin_runtime::timeout;
 
-/// Bytes of an answer's body that one frame carries at most.
-const CHUNK_BYTES: usize = 64 * 1024;
-
 /// Calls the endpoint and sends its answer.
 ///
 /// # Errors
@@ -86,7 +83,7 @@
     let mut offset = 0;
     loop {
         let data = answer
-            .next_bytes(CHUNK_BYTES)
+            .next_bytes()
             .await
             .map_err(|e| refusal_of(agent, &e))?;
         if data.is_empty() {
