--- /dev/null
+++ b/crates/radishpin-core/tests/request_stop_plan.rs
@@ -0,0 +1,216 @@
+//! Plans for stops: replacements, lead times, warnings, overlapping and cancelled stops.
+
+use radishpin_core::request::{StopEndpoint, StopModel, StopPlan, StopSituation, plan_stop};
+use radishpin_protocol::{Class, prelude::*};
+
+fn secs(secs: u64) -> Duration {
+    Duration::from_secs(secs)
+}
+
+fn endpoint(host: &str, zone: &str, free_mb: SizeMb) -> StopEndpoint {
+    StopEndpoint {
+        host: host.into(),
+        availability_zone: zone.into(),
+        service: "drafts".into(),
+        memory_mb: 80_000,
+        free_mb,
+        usable: true,
+    }
+}
+
+fn model(name: &str, class: Class, grants: &[(&str, bool)]) -> StopModel {
+    let grants = grants.iter().map(|(id, loaded)| ((*id).into(), *loaded));
+    StopModel {
+        model: name.into(),
+        service: "drafts".into(),
+        class,
+        patience: secs(60),
+        size_mb: 20_000,
+        grants: grants.collect(),
+        max_replicas: 4,
+        load_time: secs(20),
+        stream_time: secs(15),
+    }
+}
+
+/// Four runners in two zones; runner-1 stops in ten minutes.
+fn situation(models: Vec<StopModel>) -> StopSituation {
+    let endpoints = [
+        ("runner-1", endpoint("host-1", "a", 10_000)),
+        ("runner-2", endpoint("host-2", "a", 70_000)),
+        ("runner-3", endpoint("host-3", "b", 30_000)),
+        ("runner-4", endpoint("host-4", "b", 50_000)),
+    ];
+    StopSituation {
+        now: secs(1_000),
+        from: secs(1_600),
+        stopping: ["runner-1".into()].into(),
+        endpoints: endpoints.map(|(id, e)| (id.into(), e)).into(),
+        models,
+        parallel_loads: 1,
+    }
+}
+
+fn show(plan: &StopPlan) -> String {
+    let times = format!(
+        "start {:?}, refuse new {:?}, streams moved {:?}",
+        plan.start_at, plan.refuse_new_at, plan.streams_moved_by
+    );
+    let moves = plan.replacements.iter().map(|r| {
+        let surge = if r.surge {
+            "grant first"
+        } else {
+            "revoke first"
+        };
+        format!(
+            "{:?} {}: {} -> {}, {:?}, {surge}",
+            r.start_at, r.model, r.from, r.to, r.load
+        )
+    });
+    let warnings = plan.warnings.iter().map(|w| format!("{w:?}"));
+    let lines: Vec<String> = [times].into_iter().chain(moves).chain(warnings).collect();
+    lines.join("\n")
+}
+
+#[test]
+fn ample_notice() {
+    let plan = plan_stop(&situation(vec![
+        model(
+            "warm",
+            Class::Interactive,
+            &[("runner-1", true), ("runner-2", true)],
+        ),
+        model("only", Class::Interactive, &[("runner-1", true)]),
+        model("cold", Class::Interactive, &[("runner-1", false)]),
+        model("summary", Class::Deferrable, &[("runner-1", true)]),
+    ]));
+    insta::assert_snapshot!(show(&plan), @r"
+    start 1520s, refuse new 1580s, streams moved 1598s
+    1520s warm: runner-1 -> runner-4, Load, grant first
+    1550s only: runner-1 -> runner-2, Load, grant first
+    1577s cold: runner-1 -> runner-2, GrantOnly, grant first
+    1577s summary: runner-1 -> runner-2, GrantOnly, grant first
+    ");
+}
+
+#[test]
+fn deferrable_callers_that_cannot_wait_for_a_load_get_one_ahead() {
+    let hurried = StopModel {
+        patience: secs(10),
+        ..model("summary", Class::Deferrable, &[("runner-1", true)])
+    };
+    let interactive = model("draft", Class::Interactive, &[("runner-1", true)]);
+    let plan = plan_stop(&situation(vec![interactive, hurried]));
+    insta::assert_snapshot!(show(&plan), @r"
+    start 1520s, refuse new 1580s, streams moved 1598s
+    1520s draft: runner-1 -> runner-4, Load, grant first
+    1550s summary: runner-1 -> runner-2, Load, grant first
+    ");
+}
+
+#[test]
+fn last_replica_without_room_for_a_second() {
+    let single = StopModel {
+        max_replicas: 1,
+        ..model("only", Class::Interactive, &[("runner-1", true)])
+    };
+    insta::assert_snapshot!(show(&plan_stop(&situation(vec![single]))), @r#"
+    start 1550s, refuse new 1580s, streams moved 1598s
+    1550s only: runner-1 -> runner-2, Load, revoke first
+    LastReplica { model: "only", gap: 20s }
+    "#);
+}
+
+#[test]
+fn too_little_memory() {
+    let huge = |name, grants| StopModel {
+        size_mb: 75_000,
+        ..model(name, Class::Interactive, grants)
+    };
+    let lost = huge("lost", &[("runner-1", true)]);
+    let kept = huge("kept", &[("runner-1", true), ("runner-2", true)]);
+    insta::assert_snapshot!(show(&plan_stop(&situation(vec![lost, kept]))), @r#"
+    start 1580s, refuse new 1580s, streams moved 1598s
+    TooLittleMemory { model: "kept", size_mb: 75000, refused: false }
+    TooLittleMemory { model: "lost", size_mb: 75000, refused: true }
+    "#);
+}
+
+/// The host list tells of a leaving host late: the window is nearly open, or already is.
+#[test]
+fn short_notice_and_a_late_host_list() {
+    let models = vec![model("only", Class::Interactive, &[("runner-1", true)])];
+    let short = StopSituation {
+        from: secs(1_030),
+        ..situation(models)
+    };
+    insta::assert_snapshot!(show(&plan_stop(&short)), @r#"
+    start 1000s, refuse new 1010s, streams moved 1028s
+    1000s only: runner-1 -> runner-2, Load, grant first
+    TooShortNotice { model: "only", missing: 20s }
+    "#);
+    let open = StopSituation {
+        from: secs(900),
+        ..short
+    };
+    insta::assert_snapshot!(show(&plan_stop(&open)), @r#"
+    start 1000s, refuse new 1000s, streams moved 1000s
+    1000s only: runner-1 -> runner-2, Load, grant first
+    TooShortNotice { model: "only", missing: 30s }
+    "#);
+}
+
+#[test]
+fn a_whole_zone_leaves_the_other() {
+    let models = vec![model(
+        "both",
+        Class::Interactive,
+        &[("runner-1", true), ("runner-2", true)],
+    )];
+    let zone = StopSituation {
+        stopping: ["runner-1".into(), "runner-2".into()].into(),
+        ..situation(models)
+    };
+    insta::assert_snapshot!(show(&plan_stop(&zone)), @r"
+    start 1520s, refuse new 1580s, streams moved 1598s
+    1520s both: runner-2 -> runner-3, Load, grant first
+    1550s both: runner-1 -> runner-4, Load, grant first
+    ");
+}
+
+#[test]
+fn overlapping_stops_take_no_replacement_from_each_other() {
+    let mut overlapping = situation(vec![model(
+        "only",
+        Class::Interactive,
+        &[("runner-1", true)],
+    )]);
+    let alone = plan_stop(&overlapping);
+    for id in ["runner-2", "runner-3"] {
+        overlapping.endpoints.get_mut(id).unwrap().usable = false;
+    }
+    let beside = plan_stop(&overlapping);
+    let to = |plan: &StopPlan| plan.replacements[0].to.clone();
+    assert_eq!(
+        (to(&alone), to(&beside)),
+        ("runner-2".into(), "runner-4".into())
+    );
+    overlapping.endpoints.get_mut("runner-4").unwrap().usable = false;
+    insta::assert_snapshot!(show(&plan_stop(&overlapping)), @r#"
+    start 1580s, refuse new 1580s, streams moved 1598s
+    TooLittleMemory { model: "only", size_mb: 20000, refused: true }
+    LastEndpoint { service: "drafts" }
+    "#);
+}
+
+#[test]
+fn a_cancelled_stop_moves_nothing() {
+    let mut cancelled = situation(vec![model(
+        "only",
+        Class::Interactive,
+        &[("runner-1", true)],
+    )]);
+    cancelled.stopping.clear();
+    let plan = plan_stop(&cancelled);
+    assert!(plan.replacements.is_empty() && plan.warnings.is_empty());
+}
