--- a/crates/radishpin-core/examples/overload.rs
+++ b/crates/radishpin-core/examples/overload.rs
@@ -7,8 +7,10 @@
 
 #[path = "support/events.rs"]
 mod events;
+#[path = "support/overload_totals.rs"]
+mod totals;
 
-use events::{Events, exponential, percentile};
+use events::{Events, exponential};
 use radishpin_core::request::{
     AttemptOutcome, CallFacts, Candidate, Popped, QueueLimits, QueueRefusal, ReplicaReadiness,
     RetryBudget, Step, WorkQueue, admit, choose, estimate_wait, next_step, queue_wait,
@@ -16,6 +18,7 @@
 use radishpin_protocol::prelude::*;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use totals::Totals;
 
 const NODES: usize = 3;
 const ENDPOINTS: usize = 20;
@@ -24,7 +27,6 @@
 const HOP: Duration = Duration::from_millis(1);
 const WARM_UP: Duration = Duration::from_secs(60);
 const END: Duration = Duration::from_secs(360);
-const PROMPT: Duration = Duration::from_millis(100);
 const LIMITS: QueueLimits = QueueLimits {
     capacity: 64,
     per_service: 48,
@@ -118,15 +120,6 @@
     at: Duration,
 }
 
-#[derive(Default)]
-struct Totals {
-    served: u32,
-    late: u32,
-    waits: Vec<Duration>,
-    refusals: Vec<Duration>,
-    served_by_callers: [u32; 2],
-}
-
 struct Run {
     discipline: Discipline,
     gap: Duration,
@@ -367,9 +360,7 @@
         .and_then(|arg| arg.parse().ok())
         .unwrap_or(4819);
     println!("seed {seed}, {NODES} nodes, {ENDPOINTS} endpoints of {CONCURRENCY} places");
-    println!(
-        "discipline  load  served/s  of peak  late/s  refused/s  within 100 ms  refusal p99 ms  wait p99 ms  drafts/s  summaries/s"
-    );
+    println!("{}", totals::HEADER);
     for discipline in [
         Discipline::Queue,
         Discipline::Deadline,
@@ -378,36 +369,9 @@
         let mut peak = 0.0_f64;
         for load in [0.5, 0.8, 1.0, 1.25, 1.5, 2.0, 3.0, 5.0] {
             let totals = Run::new(discipline, load, seed).run();
-            let served = per_second(totals.served);
-            peak = peak.max(served);
-            print_row(discipline, load, served / peak, totals);
+            peak = peak.max(totals.served_per_second(END - WARM_UP));
+            let name = format!("{discipline:?}");
+            println!("{}", totals.row(&name, load, peak, END - WARM_UP));
         }
     }
 }
-
-fn print_row(discipline: Discipline, load: f64, of_peak: f64, mut totals: Totals) {
-    totals.waits.sort_unstable();
-    totals.refusals.sort_unstable();
-    let prompt = totals.refusals.partition_point(|at| *at <= PROMPT) as f64;
-    let refused = totals.refusals.len();
-    println!(
-        "{:10}  {load:4.2}  {:8.1}  {of_peak:7.3}  {:6.1}  {:9.1}  {:13.4}  {:14}  {:11}  {:8.1}  {:11.1}",
-        format!("{discipline:?}"),
-        per_second(totals.served),
-        per_second(totals.late),
-        per_second(refused as u32),
-        if refused == 0 {
-            1.0
-        } else {
-            prompt / refused as f64
-        },
-        percentile(&totals.refusals, 99).as_millis(),
-        percentile(&totals.waits, 99).as_millis(),
-        per_second(totals.served_by_callers[0]),
-        per_second(totals.served_by_callers[1]),
-    );
-}
-
-fn per_second(count: u32) -> f64 {
-    f64::from(count) / (END - WARM_UP).as_secs_f64()
-}
--- /dev/null
+++ b/crates/radishpin-core/examples/support/overload_totals.rs
@@ -0,0 +1,55 @@
+//! What the overload experiment counts, and how it prints it.
+
+use crate::events::percentile;
+use std::time::Duration;
+
+/// A refusal within this time is prompt.
+const PROMPT: Duration = Duration::from_millis(100);
+
+/// Names of the columns of [`Totals::row`].
+pub const HEADER: &str = "discipline  load  served/s  of peak  late/s  refused/s  within 100 ms  \
+    refusal p99 ms  wait p99 ms  drafts/s  summaries/s";
+
+/// Counts of one run, after the warm-up.
+#[derive(Default)]
+pub struct Totals {
+    /// Calls that started before their deadline.
+    pub served: u32,
+    /// Calls that started after it.
+    pub late: u32,
+    /// Waits of the calls served.
+    pub waits: Vec<Duration>,
+    /// Times from arrival to refusal.
+    pub refusals: Vec<Duration>,
+    /// Calls served, by callers.
+    pub served_by_callers: [u32; 2],
+}
+
+impl Totals {
+    /// Calls served a second.
+    pub fn served_per_second(&self, time: Duration) -> f64 {
+        f64::from(self.served) / time.as_secs_f64()
+    }
+
+    /// The figures as one line; `peak` is the most served a second so far.
+    pub fn row(mut self, name: &str, load: f64, peak: f64, time: Duration) -> String {
+        self.waits.sort_unstable();
+        self.refusals.sort_unstable();
+        let prompt = self.refusals.partition_point(|at| *at <= PROMPT) as f64;
+        let refused = self.refusals.len() as f64;
+        let prompt_share = if refused > 0.0 { prompt / refused } else { 1.0 };
+        let [drafts, summaries] = self.served_by_callers.map(f64::from);
+        let seconds = time.as_secs_f64();
+        format!(
+            "{name:10}  {load:4.2}  {:8.1}  {:7.3}  {:6.1}  {:9.1}  {prompt_share:13.4}  {:14}  {:11}  {:8.1}  {:11.1}",
+            self.served_per_second(time),
+            self.served_per_second(time) / peak,
+            f64::from(self.late) / seconds,
+            refused / seconds,
+            percentile(&self.refusals, 99).as_millis(),
+            percentile(&self.waits, 99).as_millis(),
+            drafts / seconds,
+            summaries / seconds,
+        )
+    }
+}
--- a/crates/radishpin-core/tests/request_at_most_once.rs
+++ b/crates/radishpin-core/tests/request_at_most_once.rs
@@ -1,10 +1,14 @@
 //! Every interleaving of one non-idempotent call, a node and two agents that may restart: the call
 //! starts at most once, and "not run" is true for ever.
 
+#[path = "support/explore.rs"]
+mod support;
+
 use radishpin_core::request::{
     Admission, AttemptLedger, AttemptOutcome, CallFacts, Step, TombstoneOutcome, next_step,
 };
 use radishpin_protocol::prelude::*;
+use support::{explore, findings};
 
 const NOW: Duration = Duration::ZERO;
 const AGENTS: usize = 2;
@@ -258,25 +262,13 @@
     }
 }
 
-/// Explores all states; returns their number, or the first violation.
-fn explore(fault: Fault) -> Result<usize, &'static str> {
-    let mut seen: BTreeSet<String> = BTreeSet::new();
-    let mut open = std::collections::VecDeque::from([State::initial()]);
-    while let Some(state) = open.pop_front() {
-        if !seen.insert(format!("{state:?}")) {
-            continue;
-        }
-        if let Some(violation) = state.violation() {
-            return Err(violation);
-        }
-        open.extend(state.successors(fault));
-    }
-    Ok(seen.len())
+fn explore_with(fault: Fault) -> Result<usize, &'static str> {
+    explore(State::initial(), |s| s.successors(fault), State::violation)
 }
 
 #[test]
 fn a_call_starts_at_most_once_and_not_run_is_true() {
-    insta::assert_snapshot!(format!("{:?}", explore(Fault::None)), @"Ok(10634)");
+    insta::assert_snapshot!(format!("{:?}", explore_with(Fault::None)), @"Ok(10634)");
 }
 
 #[test]
@@ -287,10 +279,7 @@
         Fault::NoTombstone,
         Fault::ForgottenTombstone,
     ];
-    let found: Vec<String> = faults
-        .map(|fault| format!("{fault:?}: {:?}", explore(fault)))
-        .into();
-    insta::assert_snapshot!(found.join("\n"), @r#"
+    insta::assert_snapshot!(findings(&faults, explore_with), @r#"
     ExecuteOfOtherIncarnation: Err("started twice")
     TombstoneOfOtherIncarnation: Err("started twice")
     NoTombstone: Err("said not run, but ran")
--- a/crates/radishpin-core/tests/request_keyed_call.rs
+++ b/crates/radishpin-core/tests/request_keyed_call.rs
@@ -1,12 +1,16 @@
 //! Calls with one Idempotency-Key at two nodes: the transitions, and every interleaving with a
 //! store that loses replies, nodes that stop or pause at any step, and an agent that restarts.
 
+#[path = "support/explore.rs"]
+mod support;
+
 use radishpin_core::request::{
     Admission, Answer, AttemptLedger, Dispatch, INLINE_ANSWER_BYTES, KeyedCall, KeyedRow,
     KeyedStep, StoreReply, TombstoneOutcome, after_commit, after_read, finished, key_row, not_run,
     settle_pending,
 };
 use radishpin_protocol::prelude::*;
+use support::{explore, findings};
 
 const NOW: Duration = Duration::ZERO;
 const RETENTION: Duration = Duration::from_secs(86_400);
@@ -222,24 +226,17 @@
     }
 }
 
-fn explore(fault: Fault) -> Result<usize, &'static str> {
-    let mut seen: BTreeSet<String> = BTreeSet::new();
-    let mut open = std::collections::VecDeque::from([State::initial()]);
-    while let Some(state) = open.pop_front() {
-        if !seen.insert(format!("{state:?}")) {
-            continue;
-        }
-        if state.starts > 1 {
-            return Err("started twice");
-        }
-        open.extend(state.successors(fault));
-    }
-    Ok(seen.len())
+fn explore_with(fault: Fault) -> Result<usize, &'static str> {
+    explore(
+        State::initial(),
+        |s| s.successors(fault),
+        |s| (s.starts > 1).then_some("started twice"),
+    )
 }
 
 #[test]
 fn one_key_starts_at_most_one_call() {
-    insta::assert_snapshot!(format!("{:?}", explore(Fault::None)), @"Ok(9684)");
+    insta::assert_snapshot!(format!("{:?}", explore_with(Fault::None)), @"Ok(9684)");
 }
 
 #[test]
@@ -249,10 +246,7 @@
         Fault::NoTombstone,
         Fault::TombstoneOfOtherIncarnation,
     ];
-    let found: Vec<String> = faults
-        .map(|fault| format!("{fault:?}: {:?}", explore(fault)))
-        .into();
-    insta::assert_snapshot!(found.join("\n"), @r#"
+    insta::assert_snapshot!(findings(&faults, explore_with), @r#"
     Unconditional: Err("started twice")
     NoTombstone: Err("started twice")
     TombstoneOfOtherIncarnation: Err("started twice")
