Let no report or setting overflow a decision

Cause: durations and counts come from peers and settings; the largest ones overflowed queue_wait, served_before, LoadLimit and the places of a stop plan.

--- a/crates/radishpin-core/src/request/admission.rs
+++ b/crates/radishpin-core/src/request/admission.rs
@@ -62,5 +62,5 @@
     }
     let ends_needed = outstanding - places + 1;
     let mean = service_time.saturating_mul(ends_needed) / places;
-    mean + mean / WAIT_MARGIN_DIVISOR
+    mean.saturating_add(mean / WAIT_MARGIN_DIVISOR)
 }
--- a/crates/radishpin-core/src/request/load_limit.rs
+++ b/crates/radishpin-core/src/request/load_limit.rs
@@ -51,7 +51,8 @@
     pub fn finish(&mut self, size_mb: SizeMb, took: Duration, now: Duration) {
         self.in_flight = self.in_flight.saturating_sub(1);
         let pace = pace_us(size_mb, took);
-        let pressed = self.best_pace > 0 && pace * 100 > self.best_pace * PRESSURE_PERCENT;
+        let pressed = self.best_pace > 0
+            && pace.saturating_mul(100) > self.best_pace.saturating_mul(PRESSURE_PERCENT);
         self.learn(pace);
         if pressed {
             self.decrease(took, now);
@@ -85,7 +86,9 @@
     }
 
     fn learn(&mut self, pace: u64) {
-        let slower = self.best_pace + self.best_pace / DECAY_DIVISOR;
+        let slower = self
+            .best_pace
+            .saturating_add(self.best_pace / DECAY_DIVISOR);
         self.best_pace = if self.best_pace == 0 {
             pace
         } else {
@@ -110,7 +113,7 @@
         }
         let took_us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
         let pause_us = took_us.saturating_mul(ONE_LOAD - self.limit) / self.limit;
-        self.not_before = now + Duration::from_micros(pause_us);
+        self.not_before = now.saturating_add(Duration::from_micros(pause_us));
     }
 }
 
--- a/crates/radishpin-core/src/request/stop_plan.rs
+++ b/crates/radishpin-core/src/request/stop_plan.rs
@@ -172,6 +172,8 @@
         let drain = longest.unwrap_or_default().min(DRAIN_MAX);
         let ahead = SPREAD + drain + MOVE_TIME;
         let refuse_new_at = situation.from.saturating_sub(ahead).max(situation.now);
+        let grants: usize = situation.models.iter().map(|m| m.grants.len()).sum();
+        let places = (situation.parallel_loads as usize).clamp(1, grants.max(1));
         let staying = situation
             .endpoints
             .iter()
@@ -182,7 +184,7 @@
             free_mb: staying
                 .map(|(id, endpoint)| (id, endpoint.free_mb))
                 .collect(),
-            lanes: vec![refuse_new_at; situation.parallel_loads.max(1) as usize],
+            lanes: vec![refuse_new_at; places],
             replacements: Vec::new(),
             warnings: BTreeSet::new(),
         }
@@ -271,7 +273,8 @@
                 .saturating_sub(SPREAD)
                 .max(self.situation.now);
         }
-        let needed = model.load_time + model.load_time / LOAD_MARGIN_DIVISOR;
+        let margin = model.load_time / LOAD_MARGIN_DIVISOR;
+        let needed = model.load_time.saturating_add(margin);
         let Some(lane) = self.lanes.iter_mut().max() else {
             return self.situation.now;
         };
--- a/crates/radishpin-core/src/request/work_queue.rs
+++ b/crates/radishpin-core/src/request/work_queue.rs
@@ -161,10 +161,10 @@
         let own_weight = weight(priority);
         let mut before = own as f64;
         for _ in 0..ESTIMATE_ROUNDS {
-            let wait = pace.mul_f64(before);
+            let wait_s = pace.as_secs_f64() * before;
             let others = self.flows.iter().filter(|(id, _)| *id != service);
             let overtaking: f64 = others
-                .map(|(_, flow)| flow.served_before(own, own_weight, wait, now))
+                .map(|(_, flow)| flow.served_before(own, own_weight, wait_s, now))
                 .sum();
             before = own as f64 + overtaking;
         }
--- a/crates/radishpin-core/src/request/work_queue/flow.rs
+++ b/crates/radishpin-core/src/request/work_queue/flow.rs
@@ -90,17 +90,17 @@
     }
 
     /// Items of this flow that are served before the item behind `own` others of a flow of
-    /// `own_weight`, if that takes `wait`: its share at most, and no more than there are.
+    /// `own_weight`, if that takes `wait_s`: its share at most, and no more than there are.
     pub(super) fn served_before(
         &self,
         own: usize,
         own_weight: u64,
-        wait: Duration,
+        wait_s: f64,
         now: Duration,
     ) -> f64 {
         let share = (own as f64 + 1.0) * self.weight as f64 / own_weight as f64;
         let rate = self.recent_arrivals(now) / RATE_WINDOW.as_secs_f64();
-        let present = self.items.len() as f64 + rate * wait.as_secs_f64();
+        let present = self.items.len() as f64 + rate * wait_s;
         share.min(present)
     }
 
--- a/crates/radishpin-core/tests/request_load_limit.rs
+++ b/crates/radishpin-core/tests/request_load_limit.rs
@@ -63,3 +63,13 @@
     assert_eq!(limit.in_flight(), 0);
     assert!(limit.try_start(limit.not_before()));
 }
+
+#[test]
+fn extreme_times_do_not_overflow() {
+    let mut limit = LoadLimit::new(u32::MAX);
+    for took in [Duration::MAX, Duration::ZERO, Duration::MAX] {
+        limit.finish(0, took, Duration::MAX);
+        limit.fail(took, Duration::MAX);
+    }
+    assert_eq!(limit.in_flight(), 0);
+}
--- a/crates/radishpin-core/tests/request_routing.rs
+++ b/crates/radishpin-core/tests/request_routing.rs
@@ -255,3 +255,31 @@
     let times = [0, 500, 1_500].map(|random| retry_after(millis(2_000), random));
     insta::assert_snapshot!(format!("{times:?}"), @"[2s, 2.5s, 3.5s]");
 }
+
+/// A peer may report anything.
+#[test]
+fn extreme_reports_do_not_overflow() {
+    let extremes = [Duration::ZERO, Duration::MAX];
+    let counts = [0, u32::MAX];
+    for service_time in extremes {
+        for load_time in extremes {
+            for outstanding in counts {
+                for concurrency in counts {
+                    let extreme = Candidate {
+                        outstanding,
+                        concurrency,
+                        service_time,
+                        load_time,
+                        ..granted("extreme", Tier::Remote)
+                    };
+                    let loaded = Candidate {
+                        replica: ReplicaReadiness::Loaded,
+                        ..extreme.clone()
+                    };
+                    assert!(choose(&[loaded, extreme], u64::MAX).is_some());
+                }
+            }
+        }
+    }
+    assert!(admit(Duration::MAX, Duration::ZERO, u64::MAX).is_err());
+}
--- a/crates/radishpin-core/tests/request_stop_plan.rs
+++ b/crates/radishpin-core/tests/request_stop_plan.rs
@@ -1,6 +1,9 @@
 //! Plans for stops: replacements, lead times, warnings, overlapping and cancelled stops.
 
-use radishpin_core::request::{StopEndpoint, StopModel, StopPlan, StopSituation, plan_stop};
+use proptest::{prelude::*, test_runner::RngSeed};
+use radishpin_core::request::{
+    LoadAhead, StopEndpoint, StopModel, StopPlan, StopSituation, plan_stop,
+};
 use radishpin_protocol::{Class, prelude::*};
 
 fn secs(secs: u64) -> Duration {
@@ -214,3 +217,56 @@
     let plan = plan_stop(&cancelled);
     assert!(plan.replacements.is_empty() && plan.warnings.is_empty());
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(4819),
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(1_000)
+    })]
+
+    /// Whatever stops: replacements go to endpoints that stay, one of a model each, within their
+    /// memory; within the replicas allowed; never before now; new work stops before the window.
+    #[test]
+    fn plans_keep_the_promises(
+        stopping in prop::collection::btree_set(1..5_usize, 0..4),
+        grants in prop::collection::vec(prop::collection::btree_map(1..5_usize, any::<bool>(), 1..4), 1..6),
+        max_replicas in 1..5_u32,
+        from in 0..2_000_u64,
+    ) {
+        let id = |n: &usize| format!("runner-{n}");
+        let models = grants.iter().enumerate().map(|(number, grants)| StopModel {
+            grants: grants.iter().map(|(n, loaded)| (id(n), *loaded)).collect(),
+            max_replicas,
+            ..model(&format!("model-{number}"), Class::Interactive, &[])
+        });
+        let situation = StopSituation {
+            from: secs(from),
+            stopping: stopping.iter().map(id).collect(),
+            ..situation(models.collect())
+        };
+        let plan = plan_stop(&situation);
+        let mut used_mb: BTreeMap<&EndpointId, SizeMb> = BTreeMap::new();
+        let mut granted: BTreeSet<(&ModelId, &EndpointId)> = BTreeSet::new();
+        for replacement in &plan.replacements {
+            let (model, to) = (&replacement.model, &replacement.to);
+            prop_assert!(!situation.stopping.contains(to));
+            prop_assert!(granted.insert((model, to)));
+            prop_assert!(replacement.start_at >= situation.now);
+            if replacement.load == LoadAhead::Load {
+                *used_mb.entry(to).or_default() += 20_000;
+            }
+            let of_model = situation.models.iter().find(|m| m.model == *model).unwrap();
+            prop_assert!(!of_model.grants.contains_key(to));
+            let of_same = plan.replacements.iter().filter(|r| r.model == *model);
+            let surges = of_same.filter(|r| r.surge).count();
+            let replicas = of_model.grants.len() + surges;
+            prop_assert!(surges == 0 || replicas <= max_replicas as usize);
+        }
+        for (id, used_mb) in used_mb {
+            prop_assert!(used_mb <= situation.endpoints[id].free_mb);
+        }
+        prop_assert!(plan.refuse_new_at <= situation.from.max(situation.now));
+        prop_assert!(plan.refuse_new_at <= plan.streams_moved_by);
+    }
+}
--- a/crates/radishpin-core/tests/request_work_queue.rs
+++ b/crates/radishpin-core/tests/request_work_queue.rs
@@ -215,3 +215,17 @@
     assert_eq!(queue.drain(), [1, 3]);
     assert!(queue.is_empty());
 }
+
+#[test]
+fn extreme_paces_do_not_overflow() {
+    let mut queue = WorkQueue::new(LIMITS);
+    for item in 0..4 {
+        let service = ["drafts", "summaries"][item % 2];
+        queue
+            .push(item, service, u32::MAX, Duration::MAX, Duration::ZERO)
+            .unwrap();
+    }
+    let before = queue.served_before("drafts", 0, Duration::MAX, Duration::MAX);
+    assert!(before >= 2);
+    assert!(queue.pop(Duration::ZERO).is_some());
+}
