Don't read a caller's socket that the reactor has not told of

Cause: after a handler that waited, the connection read its socket in vain before it waited for the next request. Change: a read left pending is not tried again before the reactor wakes it.

--- a/crates/radishpin-http/src/server/connection.rs
+++ b/crates/radishpin-http/src/server/connection.rs
@@ -200,9 +200,6 @@
 
     /// Ready when the caller has hung up; keeps pipelined bytes up to the head's limit.
     fn poll_hang_up<T>(&mut self) -> Poll<Result<T, End>> {
-        if self.watching && !self.entry.signal().take_io_ready() {
-            return Poll::Pending;
-        }
         while self.socket.buffered().len() < self.limits.head_bytes {
             match self.poll_fill() {
                 Poll::Ready(Ok(_)) => {}
@@ -214,6 +211,10 @@
     }
 
     fn poll_fill(&mut self) -> Poll<Result<usize, End>> {
+        // The reactor has not told of anything since the last read in vain.
+        if self.watching && !self.entry.signal().take_io_ready() {
+            return Poll::Pending;
+        }
         let mut context = Context::from_waker(&self.io_waker);
         let result = self.socket.poll_fill(&mut context);
         self.watching = result.is_pending();
