--- a/crates/radishpin-platform/src/view_reader.rs
+++ b/crates/radishpin-platform/src/view_reader.rs
@@ -1,19 +1,28 @@
-//! Reads the view: polls the head row, and lists the changed rows when it has moved.
+//! Reads the view: polls the heads, and lists the kinds of rows that have changed.
+//!
+//! Every commit of the view writes the head, and the head of each kind of row that it changes.
+//! One listing of the heads therefore tells which kinds have changed; the others stand as they
+//! were up to the version of that listing.
 //!
 //! Listings are made one after the other, so rows may change between them. Each listing states
 //! the version of the table at which it was made; the rows are put together in a copy, and the
-//! copy becomes the view only when every prefix was listed at or after the newest version seen
-//! in the head or any row. It is then exactly the table at that version: no listing can lack a
-//! row up to it, and no row is newer.
+//! copy becomes the view only when every kind is known up to the newest version seen in a head
+//! or any row. It is then exactly the table at that version: no kind can lack a row up to it,
+//! and no row is newer.
 
-use crate::{CallError, PlatformClient};
+use crate::{CallError, ListedRow, Listing, PlatformClient};
 use parking_lot::Mutex;
-use radishpin_protocol::{ClusterView, HEAD_KEY, VIEW_PREFIXES, Version};
+use radishpin_protocol::{
+    ClusterView, HEAD_KEY, HEAD_KIND_PREFIX, RowError, VIEW_PREFIXES, Version,
+};
 use std::sync::Arc;
 
 /// Rounds of listings in one poll; what is still behind then is listed by the next poll.
 const MAX_ROUNDS: u32 = 8;
 
+/// Rows up to which an earlier view is brought up to date rather than copied anew.
+const MAX_MISSED_ROWS: usize = 1_000;
+
 /// The latest view; clones share it.
 #[derive(Clone, Debug, Default)]
 pub struct ViewHandle {
@@ -41,16 +50,39 @@
     client: PlatformClient,
     handle: ViewHandle,
     staged: Option<Staged>,
+    spare: Option<Spare>,
 }
 
 /// A copy of the view with rows of versions that may not fit together yet.
 #[derive(Debug)]
 struct Staged {
     view: ClusterView,
-    /// Version up to which each prefix was listed.
-    listed_to: [Version; VIEW_PREFIXES.len()],
-    /// Newest version seen in the head or any row.
+    /// Version up to which the heads are known.
+    heads_known_to: Version,
+    /// What is known of each kind of row.
+    kinds: [Kind; VIEW_PREFIXES.len()],
+    /// Newest version seen in a head or any row.
     newest: Version,
+    /// Rows that were put into the copy.
+    applied: Vec<ListedRow>,
+}
+
+/// An earlier view, which becomes the next copy once nobody holds it any more: putting a few
+/// rows into it costs far less than a copy of all rows.
+#[derive(Debug)]
+struct Spare {
+    view: Arc<ClusterView>,
+    /// Rows that lead from it to the present view.
+    missed: Vec<ListedRow>,
+}
+
+/// What is known of one kind of row.
+#[derive(Clone, Copy, Debug)]
+struct Kind {
+    /// Version up to which its rows are known.
+    known_to: Version,
+    /// Version of its last change.
+    changed_at: Version,
 }
 
 impl ViewReader {
@@ -60,6 +92,7 @@
             client,
             handle: ViewHandle::default(),
             staged: None,
+            spare: None,
         }
     }
 
@@ -68,85 +101,171 @@
         self.handle.clone()
     }
 
-    /// Reads the head, and the changed rows if it has moved; returns the new view if there is
-    /// one. A head older than the view, from a platform that lags, is passed over.
+    /// Reads the heads, and the changed rows if there are any; returns the new view if there
+    /// is one. Heads older than the view, from a platform that lags, are passed over.
     ///
     /// # Errors
     /// The platform did not answer; the view stands, and the next poll goes on where this one
     /// stopped.
     pub async fn poll(&mut self) -> Result<Option<Arc<ClusterView>>, CallError> {
-        let head = self.client.get(HEAD_KEY).await?.version;
         let current = self.handle.current();
-        if head <= current.version {
-            return Ok(None);
-        }
         let mut staged = match self.staged.take() {
             Some(staged) => staged,
-            None => Staged::from_view(&current),
+            None => {
+                let heads = self.client.list(HEAD_KEY, current.version).await?;
+                if heads.rows.is_empty() {
+                    return Ok(None);
+                }
+                Staged::new(self.copy_of(&current), heads)
+            }
         };
-        staged.newest = staged.newest.max(head);
         let caught_up = self.catch_up(&mut staged).await;
         if !matches!(caught_up, Ok(true)) {
             self.staged = Some(staged);
             return caught_up.map(|_| None);
         }
-        let view = Arc::new(staged.into_view());
+        let (view, applied) = staged.into_view();
+        let view = Arc::new(view);
         self.handle.publish(Arc::clone(&view));
+        self.spare = Spare::new(current, applied);
         Ok(Some(view))
     }
 
-    /// Lists the prefixes that are behind until none is; false where that takes too long.
+    /// A copy of the present view, out of the spare one where nobody holds that.
+    fn copy_of(&mut self, current: &ClusterView) -> ClusterView {
+        let spare = self.spare.take();
+        spare
+            .and_then(|spare| spare.caught_up(current.version))
+            .unwrap_or_else(|| current.clone())
+    }
+
+    /// Lists what is behind until nothing is; false where that takes too long.
     async fn catch_up(&self, staged: &mut Staged) -> Result<bool, CallError> {
         for round in 0..MAX_ROUNDS {
-            if staged.is_consistent() {
-                return Ok(true);
-            }
             for index in 0..VIEW_PREFIXES.len() {
-                if staged.listed_to[index] < staged.newest {
+                if staged.kinds[index].is_behind() {
                     self.list(staged, index).await?;
                     self.client.metrics().listing(round == 0);
                 }
             }
+            if staged.is_consistent() {
+                return Ok(true);
+            }
+            let heads = self.client.list(HEAD_KEY, staged.heads_known_to).await?;
+            staged.take_heads(heads);
         }
         Ok(staged.is_consistent())
     }
 
     async fn list(&self, staged: &mut Staged, index: usize) -> Result<(), CallError> {
         let prefix = VIEW_PREFIXES[index];
-        let listing = self.client.list(prefix, staged.listed_to[index]).await?;
+        let known_to = staged.kinds[index].known_to;
+        let listing = self.client.list(prefix, known_to).await?;
         for listed in listing.rows {
-            let row = listed.row;
-            staged.newest = staged.newest.max(row.version);
-            let value = row.value.as_deref();
-            if let Err(error) = staged.view.apply_row(&listed.key, row.version, value) {
+            staged.newest = staged.newest.max(listed.row.version);
+            if let Err(error) = apply(&mut staged.view, &listed) {
                 log::error!("row_malformed error=\"{error}\"");
                 self.client.metrics().row_malformed();
             }
+            staged.applied.push(listed);
         }
-        staged.listed_to[index] = staged.listed_to[index].max(listing.version);
+        staged.kinds[index].known_to = known_to.max(listing.version);
         Ok(())
     }
 }
 
 impl Staged {
-    fn from_view(view: &ClusterView) -> Self {
-        Self {
-            listed_to: [view.version; VIEW_PREFIXES.len()],
+    fn new(view: ClusterView, heads: Listing) -> Self {
+        let kind = Kind {
+            known_to: view.version,
+            // Without a view, all rows have to be listed.
+            changed_at: u64::from(view.version == 0),
+        };
+        let mut staged = Self {
+            heads_known_to: view.version,
+            kinds: [kind; VIEW_PREFIXES.len()],
             newest: view.version,
-            view: view.clone(),
+            view,
+            applied: Vec::new(),
+        };
+        staged.take_heads(heads);
+        staged
+    }
+
+    /// Takes note of the heads that have changed.
+    fn take_heads(&mut self, heads: Listing) {
+        let mut newest_kind = 0;
+        let mut newest_head = 0;
+        for listed in heads.rows {
+            let version = listed.row.version;
+            self.newest = self.newest.max(version);
+            if listed.key == HEAD_KEY {
+                newest_head = version;
+            } else if let Some(index) = kind_of_head(&listed.key) {
+                newest_kind = newest_kind.max(version);
+                self.kinds[index].changed_at = version;
+            }
+        }
+        if newest_head > newest_kind {
+            // Written by hand, without saying what has changed.
+            for kind in &mut self.kinds {
+                kind.changed_at = newest_head;
+            }
+        }
+        self.heads_known_to = self.heads_known_to.max(heads.version);
+        for kind in &mut self.kinds {
+            if !kind.is_behind() {
+                kind.known_to = kind.known_to.max(heads.version);
+            }
         }
     }
 
     fn is_consistent(&self) -> bool {
-        self.listed_to
-            .iter()
-            .all(|listed_to| *listed_to >= self.newest)
+        self.kinds.iter().all(|kind| kind.known_to >= self.newest)
     }
 
-    fn into_view(self) -> ClusterView {
-        ClusterView {
+    /// The view, and the rows that led to it.
+    fn into_view(self) -> (ClusterView, Vec<ListedRow>) {
+        let view = ClusterView {
             version: self.newest,
             ..self.view
+        };
+        (view, self.applied)
+    }
+}
+
+impl Spare {
+    /// Keeps an earlier view, unless so much has changed that a copy costs no more.
+    fn new(view: Arc<ClusterView>, missed: Vec<ListedRow>) -> Option<Self> {
+        (missed.len() <= MAX_MISSED_ROWS).then_some(Self { view, missed })
+    }
+
+    /// The view with the rows that it missed; `None` where somebody holds it still.
+    fn caught_up(self, version: Version) -> Option<ClusterView> {
+        let mut view = Arc::try_unwrap(self.view).ok()?;
+        for listed in &self.missed {
+            // A row that cannot be read was reported when it came, and is left out here too.
+            let _ = apply(&mut view, listed);
         }
+        view.version = version;
+        Some(view)
+    }
+}
+
+fn apply(view: &mut ClusterView, listed: &ListedRow) -> Result<(), RowError> {
+    let row = &listed.row;
+    view.apply_row(&listed.key, row.version, row.value.as_deref())
+}
+
+impl Kind {
+    fn is_behind(&self) -> bool {
+        self.known_to < self.changed_at
     }
 }
+
+fn kind_of_head(key: &str) -> Option<usize> {
+    let kind = key.strip_prefix(HEAD_KIND_PREFIX)?;
+    VIEW_PREFIXES
+        .iter()
+        .position(|prefix| prefix.strip_suffix('/') == Some(kind))
+}
