Read documents in one place, and record without a panic path

Cause: two readers of JSON over HTTP, and an unreachable! in the load tool. Change: load/fetch.rs; histograms are made fallibly.

--- a/src/command/load.rs
+++ b/src/command/load.rs
@@ -6,6 +6,7 @@
 mod embedded;
 mod events;
 mod faults;
+mod fetch;
 mod journal;
 mod models;
 mod outcome;
--- a/src/command/load/driver.rs
+++ b/src/command/load/driver.rs
@@ -1,6 +1,7 @@
 //! Sends requests in a closed or an open loop.
 
 use super::{call::call, phase::Phase, plan::Planned, recorder::Recorder};
+use hdrhistogram::CreationError;
 use radishpin_runtime::Runtime;
 use std::{
     sync::{
@@ -23,13 +24,16 @@
 
 impl Drive {
     /// Nothing of the phase is sent yet.
-    pub(super) fn new(phase: Phase) -> Self {
-        Self {
+    ///
+    /// # Errors
+    /// The histograms' range is not valid.
+    pub(super) fn new(phase: Phase) -> Result<Self, CreationError> {
+        Ok(Self {
             turns: AtomicU64::new(phase.settings.requests.unwrap_or(u64::MAX)),
             running: AtomicUsize::new(0),
-            recorder: Recorder::new(),
+            recorder: Recorder::new()?,
             phase,
-        }
+        })
     }
 
     /// Whether one more request may be sent.
--- a/src/command/load/journal.rs
+++ b/src/command/load/journal.rs
@@ -1,8 +1,10 @@
 //! What the stand-ins' journals say about the answers.
 
-use super::recorder::{Claims, KeyClaim};
+use super::{
+    fetch::get,
+    recorder::{Claims, KeyClaim},
+};
 use crate::CommandError;
-use http_types::{Method, Request, Url};
 use radishpin_http::Client;
 use radishpin_standin::{JournalSnapshot, Run};
 use serde::Serialize;
@@ -48,7 +50,7 @@
         smol::Timer::after(SETTLE).await;
         let mut snapshots = Vec::new();
         for address in journals {
-            snapshots.push(read(client, *address).await?);
+            snapshots.push(get(client, *address, JOURNAL_PATH).await?);
         }
         Ok(Self::check(&snapshots, claims))
     }
@@ -111,16 +113,3 @@
     }
     counts
 }
-
-async fn read(client: &Client, address: SocketAddr) -> Result<JournalSnapshot, CommandError> {
-    let unreadable = |cause: String| CommandError::Load {
-        cause: format!("{address}: the journal cannot be read: {cause}; check --journal"),
-    };
-    let url = format!("http://{address}{JOURNAL_PATH}");
-    let url = Url::parse(&url).map_err(|error| unreadable(error.to_string()))?;
-    let sent = client.send(address, Request::new(Method::Get, url)).await;
-    let mut response = sent.map_err(|error| unreadable(error.to_string()))?;
-    let body = response.body_bytes().await;
-    let body = body.map_err(|error| unreadable(error.to_string()))?;
-    serde_json::from_slice(&body).map_err(|error| unreadable(error.to_string()))
-}
--- a/src/command/load/models.rs
+++ b/src/command/load/models.rs
@@ -1,12 +1,11 @@
 //! Which models are called.
 
-use super::settings::LoadSettings;
+use super::{fetch::get, settings::LoadSettings};
 use crate::CommandError;
-use http_types::{Method, Request, Url};
 use radishpin_http::Client;
 use radishpin_protocol::engine::{EngineReport, REPORT_PATH};
-use serde::{Deserialize, de::DeserializeOwned};
-use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
+use serde::Deserialize;
+use std::{collections::BTreeSet, sync::Arc};
 
 /// Path of a node's list of models.
 const MODELS_PATH: &str = "/v1/models";
@@ -50,20 +49,3 @@
         false => Ok(Arc::new(models)),
     }
 }
-
-async fn get<T: DeserializeOwned>(
-    client: &Client,
-    address: SocketAddr,
-    path: &str,
-) -> Result<T, CommandError> {
-    let unreadable = |cause: String| CommandError::Load {
-        cause: format!("{address}: GET {path} failed: {cause}"),
-    };
-    let url = Url::parse(&format!("http://{address}{path}"));
-    let url = url.map_err(|error| unreadable(error.to_string()))?;
-    let sent = client.send(address, Request::new(Method::Get, url)).await;
-    let mut response = sent.map_err(|error| unreadable(error.to_string()))?;
-    let body = response.body_bytes().await;
-    let body = body.map_err(|error| unreadable(error.to_string()))?;
-    serde_json::from_slice(&body).map_err(|error| unreadable(error.to_string()))
-}
--- a/src/command/load/phase.rs
+++ b/src/command/load/phase.rs
@@ -5,6 +5,7 @@
     settings::LoadSettings,
 };
 use crate::CommandError;
+use hdrhistogram::CreationError;
 use radishpin_http::Client;
 use radishpin_runtime::Runtime;
 use std::{net::SocketAddr, sync::Arc, time::Instant};
@@ -52,23 +53,29 @@
     /// Sends the load and waits for every answer.
     ///
     /// # Errors
-    /// The measured process is not there.
+    /// The measured process is not there, or the histograms' range is not valid.
     pub(super) async fn run(self, runtime: &Runtime) -> Result<Finished, CommandError> {
         let addresses = self.addresses.clone();
         let rate = self.settings.rate_per_second;
         let before = self.settings.process.map(Processor::read).transpose()?;
         let started = Instant::now();
-        let drive = Arc::new(Drive::new(self));
+        let drive = Arc::new(Drive::new(self).map_err(bad_range)?);
         match rate {
             Some(rate) => drive.open(runtime, rate).await,
             None => drive.closed(runtime).await,
         }
         let took = started.elapsed();
         let processor = before.map(Processor::elapsed).transpose()?;
-        let record = drive.recorder.finish();
+        let record = drive.recorder.finish().map_err(bad_range)?;
         Ok(Finished {
             report: PhaseReport::new(addresses, took, processor, &record),
             claims: record.claims,
         })
     }
 }
+
+fn bad_range(error: CreationError) -> CommandError {
+    CommandError::Load {
+        cause: format!("latencies cannot be recorded: {error}"),
+    }
+}
--- a/src/command/load/recorder.rs
+++ b/src/command/load/recorder.rs
@@ -4,7 +4,7 @@
     outcome::{Measured, Outcome, Refused},
     plan::Planned,
 };
-use hdrhistogram::Histogram;
+use hdrhistogram::{CreationError, Histogram};
 use parking_lot::Mutex;
 use radishpin_protocol::{Ran, RequestId};
 use std::{collections::BTreeMap, time::Duration};
@@ -23,14 +23,9 @@
 }
 
 impl Times {
-    fn new() -> Self {
-        // The fixed range and digits are valid, and the fallback has no range to be wrong.
-        let histogram = Histogram::new_with_bounds(RANGE_US.0, RANGE_US.1, DIGITS)
-            .or_else(|_| Histogram::new(DIGITS));
-        match histogram {
-            Ok(histogram) => Self { histogram },
-            Err(_) => unreachable!("{DIGITS} digits are within 0 to 5"),
-        }
+    fn new() -> Result<Self, CreationError> {
+        let histogram = Histogram::new_with_bounds(RANGE_US.0, RANGE_US.1, DIGITS)?;
+        Ok(Self { histogram })
     }
 
     fn record(&mut self, time: Duration) {
@@ -118,8 +113,8 @@
 }
 
 impl Record {
-    fn new() -> Self {
-        Self {
+    fn new() -> Result<Self, CreationError> {
+        Ok(Self {
             sent: 0,
             not_sent: 0,
             whole: 0,
@@ -130,12 +125,12 @@
             dropped: 0,
             not_connected: 0,
             wrong: 0,
-            first: Times::new(),
-            end: Times::new(),
-            refusal: Times::new(),
-            between: Times::new(),
+            first: Times::new()?,
+            end: Times::new()?,
+            refusal: Times::new()?,
+            between: Times::new()?,
             claims: Claims::default(),
-        }
+        })
     }
 
     fn take(&mut self, planned: &Planned, measured: &Measured) {
@@ -175,7 +170,7 @@
         }
     }
 
-    fn merge(&mut self, other: Self) {
+    fn merge(&mut self, other: &Self) {
         self.sent += other.sent;
         self.not_sent += other.not_sent;
         self.whole += other.whole;
@@ -185,30 +180,35 @@
         self.dropped += other.dropped;
         self.not_connected += other.not_connected;
         self.wrong += other.wrong;
-        for (name, count) in other.refused {
-            *self.refused.entry(name).or_default() += count;
+        for (name, count) in &other.refused {
+            *self.refused.entry(name.clone()).or_default() += count;
         }
-        self.first.histogram += other.first.histogram;
-        self.end.histogram += other.end.histogram;
-        self.refusal.histogram += other.refusal.histogram;
-        self.between.histogram += other.between.histogram;
-        self.claims.not_run.extend(other.claims.not_run);
-        self.claims.keys.extend(other.claims.keys);
+        self.first.histogram += &other.first.histogram;
+        self.end.histogram += &other.end.histogram;
+        self.refusal.histogram += &other.refusal.histogram;
+        self.between.histogram += &other.between.histogram;
+        let claims = other.claims.clone();
+        self.claims.not_run.extend(claims.not_run);
+        self.claims.keys.extend(claims.keys);
     }
 }
 
 /// Records of all callers of a phase.
 #[derive(Debug)]
 pub(super) struct Recorder {
-    shards: [Mutex<Record>; SHARDS],
+    shards: Vec<Mutex<Record>>,
 }
 
 impl Recorder {
     /// A recorder of nothing.
-    pub(super) fn new() -> Self {
-        Self {
-            shards: std::array::from_fn(|_| Mutex::new(Record::new())),
-        }
+    ///
+    /// # Errors
+    /// The histograms' range is not valid.
+    pub(super) fn new() -> Result<Self, CreationError> {
+        let shards = (0..SHARDS).map(|_| Record::new().map(Mutex::new));
+        Ok(Self {
+            shards: shards.collect::<Result<_, _>>()?,
+        })
     }
 
     /// Records what became of a request; `number` spreads the callers over the shards.
@@ -221,14 +221,16 @@
         self.shard(0).lock().not_sent += 1;
     }
 
-    /// All records together; the recorder is empty afterwards.
-    pub(super) fn finish(&self) -> Record {
-        let mut all = Record::new();
+    /// All records together.
+    ///
+    /// # Errors
+    /// The histograms' range is not valid.
+    pub(super) fn finish(&self) -> Result<Record, CreationError> {
+        let mut all = Record::new()?;
         for shard in &self.shards {
-            let record = std::mem::replace(&mut *shard.lock(), Record::new());
-            all.merge(record);
+            all.merge(&shard.lock());
         }
-        all
+        Ok(all)
     }
 
     fn shard(&self, number: u64) -> &Mutex<Record> {
