Forget planned stops a week after their window

Cause: stops that are over stayed in the table and in every node's view for good; a view must not grow with time.

Change: a new plan deletes up to 20 stops that ended more than a week ago, each on condition of its version; what fails is left to the next plan.

Conclusion: the number of stops is bounded by a week of planning.

--- a/crates/radishpin-server/src/operator/stops.rs
+++ b/crates/radishpin-server/src/operator/stops.rs
@@ -12,11 +12,17 @@
 };
 use http_types::Response;
 use radishpin_http::Received;
+use radishpin_platform::Row;
 use radishpin_protocol::{
     ClusterView, ResultCode, STOP_PREFIX, StopRecord, StopTarget, UnixMs, VIEW_PREFIXES,
 };
+use std::time::Duration;
 
 const OK: u16 = 200;
+/// Time for which a stop is shown after its window.
+const KEEP_ENDED: Duration = Duration::from_secs(7 * 24 * 3_600);
+/// Old stops deleted with one plan.
+const FORGET_AT_ONCE: usize = 20;
 
 /// `GET /v1/stops`
 pub(super) async fn list(context: &OperatorContext) -> Result<Response, Refusal> {
@@ -56,9 +62,36 @@
     let change = Change::new(&key, &row, Some(value_of(&stop)?));
     let outcome = table.commit(change).await?;
     let version = settled(table, &key, &row, outcome).await?;
+    forget_old(context, now_unix_ms).await;
     accepted(&row, version, warnings)
 }
 
+/// Deletes stops that ended long ago, so that they do not fill the view; what fails is left to
+/// the next plan.
+async fn forget_old(context: &OperatorContext, now_unix_ms: UnixMs) {
+    let view = (context.view)();
+    let is_old = |stop: &&StopRecord| {
+        let kept_ms = now_unix_ms.saturating_sub(stop.to_unix_ms);
+        u128::from(kept_ms) > KEEP_ENDED.as_millis()
+    };
+    for stop in view.stops.values().filter(is_old).take(FORGET_AT_ONCE) {
+        let key = key_of(&stop.id);
+        let row = Row {
+            version: view.row_versions.get(&key).copied().unwrap_or_default(),
+            value: None,
+        };
+        if let Err(refusal) = context.table.commit(Change::new(&key, &row, None)).await {
+            log::info!(
+                event = "old_stop_kept",
+                stop = stop.id.as_str(),
+                name = refusal.code().name();
+                "{}", refusal.reason()
+            );
+            return;
+        }
+    }
+}
+
 /// `DELETE /v1/stops/ID`
 pub(super) async fn cancel(context: &OperatorContext, id: &str) -> Result<Response, Refusal> {
     let key = key_of(id);
--- a/crates/radishpin-server/tests/operator/stops.rs
+++ b/crates/radishpin-server/tests/operator/stops.rs
@@ -170,3 +170,31 @@
     422 document_invalid ran=no: to_unix_ms: is in the past
     ");
 }
+
+#[test]
+fn stops_that_ended_long_ago_are_forgotten() {
+    let fixture = cluster();
+    let put = |id: &str, ended_ms_ago: u64| {
+        let to_unix_ms = NOW_UNIX_MS - ended_ms_ago;
+        let from_unix_ms = to_unix_ms - HOUR_MS;
+        let record = format!(
+            r#"{{"id":"{id}","target":{{"host":"h2"}},"from_unix_ms":{from_unix_ms},"to_unix_ms":{to_unix_ms}}}"#
+        );
+        fixture
+            .platform
+            .put_row(&format!("stop/{id}"), Some(&record));
+    };
+    put("old", 8 * 24 * HOUR_MS);
+    put("recent", 6 * 24 * HOUR_MS);
+    fixture
+        .platform
+        .put_row("head", Some(r#"{"operation":"later"}"#));
+    fixture.poll();
+    let planned = plan(&fixture, "s1", r#"{"host":"h2"}"#, HOUR_MS, 2 * HOUR_MS);
+    assert_eq!(planned.status, 201, "{planned:?}");
+    let kept = ["old", "recent", "s1"].map(|id| {
+        let row = fixture.platform.row(&format!("stop/{id}"));
+        row.value.is_some()
+    });
+    assert_eq!(kept, [false, true, true]);
+}
