--- a/crates/radishpin-server/src/agent/request/attempt.rs
+++ b/crates/radishpin-server/src/agent/request/attempt.rs
@@ -59,6 +59,7 @@
 
     fn admit(self: &Arc<Self>, request: &ExecuteRequest) -> Result<AttemptGuard, AttemptRefusal> {
         self.refuse_when_leaving()?;
+        self.refuse_other_life(request)?;
         let id = AttemptId {
             request_id: request.request_id.clone(),
             number: request.attempt,
@@ -87,6 +88,20 @@
         }
     }
 
+    /// A tombstone is answered by the life that would have run the attempt, or it proves
+    /// nothing; so no life runs what was meant for another.
+    fn refuse_other_life(&self, request: &ExecuteRequest) -> Result<(), AttemptRefusal> {
+        let incarnation = self.incarnation();
+        if incarnation == 0 || request.incarnation != incarnation {
+            let detail = format!(
+                "meant for incarnation {}, not {incarnation}",
+                request.incarnation
+            );
+            return Err(AttemptRefusal::not_run(ResultCode::NotReady, detail));
+        }
+        Ok(())
+    }
+
     fn refuse_when_leaving(&self) -> Result<(), AttemptRefusal> {
         if self.leaving() {
             let detail = "the endpoint is leaving";
--- a/crates/radishpin-server/src/agent/request/relay.rs
+++ b/crates/radishpin-server/src/agent/request/relay.rs
@@ -11,6 +11,9 @@
 };
 use radishpin_runtime::timeout;
 
+/// Events of a stream between two that carry the endpoint's load.
+const EVENTS_PER_LOAD: u64 = 16;
+
 /// Calls the endpoint and sends its answer.
 ///
 /// # Errors
@@ -63,7 +66,8 @@
         {
             StreamEvent::Data(data) => {
                 let chunk = Chunk { offset, data };
-                frames.send(Frame::Chunk(chunk), None).await;
+                let load = offset.is_multiple_of(EVENTS_PER_LOAD).then(|| agent.load());
+                frames.send(Frame::Chunk(chunk), load).await;
                 offset += 1;
                 if agent.departure.moves_streams(agent.clock.now()) {
                     let detail = "the endpoint stops soon and the stream goes on elsewhere";
--- a/crates/radishpin-server/src/node/process/metrics.rs
+++ b/crates/radishpin-server/src/node/process/metrics.rs
@@ -18,6 +18,7 @@
     pub(in crate::node) view_version: IntGauge,
     pub(in crate::node) running: IntGauge,
     pub(in crate::node) replays: IntCounter,
+    pub(in crate::node) rows_swept: IntCounter,
     pub(in crate::node) shards_held: IntGauge,
     pub(in crate::node) polls_failed: IntCounter,
     pub(in crate::node) heartbeats_failed: IntCounter,
@@ -65,6 +66,11 @@
                 "radishpin_replays_total",
                 "Keyed calls answered with the stored answer of an earlier one.",
             ),
+            rows_swept: counter(
+                &registry,
+                "radishpin_rows_swept_total",
+                "Rows of operations and keys deleted after their time.",
+            ),
             shards_held: gauge(
                 &registry,
                 "radishpin_shards_held",
--- a/crates/radishpin-server/src/node/process/run.rs
+++ b/crates/radishpin-server/src/node/process/run.rs
@@ -37,6 +37,7 @@
             runtime.spawn(Arc::clone(&node).send_heartbeats()),
             runtime.spawn(Arc::clone(&node).keep_leases(client.clone())),
             runtime.spawn(Arc::clone(&node).control_grants(client.clone())),
+            runtime.spawn(Arc::clone(&node).sweep_rows(client.clone())),
         ];
         let servers = vec![
             runtime.spawn(Arc::clone(&node).serve_callers(callers)),
--- a/crates/radishpin-server/src/node/request/dispatch.rs
+++ b/crates/radishpin-server/src/node/request/dispatch.rs
@@ -96,7 +96,7 @@
     pub(super) async fn recover(&mut self, failed: FailedAttempt) -> Result<(), Refusal> {
         self.log_failure(&failed);
         self.failed_at.insert(failed.link.endpoint().clone());
-        self.note_no_memory(&failed);
+        self.learn_from(&failed);
         let mut outcome = failed.outcome;
         loop {
             match self.decide(outcome) {
@@ -187,17 +187,20 @@
         Refusal::new(code, reason).after(retry_after(hint, self.node.random()))
     }
 
-    /// A holder without room speaks for moving its grant.
-    fn note_no_memory(&self, failed: &FailedAttempt) {
-        let no_memory = matches!(
-            failed.outcome,
-            AttemptOutcome::Refused {
-                code: ResultCode::NoMemory,
-                ..
+    /// A holder without room speaks for moving its grant; an agent that has restarted is asked
+    /// for its incarnation at once.
+    fn learn_from(&self, failed: &FailedAttempt) {
+        let AttemptOutcome::Refused { code, .. } = failed.outcome else {
+            return;
+        };
+        match (code, self.call.model()) {
+            (ResultCode::NoMemory, Some(model)) => {
+                self.node.note_unable(model, failed.link.endpoint());
             }
-        );
-        if let (true, Some(model)) = (no_memory, self.call.model()) {
-            self.node.note_unable(model, failed.link.endpoint());
+            (ResultCode::NotReady, _) => {
+                self.node.sync_wanted.notify(usize::MAX);
+            }
+            _ => {}
         }
     }
 
--- a/crates/radishpin-server/src/node/version.rs
+++ b/crates/radishpin-server/src/node/version.rs
@@ -5,6 +5,7 @@
 mod leases;
 mod poll;
 mod stops;
+mod sweep;
 mod sync;
 
 pub(super) use leases::Leases;
--- a/crates/radishpin-server/src/node/version/leases.rs
+++ b/crates/radishpin-server/src/node/version/leases.rs
@@ -39,6 +39,12 @@
         })
     }
 
+    /// Whether this node holds the first shard, whose holder does the work that is nobody's.
+    pub(super) fn holds_first(&self, now: Duration) -> bool {
+        let first = self.watches.first();
+        first.is_some_and(|watch| watch.lock().condition(now).is_some())
+    }
+
     /// Shards that this node holds.
     pub(in crate::node) fn held(&self, now: Duration) -> usize {
         let held = |watch: &&Mutex<LeaseWatch>| watch.lock().condition(now).is_some();
