Say 'unknown' after any attempt that may have run; bound stalls by patience

A stream could stall for 30 s where its caller is patient for 10 s, and an engine's own 500 reached callers without a code.

Ruled out: the agents' ledgers; each attempt's own outcome was right.

Change: a request remembers whether an attempt that may have run was followed by another, and no later refusal says 'not run'; a stall is bounded by the profile's patience; an engine's 5xx is an unknown outcome, retried where the call is idempotent.

Conclusion: holds for every exit of the attempts' loop.

--- a/crates/radishpin-core/src/request/retry.rs
+++ b/crates/radishpin-core/src/request/retry.rs
@@ -113,6 +113,21 @@
         }
     }
 
+    /// Whether the earlier attempt is proven not to have run.
+    pub const fn is_proven(self) -> bool {
+        match self {
+            Self::NotSent
+            | Self::Leaving
+            | Self::NotGranted
+            | Self::NoMemory
+            | Self::QueueFull
+            | Self::LoadFailed
+            | Self::RefusedNotRun
+            | Self::NeverRuns => true,
+            Self::IdempotentNoAnswer | Self::Resume | Self::IdempotentCrossed => false,
+        }
+    }
+
     /// Whether the retry is paid from the budget. Free are those whose earlier attempt cost no
     /// endpoint any work and which no overload brings about, so that a stopped host or zone does
     /// not use up the budget.
--- a/crates/radishpin-local/tests/cluster/main.rs
+++ b/crates/radishpin-local/tests/cluster/main.rs
@@ -8,4 +8,5 @@
 mod loads;
 mod streams;
 mod support;
+mod truth;
 mod whole_path;
--- a/crates/radishpin-server/src/agent/connection/endpoint.rs
+++ b/crates/radishpin-server/src/agent/connection/endpoint.rs
@@ -57,6 +57,10 @@
         Crossed {
             display("the endpoint answered another request")
         }
+        /// The engine failed the call while it ran.
+        Failed(status: u16) {
+            display("the endpoint failed the call with status {status}")
+        }
         /// The connection failed after sending.
         Broken(cause: String) {
             display("the connection to the endpoint broke: {cause}")
@@ -244,6 +248,7 @@
         }
         match self.response.status() {
             StatusCode::Conflict | StatusCode::ServiceUnavailable => self.engine_refusal().await,
+            status if status.is_server_error() => Err(EndpointError::Failed(status.into())),
             _ => Ok(self),
         }
     }
--- a/crates/radishpin-server/src/agent/request/relay.rs
+++ b/crates/radishpin-server/src/agent/request/relay.rs
@@ -112,7 +112,9 @@
         EndpointError::Refused => AttemptRefusal::not_run(ResultCode::NoEndpoint, detail),
         EndpointError::Malformed(_) => AttemptRefusal::not_run(ResultCode::InvalidField, detail),
         EndpointError::Crossed => AttemptRefusal::unknown(ResultCode::AnswerCrossed, detail),
-        EndpointError::Broken(_) => AttemptRefusal::unknown(ResultCode::OutcomeUnknown, detail),
+        EndpointError::Failed(_) | EndpointError::Broken(_) => {
+            AttemptRefusal::unknown(ResultCode::OutcomeUnknown, detail)
+        }
         EndpointError::Truncated => AttemptRefusal::unknown(ResultCode::AnswerBroken, detail),
     }
 }
--- a/crates/radishpin-server/src/node/request/dispatch.rs
+++ b/crates/radishpin-server/src/node/request/dispatch.rs
@@ -55,6 +55,8 @@
     pub(super) attempts: AttemptNumber,
     /// Endpoints whose attempt failed.
     failed_at: BTreeSet<EndpointId>,
+    /// Whether an attempt that may have run was followed by another.
+    may_have_run: bool,
     /// The row of the call's key, where it has one.
     pub(super) keyed: Option<KeyedSession>,
 }
@@ -68,6 +70,7 @@
             call,
             attempts: 0,
             failed_at: BTreeSet::new(),
+            may_have_run: false,
         }
     }
 
@@ -78,7 +81,7 @@
     pub(super) async fn begin(&mut self, offset: u64) -> Result<Begun, Refusal> {
         self.node.count_request(&self.call.service);
         loop {
-            let link = self.node.route(&self.call, &mut self.failed_at).await?;
+            let link = self.route().await?;
             if let Some(replay) = self.announce(&link).await? {
                 return Ok(Begun::replayed(replay));
             }
@@ -102,13 +105,15 @@
             match self.decide(outcome) {
                 Step::Retry(reason) => {
                     self.node.metrics.retried(reason);
+                    self.may_have_run |= !reason.is_proven();
                     return Ok(());
                 }
                 Step::Tombstone => {
                     outcome = failed.tombstone(&self.call).await;
                 }
-                Step::Refuse(code) => return Err(self.refusal(code, &failed)),
-                Step::Unknown(code) => return Err(self.refusal(code, &failed)),
+                Step::Refuse(code) | Step::Unknown(code) => {
+                    return Err(self.truthful(self.refusal(code, &failed)));
+                }
             }
         }
     }
@@ -169,6 +174,23 @@
         attempt.next(remaining).await
     }
 
+    async fn route(&mut self) -> Result<Arc<AgentLink>, Refusal> {
+        let routed = self.node.route(&self.call, &mut self.failed_at).await;
+        routed.map_err(|refusal| self.truthful(refusal))
+    }
+
+    /// A refusal that says "not run" does so of every attempt, not only of the last.
+    fn truthful(&self, refusal: Refusal) -> Refusal {
+        if !self.may_have_run || refusal.code.ran() == Ran::Unknown {
+            return refusal;
+        }
+        Refusal {
+            code: ResultCode::OutcomeUnknown,
+            reason: format!("an earlier attempt may have run; then: {}", refusal.reason),
+            ..refusal
+        }
+    }
+
     fn decide(&self, outcome: AttemptOutcome) -> Step {
         let remaining = self.call.remaining(self.node.clock.now());
         let facts = CallFacts {
--- a/crates/radishpin-server/src/node/request/events.rs
+++ b/crates/radishpin-server/src/node/request/events.rs
@@ -16,8 +16,14 @@
 
 /// Largest answer that is read whole before the caller gets its first byte.
 const WHOLE_BODY_BYTES_MAX: usize = 1024 * 1024;
+/// Shortest time between two parts of an answer after which it counts as broken; the caller's
+/// patience, where that is longer.
+const STALL_TIMEOUT_MIN: Duration = Duration::from_secs(1);
+
 /// Time between two parts of an answer after which it counts as broken.
-const STALL_TIMEOUT: Duration = Duration::from_secs(30);
+fn stall_timeout(call: &Call) -> Duration {
+    call.patience.max(STALL_TIMEOUT_MIN)
+}
 
 impl Node {
     /// Serves a call: attempts, then the answer.
@@ -46,7 +52,7 @@
 async fn serve_whole(progress: &mut Progress) -> Result<Response, Refusal> {
     loop {
         let begun = progress.begin(0).await?;
-        match read_whole(begun).await {
+        match read_whole(begun, stall_timeout(&progress.call)).await {
             Ok(answer) => {
                 keep_answer(progress, &answer).await;
                 return Ok(answer.into_response(&progress.call));
@@ -76,13 +82,13 @@
     rest: Option<Attempt>,
 }
 
-async fn read_whole(begun: Begun) -> Result<Answer, FailedAttempt> {
+async fn read_whole(begun: Begun, stall: Duration) -> Result<Answer, FailedAttempt> {
     let mut answer = Answer::from(begun);
     while let Some(attempt) = answer.rest.as_mut() {
         if answer.body.len() > WHOLE_BODY_BYTES_MAX {
             break;
         }
-        match attempt.next(STALL_TIMEOUT).await? {
+        match attempt.next(stall).await? {
             Part::Chunk(_, data) => answer.body.extend_from_slice(&data),
             Part::End => answer.rest = None,
             Part::Head(_) => return Err(attempt.malformed()),
@@ -124,9 +130,10 @@
         };
         let first = stream::once(Ok(self.body));
         // An answer that breaks off must not look whole, so the body ends in an error.
-        let rest = stream::unfold(Some(attempt), |attempt| async {
+        let stall = stall_timeout(call);
+        let rest = stream::unfold(Some(attempt), move |attempt| async move {
             let mut attempt = attempt?;
-            match attempt.next(STALL_TIMEOUT).await {
+            match attempt.next(stall).await {
                 Ok(Part::Chunk(_, data)) => Some((Ok(data), Some(attempt))),
                 Ok(Part::End) => None,
                 Ok(Part::Head(_)) => Some((Err(io::ErrorKind::InvalidData.into()), None)),
@@ -228,7 +235,8 @@
                 return Ok(None);
             };
             let number = attempt.number;
-            let failed = match attempt.next(STALL_TIMEOUT).await {
+            let stall = stall_timeout(&self.progress.call);
+            let failed = match attempt.next(stall).await {
                 Ok(Part::Chunk(offset, data)) => match self.cursor.accept(number, offset) {
                     ChunkVerdict::Accept => return Ok(Some(data)),
                     ChunkVerdict::Duplicate => continue,
