--- a/crates/radishpin-core/src/process/replica_ledger.rs
+++ b/crates/radishpin-core/src/process/replica_ledger.rs
@@ -126,6 +126,11 @@
         true
     }
 
+    /// The view in force; empty, of version 0, before the first.
+    pub const fn view(&self) -> &AgentView {
+        &self.view
+    }
+
     /// Version of the view in force; 0 before the first.
     pub const fn view_version(&self) -> Version {
         self.view.version
@@ -136,6 +141,11 @@
         self.incarnation
     }
 
+    /// Number of orders given.
+    pub const fn orders_given(&self) -> OrderSequence {
+        self.last_sequence
+    }
+
     /// Notes that another agent was registered for the endpoint: no more orders are given.
     pub const fn supersede(&mut self) {
         self.superseded = true;
--- a/crates/radishpin-core/src/process/replica_ledger/observe.rs
+++ b/crates/radishpin-core/src/process/replica_ledger/observe.rs
@@ -39,6 +39,8 @@
             asked_at: report.asked_at,
             as_of: report.as_of,
         });
+        // The endpoint may have restarted since it answered, before any report of that life.
+        self.acted = self.acted.min(report.as_of);
         if !self.contents_known && !self.settles_predecessor(report) {
             return;
         }
@@ -105,7 +107,7 @@
         }
         match self.fencing {
             Fencing::Checked => report.as_of.incarnation == self.incarnation,
-            Fencing::Ignored { order_life } => report.asked_at >= self.started_at + order_life,
+            Fencing::Ignored { order_life } => report.asked_at > self.started_at + order_life,
         }
     }
 
@@ -141,7 +143,7 @@
     fn is_newer(&self, report: &EngineReport, number: OrderNumber, at: Duration) -> bool {
         match self.fencing {
             Fencing::Checked => report.as_of >= number,
-            Fencing::Ignored { .. } => report.asked_at >= at,
+            Fencing::Ignored { .. } => report.asked_at > at,
         }
     }
 
@@ -151,7 +153,7 @@
         }
         match self.fencing {
             Fencing::Checked => report.as_of >= number,
-            Fencing::Ignored { order_life } => report.asked_at >= sent_at + order_life,
+            Fencing::Ignored { order_life } => report.asked_at > sent_at + order_life,
         }
     }
 
--- a/crates/radishpin-core/src/version/grants.rs
+++ b/crates/radishpin-core/src/version/grants.rs
@@ -22,8 +22,10 @@
     pub service: ServiceId,
     /// Accelerator memory.
     pub memory_mb: SizeMb,
-    /// Accelerator memory that is free or held by idle replicas, as last reported.
+    /// Accelerator memory that is free, as last reported.
     pub free_mb: SizeMb,
+    /// Accelerator memory of idle replicas that may be unloaded, as last reported.
+    pub idle_mb: SizeMb,
     /// Sum of the sizes of the models that it has grants for.
     pub granted_mb: SizeMb,
     /// Life of its agent, from the endpoint's row.
@@ -177,12 +179,15 @@
         }
     }
 
-    /// Revokes the grant of a holder that has no room, where another endpoint could load now.
+    /// Revokes a grant where no holder has room and another endpoint could load now.
     fn revoke_for_move(&mut self) {
         if self.open_places() > 0 || self.revoking() > 0 {
             return;
         }
-        let unable = self.held().find(|id| self.facts.unable.contains(*id));
+        if !self.held().all(|id| self.facts.unable.contains(id)) {
+            return;
+        }
+        let unable = self.held().next();
         let able = self.candidates().best_with_room();
         if let (Some(unable), Some(_)) = (unable.cloned(), able) {
             self.revoke(&unable);
--- a/crates/radishpin-core/src/version/placement.rs
+++ b/crates/radishpin-core/src/version/placement.rs
@@ -14,12 +14,23 @@
     avoided: &'a BTreeSet<EndpointId>,
 }
 
+/// Whether an endpoint can load the model now, the best first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Room {
+    /// At once.
+    Free,
+    /// After unloading idle replicas.
+    AfterUnload,
+    /// Not while its replicas are in use or kept loaded.
+    None,
+}
+
 /// Order of preference; the smallest goes first.
 type Rank<'a> = (
     bool,
     usize,
     usize,
-    bool,
+    Room,
     SizeMb,
     Reverse<SizeMb>,
     &'a EndpointId,
@@ -59,7 +70,8 @@
 
     /// The best endpoint that could load the model now.
     pub(super) fn best_with_room(&self) -> Option<EndpointId> {
-        self.first_of(|endpoint| endpoint.free_mb >= self.record.size_mb)
+        let free = self.first_of(|endpoint| self.room(endpoint) == Room::Free);
+        free.or_else(|| self.first_of(|endpoint| self.room(endpoint) == Room::AfterUnload))
     }
 
     /// Whether all grants would be lost with one availability zone or host, and an endpoint
@@ -80,12 +92,23 @@
         best.map(|(id, _)| (*id).clone())
     }
 
+    const fn room(&self, endpoint: &EndpointStanding) -> Room {
+        let size_mb = self.record.size_mb;
+        if endpoint.free_mb >= size_mb {
+            Room::Free
+        } else if endpoint.free_mb.saturating_add(endpoint.idle_mb) >= size_mb {
+            Room::AfterUnload
+        } else {
+            Room::None
+        }
+    }
+
     fn rank(&self, id: &'a EndpointId, endpoint: &EndpointStanding) -> Rank<'a> {
         (
             self.avoided.contains(id),
             self.spread.in_zone_of(endpoint),
             self.spread.on_host_of(endpoint),
-            endpoint.free_mb < self.record.size_mb,
+            self.room(endpoint),
             endpoint.granted_mb,
             Reverse(endpoint.free_mb),
             id,
--- a/crates/radishpin-core/tests/grants.rs
+++ b/crates/radishpin-core/tests/grants.rs
@@ -25,6 +25,7 @@
         service: "drafts".into(),
         memory_mb: 100,
         free_mb: 100,
+        idle_mb: 0,
         granted_mb: 0,
         incarnation: 4,
         standing: Standing::Usable,
@@ -179,6 +180,10 @@
         endpoint.free_mb = 10;
     }
     insta::assert_snapshot!(site.plan(), @"-");
+    site.endpoints
+        .entry("e4".into())
+        .and_modify(|e| e.idle_mb = 30);
+    insta::assert_snapshot!(site.plan(), @"1: e1 Revoking 20; on");
     let mut site = Site::holding(1, &[("e1", Revoking)]).confirm("e1", 4, 18);
     site.endpoints.get_mut("e3").unwrap().granted_mb = 40;
     insta::assert_snapshot!(site.plan(), @"1: e2 Held 20; on e1 e2");
--- /dev/null
+++ b/crates/radishpin-core/tests/model_check/recovery.rs
@@ -0,0 +1,144 @@
+//! The path to served once faults stop.
+
+use crate::{
+    steps::{Step, Travel},
+    world::*,
+};
+use radishpin_core::process::{Fencing, Standing};
+use std::{
+    collections::BTreeSet,
+    hash::{DefaultHasher, Hash, Hasher},
+    sync::Arc,
+};
+
+/// Rounds of fair steps within which every model is served.
+const ROUNDS: usize = 12;
+
+/// Hashes of states from which every model was served once faults had stopped.
+#[derive(Debug, Default)]
+pub struct Recovered {
+    served: BTreeSet<u64>,
+}
+
+impl Recovered {
+    /// What goes wrong once faults stop and every process takes its steps in turn: with the
+    /// orders on their way all delivered, and with all of them lost.
+    pub fn fault_after(&mut self, world: &World) -> Option<&'static str> {
+        let on_their_way = world.sites.iter().any(|site| !site.flights.is_empty());
+        self.fault_in_turns(world, true).or_else(|| {
+            on_their_way
+                .then(|| self.fault_in_turns(world, false))
+                .flatten()
+        })
+    }
+
+    fn fault_in_turns(&mut self, world: &World, orders_arrive: bool) -> Option<&'static str> {
+        let mut world = world.clone();
+        world.stop_faults(orders_arrive);
+        let mut served = [0, 1].map(|model| world.table.profiles[model].value == 0);
+        let mut passed = Vec::new();
+        for _ in 0..ROUNDS {
+            world.spread_views();
+            let hash = world.hash_with(served);
+            if self.served.contains(&hash) {
+                break;
+            }
+            passed.push(hash);
+            world.serve(&mut served);
+            if let Some(violation) = world.violation() {
+                return Some(violation);
+            }
+            if served == [true, true] {
+                break;
+            }
+        }
+        if passed.len() == ROUNDS && served != [true, true] {
+            return Some("a model is not served although faults have stopped");
+        }
+        self.served.extend(passed);
+        None
+    }
+}
+
+impl World {
+    fn hash_with(&self, served: [bool; 2]) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        (self, served).hash(&mut hasher);
+        hasher.finish()
+    }
+
+    fn step(&mut self, step: Step) {
+        if let Some(next) = self.after(step) {
+            *self = next;
+        }
+    }
+
+    fn stop_faults(&mut self, orders_arrive: bool) {
+        self.step(Step::Recover);
+        for node in 0..self.nodes.len() {
+            self.step(Step::StartNode(node));
+        }
+        for site in 0..self.sites.len() {
+            let standing = Standing::Usable;
+            self.step(Step::Stand { site, standing });
+            let agent = self.sites[site].agents.len().saturating_sub(1);
+            self.step(Step::LateReport { site, agent });
+            while !self.sites[site].flights.is_empty() {
+                if !orders_arrive {
+                    self.step(Step::GiveUp { site, flight: 0 });
+                    Arc::make_mut(&mut self.sites[site]).flights.remove(0);
+                }
+                self.step(Step::Deliver { site, flight: 0 });
+            }
+        }
+        self.faults_left = 0;
+        self.changes_left = 0;
+    }
+
+    fn spread_views(&mut self) {
+        if let Fencing::Ignored { .. } = self.setting.fencing {
+            self.step(Step::Tick);
+        }
+        for node in 0..self.nodes.len() {
+            self.step(Step::Poll(node));
+            for site in 0..self.sites.len() {
+                let agent = self.sites[site].agents.len().saturating_sub(1);
+                self.step(Step::Sync { node, site, agent });
+            }
+        }
+    }
+
+    fn serve(&mut self, served: &mut [bool; 2]) {
+        let travel = Travel::AtOnce;
+        for site in 0..self.sites.len() {
+            let agent = self.sites[site].agents.len().saturating_sub(1);
+            self.step(Step::House {
+                site,
+                agent,
+                travel,
+            });
+            self.step(Step::Observe { site, agent });
+        }
+        for (model, served) in served.iter_mut().enumerate() {
+            for site in 0..self.sites.len() {
+                let agent = self.sites[site].agents.len().saturating_sub(1);
+                // The first may make room; the request waits for the report and asks again.
+                for _ in 0..2 {
+                    self.step(Step::Load {
+                        site,
+                        agent,
+                        model,
+                        travel,
+                    });
+                    self.step(Step::Observe { site, agent });
+                }
+                *served |= self.is_ready(site, model);
+            }
+        }
+        for node in 0..self.nodes.len() {
+            for model in 0..MODELS.len() {
+                self.step(Step::Commit { node, model });
+            }
+        }
+    }
+}
