Tell idle memory to the planner; write a key's outcome beside the refusal

Cause: the planner now prefers free memory over memory that must first be unloaded, and needs to be told of both; a refused keyed call waited up to a second for its row, past the caller's deadline.

Change: heartbeats carry the memory of idle replicas; the row of a call that did not run is written beside the refusal, and an answer waits for its row only while the caller's patience lasts.

Conclusion: a refusal is final at once.

--- a/crates/radishpin-server/src/agent/version/sync.rs
+++ b/crates/radishpin-server/src/agent/version/sync.rs
@@ -31,6 +31,7 @@
             load: Some(self.load()),
             replicas: self.replica_reports(),
             released: self.released(),
+            memory_idle_mb: self.memory_idle_mb(),
         }
     }
 
@@ -59,6 +60,21 @@
             .unwrap_or_default()
     }
 
+    /// Memory that unloads could free at once.
+    fn memory_idle_mb(&self) -> SizeMb {
+        let ledger = self.ledger.lock();
+        let Some(ledger) = ledger.as_ref() else {
+            return 0;
+        };
+        let grants = &ledger.view().grants;
+        let stays = |model: &str| grants.get(model).is_some_and(|grant| grant.keep_loaded);
+        let replicas = ledger.replicas();
+        let idle = replicas.iter().filter(|(target, status)| {
+            status.state == ReplicaState::Loaded && status.uses == 0 && !stays(target.model())
+        });
+        idle.map(|(_, status)| status.size_mb).sum()
+    }
+
     fn apply(&self, request: &SyncRequest) {
         let view = AgentView {
             version: request.view_version,
--- a/crates/radishpin-server/src/node/connection/agent_link.rs
+++ b/crates/radishpin-server/src/node/connection/agent_link.rs
@@ -46,6 +46,7 @@
     view_version: Version,
     replicas: BTreeMap<ModelId, Replica>,
     released: BTreeSet<ModelId>,
+    memory_idle_mb: SizeMb,
 }
 
 /// The link to one agent.
@@ -167,6 +168,11 @@
         self.known.lock().load
     }
 
+    /// Memory that unloads there could free at once, as last heard.
+    pub(in crate::node) fn memory_idle_mb(&self) -> SizeMb {
+        self.known.lock().memory_idle_mb
+    }
+
     /// Counts an attempt that was sent.
     pub(in crate::node) fn count_sent(&self) {
         self.outstanding.fetch_add(1, Ordering::Relaxed);
@@ -202,6 +208,7 @@
             || !same_states(&known.replicas, &replicas);
         known.view_version = reply.view_version;
         known.released = released;
+        known.memory_idle_mb = reply.memory_idle_mb;
         known.replicas = replicas;
         drop(known);
         if let Some(load) = reply.load {
--- a/crates/radishpin-server/src/node/request/events.rs
+++ b/crates/radishpin-server/src/node/request/events.rs
@@ -43,7 +43,7 @@
         if let (Err(refusal), Some(keyed)) = (&served, progress.keyed.as_mut())
             && refusal.code.ran() == Ran::No
         {
-            keyed.release().await;
+            keyed.release();
         }
         served
     }
@@ -70,7 +70,12 @@
     let replayed = answer.header(REPLAYED_HEADER).is_some();
     if let (Some(keyed), None, false) = (progress.keyed.as_mut(), &answer.rest, replayed) {
         keyed
-            .finish(status, content_type.unwrap_or_default(), &answer.body)
+            .finish(
+                &progress.call,
+                status,
+                content_type.unwrap_or_default(),
+                &answer.body,
+            )
             .await;
     }
 }
--- a/crates/radishpin-server/src/node/request/keyed.rs
+++ b/crates/radishpin-server/src/node/request/keyed.rs
@@ -9,7 +9,7 @@
     Answer, Dispatch, KeyedCall, KeyedRow, KeyedStep, StoreReply, after_commit, after_read,
     finished, key_row, not_run, settle_pending,
 };
-use radishpin_platform::{CallError, Commit, CommitOutcome, Condition, Write};
+use radishpin_platform::{CallError, Commit, CommitOutcome, Condition, PlatformClient, Write};
 use radishpin_protocol::{CALL_PREFIX, prelude::*};
 use radishpin_runtime::timeout;
 use sha2::{Digest, Sha256};
@@ -17,8 +17,10 @@
 
 /// Time for which the answer of a finished call is kept for replay.
 const RETENTION: Duration = Duration::from_secs(24 * 3_600);
-/// Time for writing the outcome of a call down, beyond which the caller does not wait.
-const OUTCOME_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for which an answer may wait until it is written down for replay: the rest of the
+/// caller's patience within these bounds.
+const OUTCOME_TIMEOUT_MIN: Duration = Duration::from_millis(20);
+const OUTCOME_TIMEOUT_MAX: Duration = Duration::from_secs(1);
 /// When a caller may come back whose key is not free yet.
 const RETRY_AFTER: Duration = Duration::from_secs(2);
 /// Steps that one call may take to get its key.
@@ -113,40 +115,54 @@
         Err(refused(ResultCode::KeyInProgress))
     }
 
-    /// Writes the answer down for replay. Where that fails, a repeated call is told that the
-    /// outcome is unknown.
-    pub(super) async fn finish(&mut self, status: u16, content_type: &str, body: &[u8]) {
-        let object_key = format!("answers/{}", self.row_key);
-        let answer = Answer::place(content_type, body, &object_key);
-        let write = async {
-            if let Answer::Object { key, .. } = &answer
-                && let Err(cause) = self.node.client.put_object(key, body).await
+    /// Writes the answer down for replay, and waits for it only while the caller's patience
+    /// lasts. Until it is written, a repeated call is told that its outcome is unknown.
+    pub(super) async fn finish(
+        &mut self,
+        call: &Call,
+        status: u16,
+        content_type: &str,
+        body: &[u8],
+    ) {
+        let key = format!("answers/{}", self.row_key);
+        let answer = Answer::place(content_type, body, &key);
+        let object = match &answer {
+            Answer::Object { key, .. } => Some((key.clone(), body.to_vec())),
+            Answer::Inline { .. } => None,
+        };
+        let Some(commit) = self.commit_of(self.version, &finished(&self.call, status, answer))
+        else {
+            return;
+        };
+        let client = self.node.client.clone();
+        let mut writing = self.node.runtime.spawn(async move {
+            if let Some((key, body)) = object
+                && let Err(cause) = client.put_object(&key, &body).await
             {
                 log::warn!(event = "answer_not_kept", cause:% = cause; "a replay will be refused");
                 return;
             }
-            let row = finished(&self.call, status, answer.clone());
-            self.write_outcome(&row).await;
-        };
-        timeout(OUTCOME_TIMEOUT, write).await;
+            write_outcome(&client, &commit).await;
+        });
+        let left = call.remaining(self.node.clock.now());
+        let limit = left.clamp(OUTCOME_TIMEOUT_MIN, OUTCOME_TIMEOUT_MAX);
+        if timeout(limit, &mut writing).await.is_none() {
+            writing.detach();
+        }
     }
 
-    /// Writes down that the call did not run, so that the key is free again at once.
-    pub(super) async fn release(&mut self) {
+    /// Writes down that the call did not run, so that the key is free again; the refusal does
+    /// not wait for it.
+    pub(super) fn release(&self) {
         if self.version == 0 {
             return;
         }
-        let row = not_run(&self.call);
-        timeout(OUTCOME_TIMEOUT, self.write_outcome(&row)).await;
-    }
-
-    async fn write_outcome(&self, row: &KeyedRow) {
-        let Some(commit) = self.commit_of(self.version, row) else {
+        let Some(commit) = self.commit_of(self.version, &not_run(&self.call)) else {
             return;
         };
-        if let Err(cause) = self.node.client.commit_once(&commit).await {
-            log::warn!(event = "outcome_not_kept", cause:% = cause; "a repeated call is refused");
-        }
+        let client = self.node.client.clone();
+        let write = async move { write_outcome(&client, &commit).await };
+        self.node.runtime.spawn_detached(write);
     }
 
     async fn read(&mut self, call: &Call) -> KeyedStep {
@@ -216,6 +232,12 @@
     }
 }
 
+async fn write_outcome(client: &PlatformClient, commit: &Commit) {
+    if let Err(cause) = client.commit_once(commit).await {
+        log::warn!(event = "outcome_not_kept", cause:% = cause; "a repeated call is refused");
+    }
+}
+
 fn keyed_call(
     node: &Node,
     call: &Call,
--- a/crates/radishpin-server/src/node/version/grants.rs
+++ b/crates/radishpin-server/src/node/version/grants.rs
@@ -43,17 +43,16 @@
         granted_mb: SizeMb,
     ) -> EndpointStanding {
         let now = self.clock.now();
-        let load = self
-            .links()
-            .get(id)
-            .map(|link| link.load())
-            .unwrap_or_default();
+        let links = self.links();
+        let link = links.get(id);
+        let load = link.map(|link| link.load()).unwrap_or_default();
         EndpointStanding {
             host: record.host.clone(),
             availability_zone: record.availability_zone.clone(),
             service: record.service.clone(),
             memory_mb: record.memory_mb,
             free_mb: record.memory_mb.saturating_sub(load.memory_used_mb),
+            idle_mb: link.map(|link| link.memory_idle_mb()).unwrap_or_default(),
             granted_mb,
             incarnation: record.incarnation,
             standing: self.members.lock().standing(id, &record.host, now),
