Name leases by host, and share what the roles' commands do

Cause: the candidates of a lease were the host list's hosts and the node's own name, so that each node ranked itself in another list; the two commands that run a role stood twice.

Measurement: none.

Conclusion: ranks agree at all nodes where host and node names differ.

--- a/crates/radishpin-server/src/node/process.rs
+++ b/crates/radishpin-server/src/node/process.rs
@@ -66,7 +66,7 @@
     /// What is known of hosts and endpoints.
     pub(super) members: Arc<Mutex<Membership>>,
     /// Hosts of nodes, by the host list.
-    pub(super) nodes: Mutex<BTreeSet<NodeId>>,
+    pub(super) nodes: Mutex<BTreeSet<HostId>>,
     pub(super) leases: Leases,
     pub(super) board: Arc<StatusBoard>,
     retries: Mutex<RetryBudgets>,
@@ -100,7 +100,7 @@
             sync_wanted: Event::new(),
             members: Arc::default(),
             nodes: Mutex::default(),
-            leases: Leases::new(&settings.name),
+            leases: Leases::new(&settings.host),
             board: Arc::default(),
             retries: Mutex::new(RetryBudgets::new(NODE_RETRY_BURST, SERVICE_RETRY_BURST)),
             has_view: AtomicBool::new(false),
--- a/crates/radishpin-server/src/node/version/leases.rs
+++ b/crates/radishpin-server/src/node/version/leases.rs
@@ -21,8 +21,8 @@
 
 impl Leases {
     /// Leases of which nothing is known yet.
-    pub(in crate::node) fn new(node: &NodeId) -> Self {
-        let watch = |_| Mutex::new(LeaseWatch::new(node.clone()));
+    pub(in crate::node) fn new(host: &HostId) -> Self {
+        let watch = |_| Mutex::new(LeaseWatch::new(host.clone()));
         Self {
             watches: (0..SHARDS).map(watch).collect(),
         }
@@ -105,7 +105,7 @@
                 let now = self.clock.now();
                 let mut watch = self.leases.watches[shard as usize].lock();
                 watch.observe(version, record, now);
-                let rank = candidate_rank(shard, &self.settings.name, &nodes);
+                let rank = candidate_rank(shard, &self.settings.host, &nodes);
                 watch.decide(rank.unwrap_or(usize::MAX), now)
             };
             self.write_lease(client, shard, decision).await?;
@@ -142,11 +142,11 @@
         Ok(())
     }
 
-    /// Nodes that may hold leases: those of the host list, and this one.
-    fn lease_candidates(&self) -> BTreeSet<NodeId> {
-        let mut nodes = self.nodes.lock().clone();
-        nodes.remove(&self.settings.host);
-        nodes.insert(self.settings.name.clone());
-        nodes
+    /// Hosts of the nodes that may hold leases: those of the host list, and this one. A host
+    /// runs one node, so the host's name stands for it.
+    fn lease_candidates(&self) -> BTreeSet<HostId> {
+        let mut hosts = self.nodes.lock().clone();
+        hosts.insert(self.settings.host.clone());
+        hosts
     }
 }
--- a/src/command/node.rs
+++ b/src/command/node.rs
@@ -3,6 +3,7 @@
 use super::{CommandSpec, no_operands};
 use crate::{
     CommandError,
+    role::{platform_at, run_until_asked},
     settings::{
         Fault, Kind, Setting, Values,
         common::{
@@ -10,13 +11,11 @@
             THREADS, TOKEN,
         },
     },
-    signals::stop_asked,
 };
-use radishpin_http::{Client, ClientLimits, ServerLimits, Shutdown};
-use radishpin_platform::HttpPlatform;
+use radishpin_http::{ServerLimits, Shutdown};
 use radishpin_runtime::Runtime;
 use radishpin_server::{Node, NodeSettings};
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 static LISTEN: Setting = Setting::with_default(
     "listen",
@@ -179,16 +178,11 @@
 /// Runs the node until it is told to stop, then drains.
 fn start(settings: NodeSettings) -> Result<(), CommandError> {
     let runtime = Runtime::start(settings.threads)?;
-    let platform = HttpPlatform::new(Client::new(ClientLimits::default()), settings.platform)?;
+    let platform = platform_at(settings.platform)?;
     smol::block_on(async {
         let shutdown = Shutdown::default();
-        let platform = Arc::new(platform);
         let running = Node::start(settings, runtime, platform, shutdown.clone()).await?;
-        println!("ready {}", running.address);
-        stop_asked().await?;
-        shutdown.begin();
-        running.stopped().await;
-        Ok(())
+        run_until_asked(running.address, shutdown, running.stopped()).await
     })
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 mod error;
 mod logging;
 mod output;
+mod role;
 mod run;
 mod settings;
 mod signals;
--- /dev/null
+++ b/src/role.rs
@@ -0,0 +1,25 @@
+//! What the commands that run a role have in common.
+
+use crate::{CommandError, signals::stop_asked};
+use radishpin_http::{Client, ClientLimits, Shutdown};
+use radishpin_platform::{HttpPlatform, Platform};
+use std::{future::Future, net::SocketAddr, sync::Arc};
+
+/// The platform at an address.
+pub(crate) fn platform_at(address: SocketAddr) -> Result<Arc<dyn Platform>, CommandError> {
+    let client = Client::new(ClientLimits::default());
+    Ok(Arc::new(HttpPlatform::new(client, address)?))
+}
+
+/// Says that the role is ready, waits until the process is asked to stop, and drains.
+pub(crate) async fn run_until_asked(
+    address: SocketAddr,
+    shutdown: Shutdown,
+    stopped: impl Future<Output = ()>,
+) -> Result<(), CommandError> {
+    println!("ready {address}");
+    stop_asked().await?;
+    shutdown.begin();
+    stopped.await;
+    Ok(())
+}
