--- a/crates/radishpin-core/src/process/replica_ledger.rs
+++ b/crates/radishpin-core/src/process/replica_ledger.rs
@@ -1,5 +1,6 @@
 //! The agent's ledger: which replicas its endpoint holds, and what it may be ordered to do.
 
+mod decision;
 mod housekeeping;
 mod observe;
 mod replica;
@@ -10,48 +11,9 @@
 use radishpin_protocol::{GrantState, OrderSequence, prelude::*};
 use replica::{Pending, Replica, Stage};
 
+pub use decision::{LoadDecision, LoadRefusal};
 pub use replica::{ReplicaState, ReplicaStatus};
 
-/// Answer to a request for a replica.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum LoadDecision {
-    /// It is loaded.
-    Ready,
-    /// It is being loaded.
-    Loading,
-    /// Carry out this order, settle it and ask again; the model comes before its adapter.
-    Issue(Order),
-    /// It cannot be loaded now.
-    Refused(LoadRefusal),
-}
-
-/// Why a replica cannot be loaded now.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum LoadRefusal {
-    /// The endpoint has no grant for the model.
-    NotGranted,
-    /// The grant is being revoked.
-    Revoking,
-    /// Its memory is not free.
-    NoMemory {
-        /// Memory that the target takes.
-        needed_mb: SizeMb,
-        /// Memory that is free.
-        free_mb: SizeMb,
-        /// Memory that unloads in flight will release.
-        releasing_mb: SizeMb,
-        /// Idle replicas, the least recently used first, whose unload would make room; empty
-        /// where unloads in flight suffice, or where no unload can make room.
-        evict: Vec<Target>,
-    },
-    /// What the endpoint holds is not known yet, or the target is being unloaded.
-    Uncertain,
-    /// No view is in force, or another agent was registered for the endpoint.
-    NotRegistered,
-    /// The size of the adapter was not given.
-    UnknownSize,
-}
-
 /// What an agent knows of its endpoint's replicas, and the one place that numbers its orders.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct ReplicaLedger {
--- a/crates/radishpin-core/tests/model_check.rs
+++ b/crates/radishpin-core/tests/model_check.rs
@@ -4,19 +4,15 @@
 //! the depth, and how each broken rule was found. Debug builds explore smaller budgets, each
 //! still exhaustively.
 
-#[path = "model_check/explore.rs"]
-mod explore;
-#[path = "model_check/recovery.rs"]
-mod recovery;
-#[path = "model_check/steps.rs"]
-mod steps;
-#[path = "model_check/world.rs"]
-mod world;
+#[path = "model_check/spec.rs"]
+mod spec;
 
-use explore::{Findings, explore};
 use radishpin_core::{mutation::Mutation::*, process::Fencing};
-use steps::Kind::{self, *};
-use world::{Broken, Setting, TICK, World};
+use spec::{
+    explore::{Findings, explore},
+    steps::Kind::{self, *},
+    world::{Broken, Setting, TICK, World},
+};
 
 /// Endpoints check numbers and remember them over restarts; a paused agent may wake up beside
 /// its successor.
@@ -57,13 +53,17 @@
 /// Explores all states and the fair path from each, for both kinds of endpoint.
 fn holds(name: &str, holders: Holders, scope: &[&[Kind]], faults: u8, changes: u8) {
     let scope = scope.concat();
-    for (numbers, setting) in [("checked", CHECKED), ("ignored", IGNORED)] {
+    let check = |numbers: &str, setting: Setting| {
         let start = World::start(setting, holders, faults, changes);
         let findings = explore(start, &scope, true);
         let Findings { states, depth, .. } = findings;
         println!("{name}, numbers {numbers}: {states} states, depth {depth}");
         assert_eq!(findings.violation, None, "{name}, numbers {numbers}");
-    }
+    };
+    std::thread::scope(|threads| {
+        threads.spawn(|| check("checked", CHECKED));
+        threads.spawn(|| check("ignored", IGNORED));
+    });
 }
 
 /// The start of the larger explorations; smaller in debug builds, which run slowly.
--- /dev/null
+++ b/crates/radishpin-core/tests/model_check/control.rs
@@ -0,0 +1,192 @@
+//! Steps of nodes and operators.
+
+use super::world::*;
+use radishpin_core::{process::*, version::*};
+use radishpin_protocol::prelude::*;
+use std::sync::Arc;
+
+impl World {
+    pub fn poll(&mut self, node: usize) -> Option<()> {
+        let view = self.nodes[node].view.as_mut()?;
+        if !self.platform_up {
+            return None;
+        }
+        *view = self.table.clone();
+        Some(())
+    }
+
+    pub fn sync(&mut self, node: usize, site: usize, agent: usize) -> Option<()> {
+        let view = self.nodes[node].view.clone()?;
+        let agent = self.agent(site, agent)?;
+        agent.ledger.apply_view(view.agent_view(site));
+        agent.peak = agent.peak.max(agent.ledger.view_version());
+        let released: BTreeSet<ModelId> = agent.ledger.released().into_iter().collect();
+        let heard = match released.is_empty() {
+            true => Heard::default(),
+            false => Heard {
+                incarnation: agent.ledger.incarnation(),
+                view_version: agent.ledger.view_version(),
+                released,
+            },
+        };
+        self.nodes[node].heard[site] = heard;
+        Some(())
+    }
+
+    pub fn commit(&mut self, node: usize, model: usize) -> Option<()> {
+        let view = self.nodes[node].view.clone()?;
+        if !self.platform_up {
+            return None;
+        }
+        let change = self.planned(node, model, &view)?;
+        if !self.conditions_hold(&view, model, &change) {
+            return None;
+        }
+        let before = &self.table.models[model].value;
+        let allowed = before.replicas.max(self.table.profiles[model].value);
+        if change.record.replicas > allowed {
+            self.alarm = Some("a commit decided more replicas than the profile in force allows");
+        }
+        let table = Arc::make_mut(&mut self.table);
+        table.head += 1;
+        table.models[model] = Row {
+            version: table.head,
+            value: change.record,
+        };
+        table.update_agent_views();
+        Some(())
+    }
+
+    pub fn planned(&self, node: usize, model: usize, view: &Table) -> Option<GrantChange> {
+        let endpoints = (0..ENDPOINTS.len()).map(|site| {
+            let id = ENDPOINTS[site].to_owned();
+            (id, self.standing(site, model, view))
+        });
+        let heard = self.nodes[node].heard.iter().zip(ENDPOINTS);
+        let confirmations = heard.map(|(heard, id)| (id.to_owned(), heard.confirmation()));
+        let facts = GrantFacts {
+            model_id: &MODELS[model].to_owned(),
+            model: &view.models[model].value,
+            row_version: view.models[model].version,
+            head_version: view.head,
+            profile: &profile(model, view.profiles[model].value),
+            endpoints: &endpoints.collect(),
+            confirmations: &confirmations.collect(),
+            unable: &self.unable(model),
+        };
+        match self.setting.broken {
+            Some(Broken::Core(mutation)) => plan_with_mutation(&facts, mutation),
+            _ => plan(&facts),
+        }
+    }
+
+    pub fn standing(&self, site: usize, model: usize, view: &Table) -> EndpointStanding {
+        let registration = view.endpoints[site].value;
+        let (free_mb, idle_mb) = self.room_mb(site);
+        let gone = registration.host < self.sites[site].lost_hosts;
+        EndpointStanding {
+            host: ENDPOINTS[site].to_owned(),
+            availability_zone: ENDPOINTS[site].to_owned(),
+            service: MODELS[model].to_owned(),
+            memory_mb: MEMORY_MB,
+            free_mb,
+            idle_mb,
+            granted_mb: 0,
+            incarnation: registration.incarnation,
+            standing: if gone {
+                Standing::Gone
+            } else {
+                self.sites[site].standing
+            },
+        }
+    }
+
+    /// Holders that refuse the model for want of memory and cannot make room.
+    pub fn unable(&self, model: usize) -> BTreeSet<EndpointId> {
+        let is_unable = |site: &&usize| {
+            let Some(agent) = self.sites[**site].newest() else {
+                return false;
+            };
+            let decision =
+                agent
+                    .ledger
+                    .clone()
+                    .request_load(&target(model), None, self.clock(**site));
+            match decision {
+                LoadDecision::Refused(LoadRefusal::NoMemory {
+                    releasing_mb,
+                    evict,
+                    ..
+                }) => releasing_mb == 0 && evict.is_empty(),
+                _ => false,
+            }
+        };
+        let unable = [0, 1, 2].iter().filter(is_unable);
+        unable.map(|site| ENDPOINTS[*site].to_owned()).collect()
+    }
+
+    pub fn conditions_hold(&self, view: &Table, model: usize, change: &GrantChange) -> bool {
+        let broken = self.setting.broken;
+        let model_row = broken == Some(Broken::ForgetModelRow)
+            || self.table.models[model].version == view.models[model].version;
+        let profile_row = broken == Some(Broken::ForgetProfileRow)
+            || self.table.profiles[model].version == view.profiles[model].version;
+        let endpoint_rows = broken == Some(Broken::ForgetEndpointRows)
+            || change.depends_on.iter().all(|id| {
+                let mut sites = 0..ENDPOINTS.len();
+                let site = sites.find(|site| ENDPOINTS[*site] == id);
+                site.is_some_and(|s| self.table.endpoints[s].version == view.endpoints[s].version)
+            });
+        model_row && profile_row && endpoint_rows
+    }
+
+    pub fn decide(&mut self, model: usize, replicas: u32) -> Option<()> {
+        if !self.platform_up || self.table.profiles[model].value == replicas {
+            return None;
+        }
+        self.spend_change()?;
+        let table = Arc::make_mut(&mut self.table);
+        table.head += 1;
+        table.profiles[model] = Row {
+            version: table.head,
+            value: replicas,
+        };
+        table.update_agent_views();
+        Some(())
+    }
+
+    pub fn stop_node(&mut self, node: usize) -> Option<()> {
+        self.nodes[node].view.as_ref()?;
+        self.nodes[1 - node].view.as_ref()?;
+        self.spend_fault()?;
+        self.nodes[node] = Node {
+            view: None,
+            heard: Default::default(),
+        };
+        Some(())
+    }
+
+    pub fn start_node(&mut self, node: usize) -> Option<()> {
+        if self.nodes[node].view.is_some() {
+            return None;
+        }
+        let peer = self.nodes[1 - node].view.as_ref()?;
+        let agents = self.sites.iter().filter_map(|site| site.newest());
+        let newest = agents.map(|agent| agent.ledger.view_version()).max()?;
+        let floor = match self.setting.broken {
+            Some(Broken::StartBelowFloor) => 0,
+            _ => newest,
+        };
+        let peers = BTreeMap::from([("peer".to_owned(), Some(peer.head))]);
+        let view = match decide_start(self.platform_up, &peers, floor) {
+            StartDecision::FromPlatform => self.table.clone(),
+            StartDecision::FromPeer(_) => peer.clone(),
+            StartDecision::Wait => return None,
+        };
+        if view.head < newest {
+            self.alarm = Some("a node started with a view older than one in force");
+        }
+        self.nodes[node].view = Some(view);
+        Some(())
+    }
+}
--- a/crates/radishpin-core/tests/model_check/explore.rs
+++ b/crates/radishpin-core/tests/model_check/explore.rs
@@ -1,6 +1,6 @@
 //! Exhaustive exploration of the specification.
 
-use crate::{
+use super::{
     recovery::Recovered,
     steps::{Kind, Step, Travel},
     world::*,
--- a/crates/radishpin-core/tests/model_check/recovery.rs
+++ b/crates/radishpin-core/tests/model_check/recovery.rs
@@ -1,6 +1,6 @@
 //! The path to served once faults stop.
 
-use crate::{
+use super::{
     steps::{Step, Travel},
     world::*,
 };
--- /dev/null
+++ b/crates/radishpin-core/tests/model_check/start.rs
@@ -0,0 +1,94 @@
+//! Where an exploration starts.
+
+use super::{steps::*, world::*};
+use radishpin_core::process::*;
+use radishpin_protocol::{Grant, GrantState, ModelRecord, prelude::*};
+use std::sync::Arc;
+
+impl World {
+    /// A state that explorations start from: agents registered, their endpoints empty, and
+    /// `holders` with a grant for each model.
+    pub fn start(setting: Setting, holders: [&[usize]; 2], faults: u8, changes: u8) -> Self {
+        let row = |value| Row { version: 1, value };
+        let row_of = |value: u32| Row { version: 1, value };
+        let record = |model: usize, holders: &[usize]| {
+            let grant = Grant {
+                state: GrantState::Held,
+                since_version: 0,
+            };
+            row(ModelRecord {
+                service: MODELS[model].to_owned(),
+                size_mb: SIZE_MB,
+                replicas: holders.iter().map(|_| 1).sum(),
+                grants: holders
+                    .iter()
+                    .map(|site| (ENDPOINTS[*site].to_owned(), grant))
+                    .collect(),
+            })
+        };
+        let registration = Row {
+            version: 1,
+            value: Registration {
+                incarnation: 1,
+                host: 0,
+            },
+        };
+        let mut table = Table {
+            head: 1,
+            models: [record(0, holders[0]), record(1, holders[1])],
+            profiles: holders.map(|holders| row_of(holders.iter().map(|_| 1).sum())),
+            endpoints: [(); 3].map(|()| registration.clone()),
+            agent_views: Default::default(),
+        };
+        table.update_agent_views();
+        let table = Arc::new(table);
+        let site = Site {
+            engine: Engine::default(),
+            agents: Vec::new(),
+            flights: Vec::new(),
+            late: None,
+            lost_hosts: 0,
+            standing: Standing::Usable,
+        };
+        let node = Node {
+            view: Some(table.clone()),
+            heard: Default::default(),
+        };
+        let mut world = Self {
+            setting,
+            table,
+            platform_up: true,
+            nodes: [node.clone(), node],
+            sites: [(); 3].map(|()| Arc::new(site.clone())),
+            now: 0,
+            faults_left: faults,
+            changes_left: changes,
+            alarm: None,
+        };
+        world.start_agents();
+        world
+    }
+
+    pub fn start_agents(&mut self) {
+        if let Fencing::Ignored { .. } = self.setting.fencing {
+            self.now = 2;
+        }
+        for site in 0..self.sites.len() {
+            let agent = self.new_agent(1, 1, Duration::ZERO);
+            self.site(site).agents.push(Arc::new(agent));
+            self.house(site, 0, Travel::AtOnce);
+            self.observe(site, 0);
+            self.sync(0, site, 0);
+        }
+    }
+
+    pub fn new_agent(&self, incarnation: Incarnation, floor: Version, now: Duration) -> Agent {
+        let fencing = self.setting.fencing;
+        let ledger = ReplicaLedger::new(incarnation, floor, MEMORY_MB, fencing, now);
+        let ledger = match self.setting.broken {
+            Some(Broken::Core(mutation)) => ledger.with_mutation(mutation),
+            _ => ledger,
+        };
+        Agent { ledger, peak: 0 }
+    }
+}
--- a/crates/radishpin-core/tests/random_runs.rs
+++ b/crates/radishpin-core/tests/random_runs.rs
@@ -2,25 +2,20 @@
 //!
 //! The seeds are recorded here: a run that fails is repeated by running the test again.
 
-#[path = "model_check/explore.rs"]
+#[path = "model_check/spec.rs"]
 #[allow(dead_code)]
-mod explore;
-#[path = "model_check/recovery.rs"]
-mod recovery;
-#[path = "model_check/steps.rs"]
-mod steps;
-#[path = "model_check/world.rs"]
-#[allow(dead_code)]
-mod world;
+mod spec;
 
 use proptest::{
     prelude::any,
     test_runner::{Config, RngSeed, TestCaseError, TestRunner},
 };
 use radishpin_core::process::Fencing;
-use recovery::Recovered;
-use steps::Kind;
-use world::{Setting, TICK, World};
+use spec::{
+    recovery::Recovered,
+    steps::Kind,
+    world::{Setting, TICK, World},
+};
 
 const STEPS: usize = 150;
 /// Runs for each seed; fewer in debug builds, which run slowly.
