Refuse header values beyond ASCII in place of a panic

Cause: async-h1 appends each header with an unwrap that fails on a value beyond ASCII. A request with such a value ended its connection by a panic and without an answer; an endpoint answer with such a value (a file name, a person) ended the task that read it, after the call had run.

The client drops the line from the head, as the answer is whole without it and its call may have run.

Conclusion: no header value reaches the unwrap.

--- a/crates/radishpin-http/src/client/head.rs
+++ b/crates/radishpin-http/src/client/head.rs
@@ -76,7 +76,7 @@
 /// # Errors
 /// The head holds a status or a value that `async-h1` doesn't take.
 pub(super) async fn decode(bytes: &[u8], head: ResponseHead) -> Result<Response, String> {
-    let mut bytes = bytes.to_vec();
+    let mut bytes = ascii_lines(bytes);
     // `async-h1` takes version 1.1 only; the framing has been settled already.
     bytes[MINOR_VERSION] = b'1';
     let mut response = async_h1::client::decode(Replay::new(&bytes))
@@ -91,6 +91,23 @@
     Ok(response)
 }
 
+/// Drops the header lines beyond ASCII, on which `async-h1` panics: the answer is whole without
+/// them, and its call may have run.
+fn ascii_lines(bytes: &[u8]) -> Vec<u8> {
+    let (status_line, headers) = bytes.split_at(
+        bytes
+            .iter()
+            .position(|b| *b == b'\n')
+            .map_or(0, |end| end + 1),
+    );
+    let kept = headers
+        .split_inclusive(|byte| *byte == b'\n')
+        .filter(|line| line.is_ascii());
+    let mut lines = status_line.to_vec();
+    lines.extend(kept.flatten());
+    lines
+}
+
 /// Gives the response its body, and no content type that the peer didn't state.
 pub(super) fn set_body(response: &mut Response, head: ResponseHead, body: Body) {
     response.set_body(body);
--- a/crates/radishpin-http/src/server/head.rs
+++ b/crates/radishpin-http/src/server/head.rs
@@ -69,6 +69,7 @@
         return Err(HttpFault::Malformed);
     }
     check_host(request.headers)?;
+    check_values(request.headers)?;
     Ok(Head {
         framing: framing(request.headers)?,
         close: wants_close(request.headers),
@@ -80,7 +81,7 @@
 /// Builds the request from a checked head by `async-h1`.
 ///
 /// # Errors
-/// The method, the target or a header's value is none that `async-h1` takes.
+/// The method or the target is none that `async-h1` takes.
 pub(crate) async fn decode(bytes: &[u8], head: Head) -> Result<Request, HttpFault> {
     let replay = match head.expects_continue {
         true => Replay::new(&without_expect(bytes)),
@@ -143,6 +144,14 @@
     }
 }
 
+/// `async-h1` panics on a value beyond ASCII.
+fn check_values(headers: &[Header<'_>]) -> Result<(), HttpFault> {
+    match headers.iter().all(|header| header.value.is_ascii()) {
+        true => Ok(()),
+        false => Err(HttpFault::Malformed),
+    }
+}
+
 fn framing(headers: &[Header<'_>]) -> Result<Framing, HttpFault> {
     let mut lengths = values(headers, "content-length");
     let mut codings = values(headers, "transfer-encoding");
--- a/crates/radishpin-http/tests/http/client.rs
+++ b/crates/radishpin-http/tests/http/client.rs
@@ -57,6 +57,21 @@
     format!("{}\n{}", response.status(), lines.join("\n"))
 }
 
+#[test]
+fn an_answer_comes_whole_without_its_values_beyond_ascii() {
+    let answer = "HTTP/1.1 200 Tudo bém\r\nx-owner: Afinação\r\nx-plain: yes\r\n\
+        content-length: 2\r\nconnection: close\r\n\r\nok";
+    let mut response = Peer::bind().answer(Method::Get, answer).unwrap();
+    let body = smol::block_on(body_text(&mut response));
+    assert_snapshot!(format!("{}\n{body}", shown(&response)), @r#"
+    200
+    content-length: ["2"]
+    content-type: ["application/octet-stream"]
+    x-plain: ["yes"]
+    ok
+    "#);
+}
+
 #[test]
 fn connections_are_reused() {
     let server = TestServer::start(ServerLimits {
--- a/crates/radishpin-http/tests/http/framing.rs
+++ b/crates/radishpin-http/tests/http/framing.rs
@@ -70,6 +70,21 @@
     assert_snapshot!(verdicts(&server, requests));
 }
 
+#[test]
+fn values_beyond_ascii_are_refused_and_the_server_goes_on() {
+    let server = TestServer::start(ServerLimits::default());
+    let request = "GET / HTTP/1.1\r\nhost: a\r\nx-note: Afinação\r\n\r\n".as_bytes();
+    let refused: Vec<_> = std::iter::repeat_n(("beyond ASCII", request), 8).collect();
+    for verdict in verdicts(&server, &refused).lines() {
+        assert_eq!(
+            verdict,
+            "beyond ASCII: HTTP/1.1 400 Bad Request / Malformed"
+        );
+    }
+    let next = server.exchange(b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
+    assert!(next.starts_with("HTTP/1.1 200 OK"), "{next:?}");
+}
+
 #[test]
 fn ambiguous_framing_is_refused() {
     let server = TestServer::start(ServerLimits::default());
