Serve an agent's metrics, health and readiness over HTTP

Cause: the counters radishpin_agent_* were kept but served nowhere, and nothing told a supervisor whether an agent was registered and had a view in force.

GET /metrics, /healthz and /readyz; other paths and methods are refused by code. The listener lasts through the drain. 'radishpin agent' prints its address on a line after 'ready'. The log line of the registration names the endpoint. Result codes of requests that could not be read stand in one place for the three interfaces; the operators' reasons read as the callers' do.

--- a/crates/radishpin-local/src/cluster.rs
+++ b/crates/radishpin-local/src/cluster.rs
@@ -73,6 +73,13 @@
     process: IsolatedRuntime,
 }
 
+impl LocalAgent {
+    /// Asks the agent to stop without waiting for its end: it refuses new work from now on.
+    pub fn begin_stop(&self) {
+        self.stop.begin();
+    }
+}
+
 impl LocalCluster {
     /// Starts stand-ins, agents and nodes.
     ///
@@ -302,6 +309,7 @@
             availability_zone: plan.availability_zone.clone(),
             host: plan.host.clone(),
             listen: loopback(),
+            metrics_listen: Some(loopback()),
             endpoint,
             service: plan.service.clone(),
             kind,
--- a/crates/radishpin-local/tests/cluster/main.rs
+++ b/crates/radishpin-local/tests/cluster/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod agent_status;
 mod faults;
 mod keyed;
 mod leaving;
--- a/crates/radishpin-local/tests/cluster/support.rs
+++ b/crates/radishpin-local/tests/cluster/support.rs
@@ -133,6 +133,15 @@
         }
     }
 
+    /// Whoever monitors the agent of an endpoint.
+    pub fn monitor(cluster: &LocalCluster, endpoint: &str) -> Self {
+        let running = cluster.agents[endpoint].running.as_ref().unwrap();
+        Self {
+            client: Client::new(ClientLimits::default()),
+            address: running.metrics_address.unwrap(),
+        }
+    }
+
     /// Sends a request and returns the response's head.
     pub async fn send(
         &self,
--- a/crates/radishpin-server/src/agent/connection.rs
+++ b/crates/radishpin-server/src/agent/connection.rs
@@ -3,7 +3,9 @@
 mod endpoint;
 mod handlers;
 mod orders;
+mod status_api;
 
 pub(super) use endpoint::{Endpoint, EndpointAnswer, EndpointError, StreamEvent};
 pub(super) use handlers::AgentService;
 pub(super) use orders::{ledger_target, load_target};
+pub(super) use status_api::StatusApi;
--- a/crates/radishpin-server/src/agent/process/registration.rs
+++ b/crates/radishpin-server/src/agent/process/registration.rs
@@ -99,6 +99,12 @@
         *self.ledger.lock() = Some(ledger);
         self.incarnation.store(incarnation, Ordering::Release);
         self.report_wanted.notify(1);
-        log::info!(event = "registered", incarnation, version; "endpoint registered");
+        log::info!(
+            event = "registered",
+            endpoint = self.settings.name.as_str(),
+            incarnation,
+            version;
+            "endpoint registered"
+        );
     }
 }
--- a/crates/radishpin-server/src/agent/process/run.rs
+++ b/crates/radishpin-server/src/agent/process/run.rs
@@ -2,10 +2,12 @@
 
 use super::{Agent, AgentError};
 use crate::{
-    agent::connection::AgentService, platform::platform_client, rpc::serve_rpc,
+    agent::connection::{AgentService, StatusApi},
+    platform::platform_client,
+    rpc::serve_rpc,
     settings::AgentSettings,
 };
-use radishpin_http::Shutdown;
+use radishpin_http::{Server, Shutdown};
 use radishpin_platform::Platform;
 use radishpin_protocol::{prelude::*, wire::agent_server::AgentServer};
 use radishpin_runtime::{Runtime, timeout};
@@ -22,36 +24,62 @@
     /// then registers and serves until `shutdown` begins.
     ///
     /// # Errors
-    /// The listening address cannot be taken.
+    /// A listening address cannot be taken.
     pub async fn start(
         settings: AgentSettings,
         runtime: Runtime,
         platform: Arc<dyn Platform>,
         shutdown: Shutdown,
     ) -> Result<RunningAgent, AgentError> {
-        let listen = settings.listen;
-        let failed = |cause| AgentError::Listen(listen, cause);
-        let listener = TcpListener::bind(listen).await.map_err(failed)?;
-        let address = listener.local_addr().map_err(failed)?;
+        let (listener, address) = listen(settings.listen).await?;
+        let metrics = match settings.metrics_listen {
+            Some(address) => Some(listen(address).await?),
+            None => None,
+        };
         let agent = Arc::new(Self::new(settings, runtime.clone(), shutdown.clone()));
         let client = platform_client(platform, &agent.metrics.registry);
         let service = AgentServer::new(AgentService::new(Arc::clone(&agent)))
             .max_decoding_message_size(MESSAGE_BYTES_MAX);
-        let tasks = vec![
+        let mut tasks = vec![
             runtime.spawn(serve_rpc(runtime.clone(), listener, service, shutdown)),
             runtime.spawn(Arc::clone(&agent).watch_endpoint()),
             runtime.spawn(Arc::clone(&agent).keep_house()),
         ];
+        let mut metrics_address = None;
+        if let Some((listener, address)) = metrics {
+            metrics_address = Some(address);
+            tasks.push(runtime.spawn(Arc::clone(&agent).serve_status(listener)));
+        }
         let registering = Arc::clone(&agent);
         let registration =
             runtime.spawn(async move { registering.register(&client, &address.to_string()).await });
         Ok(RunningAgent {
             agent,
             address,
+            metrics_address,
             tasks,
             registration,
         })
     }
+
+    /// Serves metrics, health and readiness for as long as the process lives: what becomes of
+    /// calls while the agent drains shows there as well.
+    async fn serve_status(self: Arc<Self>, listener: TcpListener) {
+        let runtime = self.runtime.clone();
+        let handler = Arc::new(StatusApi::new(self));
+        let limits = StatusApi::limits();
+        let served = Server::serve(runtime, listener, handler, limits, Shutdown::default()).await;
+        if let Err(cause) = served {
+            log::error!(event = "listener_failed", cause:% = cause; "the metrics listener failed");
+        }
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), AgentError> {
+    let failed = |cause| AgentError::Listen(address, cause);
+    let listener = TcpListener::bind(address).await.map_err(failed)?;
+    let taken = listener.local_addr().map_err(failed)?;
+    Ok((listener, taken))
 }
 
 /// An agent that runs; dropping it stops it at once.
@@ -61,6 +89,8 @@
     pub agent: Arc<Agent>,
     /// Address at which it listens.
     pub address: SocketAddr,
+    /// Address of its metrics, where it serves them.
+    pub metrics_address: Option<SocketAddr>,
     tasks: Vec<Task<()>>,
     registration: Task<()>,
 }
--- /dev/null
+++ b/crates/radishpin-server/src/http_fault.rs
@@ -0,0 +1,17 @@
+//! Result codes of requests that the HTTP server could not read.
+
+use radishpin_http::HttpFault;
+use radishpin_protocol::ResultCode;
+
+/// The code and reason of a fault.
+pub(crate) const fn result_of(fault: HttpFault) -> (ResultCode, &'static str) {
+    match fault {
+        HttpFault::Malformed => (ResultCode::MalformedRequest, "the request is malformed"),
+        HttpFault::HeadTooLarge => (ResultCode::HeadTooLarge, "the head is too large"),
+        HttpFault::BodyTooLarge => (ResultCode::BodyTooLarge, "the body is too large"),
+        HttpFault::Slow => (
+            ResultCode::SlowRequest,
+            "the request did not arrive in time",
+        ),
+    }
+}
--- a/crates/radishpin-server/src/lib.rs
+++ b/crates/radishpin-server/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod agent;
 mod clock;
+mod http_fault;
 mod metrics;
 mod node;
 pub mod operator;
--- a/crates/radishpin-server/src/node/connection/callers.rs
+++ b/crates/radishpin-server/src/node/connection/callers.rs
@@ -1,7 +1,7 @@
 //! The callers' HTTP interface.
 
 use crate::{
-    metrics,
+    http_fault, metrics,
     node::{
         Node,
         request::{Call, Refusal, model_call, refusal_response, service_call},
@@ -125,15 +125,7 @@
     }
 
     fn refuse(&self, fault: HttpFault) -> Response {
-        let (code, reason) = match fault {
-            HttpFault::Malformed => (ResultCode::MalformedRequest, "the request is malformed"),
-            HttpFault::HeadTooLarge => (ResultCode::HeadTooLarge, "the head is too large"),
-            HttpFault::BodyTooLarge => (ResultCode::BodyTooLarge, "the body is too large"),
-            HttpFault::Slow => (
-                ResultCode::SlowRequest,
-                "the request did not arrive in time",
-            ),
-        };
+        let (code, reason) = http_fault::result_of(fault);
         self.refused(&Refusal::new(code, reason), &self.node.next_request_id())
     }
 }
--- a/crates/radishpin-server/src/operator/api.rs
+++ b/crates/radishpin-server/src/operator/api.rs
@@ -4,11 +4,11 @@
     StatusBoard, auth, is_name, name::random_id, profiles, refusal::Refusal, route::Route,
     services, status, stops, table::Table,
 };
-use crate::Token;
+use crate::{Token, http_fault};
 use http_types::{Request, Response};
 use prometheus::{IntCounterVec, Opts, Registry};
 use radishpin_http::{Handler, HttpFault, Received, ServerLimits};
-use radishpin_protocol::{ClusterView, NodeId, RequestId, ResultCode, UnixMs};
+use radishpin_protocol::{ClusterView, NodeId, RequestId, UnixMs};
 use std::{
     fmt,
     sync::Arc,
@@ -145,12 +145,7 @@
     }
 
     fn refuse(&self, fault: HttpFault) -> Response {
-        let (code, reason) = match fault {
-            HttpFault::Malformed => (ResultCode::MalformedRequest, "malformed request"),
-            HttpFault::HeadTooLarge => (ResultCode::HeadTooLarge, "head too large"),
-            HttpFault::BodyTooLarge => (ResultCode::BodyTooLarge, "body too large"),
-            HttpFault::Slow => (ResultCode::SlowRequest, "request too slow"),
-        };
+        let (code, reason) = http_fault::result_of(fault);
         let request_id = random_id();
         let mut response = self.refusal_response(&Refusal::new(code, reason), &request_id);
         response.insert_header(REQUEST_ID, request_id);
--- a/crates/radishpin-server/src/settings.rs
+++ b/crates/radishpin-server/src/settings.rs
@@ -51,6 +51,8 @@
     pub host: HostId,
     /// Address of the listener for nodes.
     pub listen: SocketAddr,
+    /// Address of the HTTP listener for metrics, health and readiness; `None` for no listener.
+    pub metrics_listen: Option<SocketAddr>,
     /// HTTP address of the model engine or plain service.
     pub endpoint: SocketAddr,
     /// Service that the endpoint belongs to.
--- a/src/command/agent.rs
+++ b/src/command/agent.rs
@@ -31,6 +31,13 @@
 )
 .env("RADISHPIN_LISTEN");
 
+static METRICS_LISTEN: Setting = Setting::optional(
+    "metrics-listen",
+    Kind::Address,
+    "Address of the HTTP listener for /metrics, /healthz and /readyz; none is opened without it.",
+)
+.env("RADISHPIN_METRICS_LISTEN");
+
 static ENDPOINT: Setting = Setting::required(
     "endpoint",
     Kind::Address,
@@ -117,6 +124,7 @@
         &AVAILABILITY_ZONE,
         &HOST,
         &LISTEN,
+        &METRICS_LISTEN,
         &ENDPOINT,
         &SERVICE,
         &KIND,
@@ -185,7 +193,11 @@
         let shutdown = Shutdown::default();
         let platform = Arc::new(platform);
         let running = Agent::start(settings, runtime, platform, shutdown.clone()).await?;
-        println!("ready {}", running.address);
+        // One write: whoever starts the agent may stop reading after its first line.
+        match running.metrics_address {
+            Some(metrics) => println!("ready {}\nmetrics http://{metrics}", running.address),
+            None => println!("ready {}", running.address),
+        }
         stop_asked().await?;
         shutdown.begin();
         running.stopped().await;
@@ -207,6 +219,7 @@
         availability_zone: values.text(&AVAILABILITY_ZONE)?,
         host: values.text(&HOST)?,
         listen: values.address(&LISTEN)?,
+        metrics_listen: values.optional_address(&METRICS_LISTEN),
         endpoint: values.address(&ENDPOINT)?,
         service: values.text(&SERVICE)?,
         kind,
