Give no orders to a plain service

Cause: an agent beside a plain service ran the ledger's housekeeping too.

Change: housekeeping and loads are for model endpoints. An attempt that names a model is refused at a plain service as an invalid field, not run.

Conclusion: a plain service gets callers' calls only.

--- a/crates/radishpin-server/src/agent/process/housekeeping.rs
+++ b/crates/radishpin-server/src/agent/process/housekeeping.rs
@@ -1,7 +1,7 @@
 //! Regular work: reading reports, preloading and unloading, forgetting old attempts.
 
 use crate::agent::{Agent, connection::ledger_target};
-use radishpin_core::process::{EngineReport, OrderNumber, Target};
+use radishpin_core::process::{EngineReport, Order, OrderNumber, Target};
 use radishpin_protocol::{ServiceKind, engine, prelude::*};
 use radishpin_runtime::{Runtime, timeout};
 use std::sync::Arc;
@@ -34,17 +34,21 @@
         loop {
             Runtime::sleep(ROUND_INTERVAL).await;
             let now = self.clock.now();
-            let orders = match self.ledger.lock().as_mut() {
-                Some(ledger) => ledger.housekeeping(now),
-                None => Vec::new(),
-            };
-            for order in orders {
+            for order in self.due_orders(now) {
                 self.perform(order);
             }
             self.attempts.for_each(|ledger| ledger.expire(now));
         }
     }
 
+    /// A plain service takes no orders: one would be a call to it.
+    fn due_orders(&self, now: Duration) -> Vec<Order> {
+        match (self.settings.kind, self.ledger.lock().as_mut()) {
+            (ServiceKind::Models, Some(ledger)) => ledger.housekeeping(now),
+            (ServiceKind::Plain, _) | (ServiceKind::Models, None) => Vec::new(),
+        }
+    }
+
     async fn read_report(&self, sequence: u64) {
         let asked_at = self.clock.now();
         let report = match self.endpoint.report().await {
--- a/crates/radishpin-server/src/agent/request/residence.rs
+++ b/crates/radishpin-server/src/agent/request/residence.rs
@@ -3,7 +3,7 @@
 use super::{AttemptRefusal, guards::UseGuard};
 use crate::agent::Agent;
 use radishpin_core::process::{LoadDecision, LoadRefusal, Target};
-use radishpin_protocol::{prelude::*, wire::ExecuteRequest};
+use radishpin_protocol::{ServiceKind, prelude::*, wire::ExecuteRequest};
 use std::sync::Arc;
 
 /// Failed loads that one attempt waits through before it is refused.
@@ -21,6 +21,10 @@
     if request.model.is_empty() {
         return Ok(None);
     }
+    if agent.settings.kind == ServiceKind::Plain {
+        let detail = "the endpoint is a plain service and runs no models";
+        return Err(AttemptRefusal::not_run(ResultCode::InvalidField, detail));
+    }
     let target = target_of(request);
     let adapter_size_mb = (!request.adapter.is_empty()).then_some(request.adapter_size_mb);
     let failures_before = agent.loader.failures(&target);
