Check what an attempt carries before its endpoint sees it

Cause: an agent trusted the fields of attempts. A request id or header value beyond ASCII panicked in the HTTP library; a header with a line break in its name or value added lines to the request; an empty header name made it malformed; a path without a slash changed the authority; with no model, a path of orders reached the engine past the order numbers. An attempt whose time was over was started and then reported as unknown. A caller's own x-resume-offset went to the engine.

Change: ids are visible ASCII; headers that cannot stand in a head are left out, in requests and answers; an engine gets completions with a model only, a plain service paths that begin with a slash; what is late is refused as not run; the engine gets no resume offset but the node's.

Conclusion: malformed attempts are refused by code and have not run.

--- a/crates/radishpin-server/src/agent/connection/endpoint.rs
+++ b/crates/radishpin-server/src/agent/connection/endpoint.rs
@@ -1,14 +1,15 @@
 //! Calls to the endpoint: completions at a model engine, any call at a plain service.
 
+use crate::wire_header;
 use futures_lite::{AsyncBufRead, AsyncBufReadExt, AsyncReadExt};
-use http_types::{Method, Request, Response, StatusCode, Url, headers::HeaderName};
+use http_types::{Method, Request, Response, StatusCode, Url};
 use quick_error::quick_error;
 use radishpin_http::{Client, ClientError, ClientLimits};
 use radishpin_protocol::{
     ServiceKind,
     engine::{
-        EngineErrorBody, EngineErrorKind, PRIORITY_HEADER, REQUEST_ID_HEADER, RESUME_OFFSET_HEADER,
-        STREAM_END,
+        CHAT_COMPLETIONS_PATH, COMPLETIONS_PATH, EngineErrorBody, EngineErrorKind, PRIORITY_HEADER,
+        REQUEST_ID_HEADER, RESUME_OFFSET_HEADER, STREAM_END,
     },
     wire::{ExecuteRequest, Header},
 };
@@ -122,6 +123,7 @@
     fn request_of(&self, call: &ExecuteRequest, attempt: &str) -> Result<Request, EndpointError> {
         let method =
             Method::from_str(&call.method).map_err(|e| EndpointError::Malformed(e.to_string()))?;
+        self.check_target(call)?;
         let mut request = Request::new(method, self.url(&call.path)?);
         request.set_body(call.body.clone());
         for header in &call.headers {
@@ -129,11 +131,31 @@
         }
         request.insert_header(REQUEST_ID_HEADER, attempt);
         request.insert_header(PRIORITY_HEADER, call.priority.to_string());
+        if self.kind == ServiceKind::Models {
+            // A caller's own would shift the events that the agent numbers.
+            request.remove_header(RESUME_OFFSET_HEADER);
+        }
         if call.resume_offset > 0 {
             request.insert_header(RESUME_OFFSET_HEADER, call.resume_offset.to_string());
         }
         Ok(request)
     }
+
+    /// Orders have a path of their own: a call never reaches one, nor another authority.
+    fn check_target(&self, call: &ExecuteRequest) -> Result<(), EndpointError> {
+        let sound = match self.kind {
+            ServiceKind::Models => {
+                let path = call.path.as_str();
+                !call.model.is_empty() && [COMPLETIONS_PATH, CHAT_COMPLETIONS_PATH].contains(&path)
+            }
+            ServiceKind::Plain => call.path.starts_with('/'),
+        };
+        if sound {
+            return Ok(());
+        }
+        let cause = format!("{:?} is no path for a call", call.path);
+        Err(EndpointError::Malformed(cause))
+    }
 }
 
 impl From<ClientError> for EndpointError {
@@ -146,10 +168,7 @@
 }
 
 fn copy_header(request: &mut Request, header: &Header) {
-    let Ok(name) = HeaderName::from_str(&header.name) else {
-        return;
-    };
-    let Ok(value) = std::str::from_utf8(&header.value) else {
+    let Some((name, value)) = wire_header::read(header) else {
         return;
     };
     if !HOP_BY_HOP.contains(&name.as_str()) {
--- a/crates/radishpin-server/src/agent/connection/handlers.rs
+++ b/crates/radishpin-server/src/agent/connection/handlers.rs
@@ -74,9 +74,12 @@
 // The size of `Status` is tonic's; every handler returns it.
 #[allow(clippy::result_large_err)]
 fn check_request_id(request_id: &str, attempt: u32) -> Result<(), Status> {
-    if request_id.is_empty() || request_id.len() > REQUEST_ID_BYTES_MAX || attempt == 0 {
+    // The id goes to the endpoint in a header.
+    let visible = request_id.bytes().all(|byte| byte.is_ascii_graphic());
+    let sound = visible && (1..=REQUEST_ID_BYTES_MAX).contains(&request_id.len());
+    if !sound || attempt == 0 {
         return Err(Status::invalid_argument(
-            "request_id must have 1 to 256 bytes and attempt must be at least 1",
+            "request_id must have 1 to 256 visible ASCII characters and attempt must be at least 1",
         ));
     }
     Ok(())
--- a/crates/radishpin-server/src/agent/request/attempt.rs
+++ b/crates/radishpin-server/src/agent/request/attempt.rs
@@ -42,6 +42,7 @@
         let _residence = residence::ensure(self, request, deadline).await?;
         let place = self.places.wait(request, deadline).await?;
         self.refuse_when_leaving()?;
+        self.refuse_when_late(deadline)?;
         if !guard.start() {
             let detail = "the attempt was tombstoned while it waited";
             return Err(AttemptRefusal::not_run(ResultCode::Tombstoned, detail));
@@ -102,6 +103,15 @@
         Ok(())
     }
 
+    /// An attempt started after its deadline would only end as unknown.
+    fn refuse_when_late(&self, deadline: Duration) -> Result<(), AttemptRefusal> {
+        if self.clock.now() >= deadline {
+            let detail = "the deadline passed before the attempt could start";
+            return Err(AttemptRefusal::not_run(ResultCode::DeadlinePassed, detail));
+        }
+        Ok(())
+    }
+
     fn refuse_when_leaving(&self) -> Result<(), AttemptRefusal> {
         if self.leaving() {
             let detail = "the endpoint is leaving";
--- a/crates/radishpin-server/src/agent/request/relay.rs
+++ b/crates/radishpin-server/src/agent/request/relay.rs
@@ -68,7 +68,7 @@
                 let chunk = Chunk { offset, data };
                 let load = offset.is_multiple_of(EVENTS_PER_LOAD).then(|| agent.load());
                 frames.send(Frame::Chunk(chunk), load).await;
-                offset += 1;
+                offset = offset.saturating_add(1);
                 if agent.departure.moves_streams(agent.clock.now()) {
                     let detail = "the endpoint stops soon and the stream goes on elsewhere";
                     return Err(AttemptRefusal::unknown(ResultCode::EndpointLeaving, detail));
--- a/crates/radishpin-server/src/lib.rs
+++ b/crates/radishpin-server/src/lib.rs
@@ -11,6 +11,7 @@
 mod settings;
 mod shards;
 mod token;
+mod wire_header;
 
 pub use agent::{Agent, AgentError, RunningAgent};
 pub use node::{Node, NodeError, RunningNode};
--- a/crates/radishpin-server/src/node/request/events.rs
+++ b/crates/radishpin-server/src/node/request/events.rs
@@ -7,12 +7,12 @@
     dispatch::{Begun, Progress, REPLAYED_HEADER},
     refusal::REQUEST_ID_HEADER,
 };
-use crate::node::Node;
+use crate::{node::Node, wire_header};
 use futures_lite::stream;
-use http_types::{Body, Response, StatusCode, headers::HeaderName};
+use http_types::{Body, Response, StatusCode};
 use radishpin_core::request::{AttemptOutcome, ChunkVerdict, StreamCursor};
 use radishpin_protocol::{ErrorBody, engine::STREAM_END, prelude::*, wire::Head};
-use std::{io, str::FromStr, sync::Arc};
+use std::{io, sync::Arc};
 
 /// Largest answer that is read whole before the caller gets its first byte.
 const WHOLE_BODY_BYTES_MAX: usize = 1024 * 1024;
@@ -145,9 +145,7 @@
         .and_then(|s| StatusCode::try_from(s).ok());
     let mut response = Response::new(status.unwrap_or(StatusCode::BadGateway));
     for header in &head.headers {
-        let name = HeaderName::from_str(&header.name);
-        let value = std::str::from_utf8(&header.value);
-        if let (Ok(name), Ok(value)) = (name, value) {
+        if let Some((name, value)) = wire_header::read(header) {
             response.append_header(name, value);
         }
     }
