Test the agent's listener with forged and malformed calls

Cause: no test called the agent's handlers as anything but a sound node does.

Each ends with a sound call that is served once. The channel between processes is public, as the transport of the generated clients.

--- a/crates/radishpin-server/src/lib.rs
+++ b/crates/radishpin-server/src/lib.rs
@@ -15,5 +15,6 @@
 
 pub use agent::{Agent, AgentError, RunningAgent};
 pub use node::{Node, NodeError, RunningNode};
+pub use rpc::{Channel, ChannelError};
 pub use settings::{AgentSettings, Fencing, NodeSettings};
 pub use token::{Token, TokenError};
--- a/crates/radishpin-server/src/rpc/channel.rs
+++ b/crates/radishpin-server/src/rpc/channel.rs
@@ -56,6 +56,8 @@
 }
 
 /// A connection to one peer; clones share it.
+///
+/// It is the transport of the generated `tonic` clients, as in `AgentClient::new(channel)`.
 #[derive(Clone)]
 pub struct Channel {
     shared: Arc<Shared>,
@@ -82,6 +84,20 @@
     /// A channel to `address` whose calls carry `token`; it connects at the first call.
     pub fn new(runtime: Runtime, address: SocketAddr, token: &Token) -> Self {
         let authorization = HeaderValue::from_str(&token.authorization()).ok();
+        Self::with_authorization(runtime, address, authorization)
+    }
+
+    /// A channel to `address` whose calls carry no token but their own metadata; the agent
+    /// refuses calls without the token.
+    pub fn without_token(runtime: Runtime, address: SocketAddr) -> Self {
+        Self::with_authorization(runtime, address, None)
+    }
+
+    fn with_authorization(
+        runtime: Runtime,
+        address: SocketAddr,
+        authorization: Option<HeaderValue>,
+    ) -> Self {
         let sender = Mutex::new(None);
         let connecting = AsyncMutex::new(());
         Self {
--- /dev/null
+++ b/crates/radishpin-server/tests/agent_rpc/fixture.rs
@@ -0,0 +1,232 @@
+//! One agent beside a stand-in, and calls to it.
+
+use radishpin_http::Shutdown;
+use radishpin_protocol::{
+    ServiceKind,
+    prelude::*,
+    wire::{ExecuteReply, ExecuteRequest, agent_client::AgentClient, execute_reply::Frame},
+};
+use radishpin_runtime::Runtime;
+use radishpin_server::{Agent, AgentSettings, Channel, Fencing, RunningAgent, Token};
+use radishpin_standin::{
+    Engine, EngineSettings, Journal, MemoryPlatform, PlainService, PlainServiceSettings,
+    WeightStore, WeightStoreSettings,
+};
+use smol::{Task, net::TcpListener};
+use std::{
+    fmt, io,
+    net::{Ipv4Addr, SocketAddr},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+use tonic::Status;
+
+pub const TOKEN: &str = "internal-token-of-tests";
+const MEMORY_MB: SizeMb = 24_000;
+/// Longest wait for something that must come; a bound on hanging, not on speed.
+const EVENTUALLY: Duration = Duration::from_secs(60);
+
+/// An agent, registered, and its endpoint.
+pub struct Fixture {
+    pub runtime: Runtime,
+    pub running: RunningAgent,
+    pub journal: Journal,
+    next_id: AtomicU64,
+    _standin: Task<io::Result<()>>,
+}
+
+impl Fixture {
+    /// An agent beside a plain service.
+    pub fn plain() -> Self {
+        let service = PlainService::new(PlainServiceSettings {
+            name: "booking".to_owned(),
+            service_time: Duration::ZERO,
+        });
+        let journal = service.journal().clone();
+        Self::start(ServiceKind::Plain, 0, journal, |runtime, listener| {
+            let serving = runtime.clone();
+            runtime
+                .spawn(async move { service.serve(serving, listener, Shutdown::default()).await })
+        })
+    }
+
+    /// An agent beside a model engine.
+    pub fn engine() -> Self {
+        let settings = EngineSettings {
+            memory_mb: MEMORY_MB,
+            first_token: Duration::from_millis(1),
+            token: Duration::from_millis(1),
+            ..EngineSettings::default()
+        };
+        let store = WeightStore::new(WeightStoreSettings {
+            model_load: Duration::from_millis(5),
+            ..WeightStoreSettings::default()
+        });
+        let engine = Engine::new(settings, store, 5);
+        let journal = engine.journal().clone();
+        Self::start(
+            ServiceKind::Models,
+            MEMORY_MB,
+            journal,
+            |runtime, listener| {
+                let serving = runtime.clone();
+                runtime.spawn(
+                    async move { engine.serve(serving, listener, Shutdown::default()).await },
+                )
+            },
+        )
+    }
+
+    fn start(
+        kind: ServiceKind,
+        memory_mb: SizeMb,
+        journal: Journal,
+        serve: impl FnOnce(&Runtime, TcpListener) -> Task<io::Result<()>>,
+    ) -> Self {
+        let runtime = Runtime::start(2).unwrap();
+        smol::block_on(async {
+            let listener = TcpListener::bind(loopback()).await.unwrap();
+            let settings = settings(kind, memory_mb, listener.local_addr().unwrap());
+            let standin = serve(&runtime, listener);
+            let platform = Arc::new(MemoryPlatform::new(5));
+            let stop = Shutdown::default();
+            let running = Agent::start(settings, runtime.clone(), platform, stop)
+                .await
+                .unwrap();
+            let fixture = Self {
+                runtime,
+                running,
+                journal,
+                next_id: AtomicU64::new(1),
+                _standin: standin,
+            };
+            fixture.eventually(|agent| agent.incarnation() > 0).await;
+            fixture
+        })
+    }
+
+    /// Waits until the agent is as wanted.
+    pub async fn eventually(&self, mut holds: impl FnMut(&Agent) -> bool) {
+        let wait = async {
+            while !holds(&self.running.agent) {
+                Runtime::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        assert!(radishpin_runtime::timeout(EVENTUALLY, wait).await.is_some());
+    }
+
+    /// A node's connection.
+    pub fn channel(&self) -> Channel {
+        let token = Token::new(TOKEN).unwrap();
+        Channel::new(self.runtime.clone(), self.running.address, &token)
+    }
+
+    /// A connection whose calls carry no token.
+    pub fn channel_without_token(&self) -> Channel {
+        Channel::without_token(self.runtime.clone(), self.running.address)
+    }
+
+    /// A request id that no call had before.
+    pub fn fresh_id(&self) -> String {
+        format!("id-{}", self.next_id.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// A sound attempt at the plain service.
+    pub fn sound(&self) -> ExecuteRequest {
+        ExecuteRequest {
+            request_id: self.fresh_id(),
+            attempt: 1,
+            service: "booking".to_owned(),
+            method: "POST".to_owned(),
+            path: "/appointments".to_owned(),
+            body: b"nine".to_vec(),
+            remaining_ms: 60_000,
+            incarnation: self.running.agent.incarnation(),
+            ..ExecuteRequest::default()
+        }
+    }
+
+    /// Runs an attempt to its end, as a node does.
+    pub async fn execute(&self, request: ExecuteRequest) -> Result<Verdict, Status> {
+        execute_over(self.channel(), request).await
+    }
+
+    /// Asserts that a sound attempt is served, once.
+    pub async fn assert_serves(&self) {
+        let request = self.sound();
+        let id = request.request_id.clone();
+        let verdict = self.execute(request).await.unwrap();
+        assert!(matches!(verdict, Verdict::Answered(200)), "{verdict:?}");
+        assert_eq!(self.journal.runs_of(&id).len(), 1);
+    }
+}
+
+/// What became of an attempt.
+#[derive(Debug)]
+pub enum Verdict {
+    /// Answered whole, with this status.
+    Answered(u32),
+    /// Refused with this code; whether it is said not to have run.
+    Refused { code: ResultCode, not_run: bool },
+    /// The stream ended without an end.
+    Cut,
+}
+
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Answered(status) => write!(f, "answered {status}"),
+            Self::Refused { code, not_run } => write!(f, "{code:?} not_run={not_run}"),
+            Self::Cut => f.write_str("cut"),
+        }
+    }
+}
+
+/// Runs an attempt over any connection.
+pub async fn execute_over(channel: Channel, request: ExecuteRequest) -> Result<Verdict, Status> {
+    let mut client = AgentClient::new(channel);
+    let mut frames = client.execute(request).await?.into_inner();
+    let mut status = 0;
+    while let Some(ExecuteReply { frame, .. }) = frames.message().await? {
+        match frame {
+            Some(Frame::Head(head)) => status = head.status,
+            Some(Frame::End(_)) => return Ok(Verdict::Answered(status)),
+            Some(Frame::Refusal(refusal)) => {
+                return Ok(Verdict::Refused {
+                    code: ResultCode::from_number(refusal.code).unwrap(),
+                    not_run: refusal.not_run,
+                });
+            }
+            Some(Frame::Started(_) | Frame::Chunk(_)) | None => {}
+        }
+    }
+    Ok(Verdict::Cut)
+}
+
+fn settings(kind: ServiceKind, memory_mb: SizeMb, endpoint: SocketAddr) -> AgentSettings {
+    AgentSettings {
+        name: "endpoint-1".to_owned(),
+        availability_zone: "gondar".to_owned(),
+        host: "host-1".to_owned(),
+        listen: loopback(),
+        metrics_listen: None,
+        endpoint,
+        service: "booking".to_owned(),
+        kind,
+        memory_mb,
+        concurrency: 4,
+        fencing: Fencing::Checked,
+        platform: loopback(),
+        internal_token: Token::new(TOKEN).unwrap(),
+        threads: 2,
+        queue_places: 16,
+        order_life: Duration::from_secs(10),
+        drain_timeout: Duration::from_secs(1),
+    }
+}
+
+fn loopback() -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, 0).into()
+}
--- /dev/null
+++ b/crates/radishpin-server/tests/agent_rpc/garbage.rs
@@ -0,0 +1,151 @@
+//! Bytes and requests that are no call of the service.
+
+use crate::fixture::{Fixture, TOKEN};
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use std::{
+    io::{Read, Write},
+    net::{Shutdown, TcpStream},
+    time::Duration,
+};
+use tonic::body::Body;
+use tower_service::Service;
+
+/// Longest wait for a close; a bound on hanging, not on speed.
+const CLOSE_WAIT: Duration = Duration::from_secs(30);
+const PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+
+async fn send(fixture: &Fixture, path: &str, headers: &[(&str, &str)], body: &[u8]) -> String {
+    let mut request = Request::post(path).header("te", "trailers");
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let body = Body::new(Full::new(body.to_vec().into()).map_err(|never| match never {}));
+    let request = request.body(body).unwrap();
+    let answer: Result<Response<Incoming>, _> = fixture.channel().call(request).await;
+    let Ok(answer) = answer else {
+        return "no answer".to_owned();
+    };
+    let (head, body) = answer.into_parts();
+    let trailers = body
+        .collect()
+        .await
+        .ok()
+        .and_then(|b| b.trailers().cloned());
+    let in_head = head.headers.get("grpc-status");
+    let in_trailers = trailers.as_ref().and_then(|t| t.get("grpc-status"));
+    let grpc = in_head
+        .or(in_trailers)
+        .and_then(|value| value.to_str().ok());
+    format!(
+        "{} grpc-status={}",
+        head.status.as_u16(),
+        grpc.unwrap_or("none")
+    )
+}
+
+#[test]
+fn requests_that_are_no_calls_end_in_a_status() {
+    let fixture = Fixture::plain();
+    let execute = "/radishpin.v1.Agent/Execute";
+    let grpc = ("content-type", "application/grpc");
+    smol::block_on(async {
+        let cases = [
+            (
+                "unknown method",
+                send(&fixture, "/radishpin.v1.Agent/Nope", &[grpc], b"").await,
+            ),
+            (
+                "unknown service",
+                send(&fixture, "/x.Y/Execute", &[grpc], b"").await,
+            ),
+            ("root", send(&fixture, "/", &[grpc], b"").await),
+            ("no message", send(&fixture, execute, &[grpc], b"").await),
+            (
+                "half a frame",
+                send(&fixture, execute, &[grpc], b"\0\0\0\0\x09ab").await,
+            ),
+            (
+                "length lies",
+                send(&fixture, execute, &[grpc], b"\0\xff\xff\xff\xffab").await,
+            ),
+            (
+                "no protobuf",
+                send(&fixture, execute, &[grpc], b"\0\0\0\0\x02\xff\xff").await,
+            ),
+            (
+                "compressed",
+                send(&fixture, execute, &[grpc], b"\x01\0\0\0\x02ab").await,
+            ),
+            (
+                "odd flag",
+                send(&fixture, execute, &[grpc], b"\x07\0\0\0\x02ab").await,
+            ),
+            ("no content type", send(&fixture, execute, &[], b"").await),
+            (
+                "odd headers",
+                send(
+                    &fixture,
+                    execute,
+                    &[grpc, ("grpc-timeout", "soon"), ("grpc-encoding", "zip")],
+                    b"\0\0\0\0\0",
+                )
+                .await,
+            ),
+        ];
+        let lines: Vec<String> = cases.iter().map(|(n, got)| format!("{n}: {got}")).collect();
+        insta::assert_snapshot!(lines.join("\n"), @"
+        unknown method: 200 grpc-status=12
+        unknown service: 200 grpc-status=12
+        root: 200 grpc-status=12
+        no message: 200 grpc-status=13
+        half a frame: 200 grpc-status=13
+        length lies: 200 grpc-status=11
+        no protobuf: 200 grpc-status=13
+        compressed: 200 grpc-status=13
+        odd flag: 200 grpc-status=13
+        no content type: 200 grpc-status=13
+        odd headers: 200 grpc-status=12
+        ");
+        assert!(fixture.journal.runs().is_empty());
+        fixture.assert_serves().await;
+    });
+}
+
+#[test]
+fn garbage_on_the_socket_closes_its_connection_only() {
+    let fixture = Fixture::plain();
+    let http1 = format!(
+        "POST /radishpin.v1.Agent/Sync HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {TOKEN}\r\n\r\n"
+    );
+    let oversized_frame = [PREFACE, b"\xff\xff\xff\x00\x00\x00\x00\x00\x01"].concat();
+    let odd_frame = [PREFACE, b"\x00\x00\x04\x04\x00\x00\x00\x00\x07abcd"].concat();
+    let cases: [&[u8]; 7] = [
+        b"",
+        b"\x00",
+        b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03",
+        http1.as_bytes(),
+        &PREFACE[..10],
+        &oversized_frame,
+        &odd_frame,
+    ];
+    for bytes in cases {
+        let mut stream = TcpStream::connect(fixture.running.address).unwrap();
+        stream.set_read_timeout(Some(CLOSE_WAIT)).unwrap();
+        stream.write_all(bytes).unwrap();
+        let _ = stream.shutdown(Shutdown::Write);
+        let mut answer = Vec::new();
+        // The close may be a reset.
+        let end = stream.read_to_end(&mut answer).map_err(|e| e.kind());
+        assert!(
+            !matches!(
+                end,
+                Err(std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut)
+            ),
+            "{bytes:?}: not closed"
+        );
+    }
+    assert!(fixture.journal.runs().is_empty());
+    smol::block_on(fixture.assert_serves());
+}
