--- a/src/command/agent.rs
+++ b/src/command/agent.rs
@@ -30,6 +30,13 @@
 )
 .env("RADISHPIN_LISTEN");
 
+static METRICS_LISTEN: Setting = Setting::optional(
+    "metrics-listen",
+    Kind::Address,
+    "Address of the HTTP listener for /metrics, /healthz and /readyz; none is opened without it.",
+)
+.env("RADISHPIN_METRICS_LISTEN");
+
 static ENDPOINT: Setting = Setting::required(
     "endpoint",
     Kind::Address,
@@ -116,6 +123,7 @@
         &AVAILABILITY_ZONE,
         &HOST,
         &LISTEN,
+        &METRICS_LISTEN,
         &ENDPOINT,
         &SERVICE,
         &KIND,
@@ -183,7 +191,15 @@
     smol::block_on(async {
         let shutdown = Shutdown::default();
         let running = Agent::start(settings, runtime, platform, shutdown.clone()).await?;
-        run_until_asked(running.address, shutdown, running.stopped()).await
+        let ready = match running.metrics_address {
+            Some(metrics) => format!(
+                "{}
+metrics http://{metrics}",
+                running.address
+            ),
+            None => running.address.to_string(),
+        };
+        run_until_asked(&ready, shutdown, running.stopped()).await
     })
 }
 
@@ -201,6 +217,7 @@
         availability_zone: values.text(&AVAILABILITY_ZONE)?,
         host: values.text(&HOST)?,
         listen: values.address(&LISTEN)?,
+        metrics_listen: values.optional_address(&METRICS_LISTEN),
         endpoint: values.address(&ENDPOINT)?,
         service: values.text(&SERVICE)?,
         kind,
--- a/src/command/node.rs
+++ b/src/command/node.rs
@@ -182,7 +182,11 @@
     smol::block_on(async {
         let shutdown = Shutdown::default();
         let running = Node::start(settings, runtime, platform, shutdown.clone()).await?;
-        run_until_asked(running.address, shutdown, running.stopped()).await
+        let ready = format!(
+            "{}\noperators http://{}",
+            running.address, running.operator_address
+        );
+        run_until_asked(&ready, shutdown, running.stopped()).await
     })
 }
 
--- a/src/role.rs
+++ b/src/role.rs
@@ -11,13 +11,14 @@
     Ok(Arc::new(HttpPlatform::new(client, address)?))
 }
 
-/// Says that the role is ready, waits until the process is asked to stop, and drains.
+/// Says that the role is ready and at which addresses, waits until the process is asked to stop, and drains.
 pub(crate) async fn run_until_asked(
-    address: SocketAddr,
+    addresses: &str,
     shutdown: Shutdown,
     stopped: impl Future<Output = ()>,
 ) -> Result<(), CommandError> {
-    println!("ready {address}");
+    // One write: whoever starts the role may stop reading after its first line.
+    println!("ready {addresses}");
     stop_asked().await?;
     shutdown.begin();
     stopped.await;
