Give the capacity example the newest fields

Cause: planning and heartbeats got fields on idle memory meanwhile.

Change: the example fills them.

Measurement: the whole workspace's tests pass.

Conclusion: builds.

--- a/crates/radishpin-local/examples/capacity/messages.rs
+++ b/crates/radishpin-local/examples/capacity/messages.rs
@@ -92,5 +92,6 @@
         }),
         replicas: (0..replicas).map(report).collect(),
         released: Vec::new(),
+        memory_idle_mb: 4_000,
     }
 }
--- a/crates/radishpin-local/examples/capacity/planning.rs
+++ b/crates/radishpin-local/examples/capacity/planning.rs
@@ -72,6 +72,7 @@
             service: record.service.clone(),
             memory_mb: record.memory_mb,
             free_mb: record.memory_mb,
+            idle_mb: 0,
             granted_mb: 0,
             incarnation: record.incarnation,
             standing: Standing::Usable,
