Register an endpoint on a new host only when its old host is gone

Cause: the model assumes that an endpoint's name never moves to another host while an agent may live on the old one; nothing enforced it. A restarted node counted on leases that its earlier life had held.

Change: registration waits while the platform lists the old host; a lease is held by one life of a node.

--- a/crates/radishpin-local/tests/cluster/leaving.rs
+++ b/crates/radishpin-local/tests/cluster/leaving.rs
@@ -3,8 +3,9 @@
 use crate::support::{Caller, Got, eventually, loaded_at, small_plan, with_cluster, with_plan};
 use http_types::Method;
 use radishpin_local::LocalCluster;
-use radishpin_platform::{HostEntry, HostState};
+use radishpin_platform::{HostEntry, HostState, Platform};
 use radishpin_protocol::{ModelRecord, prelude::*};
+use radishpin_runtime::Runtime;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 /// Tokens of a stream that runs beyond the start of a planned stop.
@@ -159,6 +160,26 @@
     id.to_owned()
 }
 
+#[test]
+fn an_endpoint_moves_to_another_host_only_when_the_old_one_is_gone() {
+    with_cluster(|mut cluster| async move {
+        cluster.kill_agent("runner-1");
+        cluster.agents.get_mut("runner-1").unwrap().settings.host = "host-new".to_owned();
+        cluster.start_agent("runner-1").await.unwrap();
+        let agent = &cluster.agents["runner-1"].running.as_ref().unwrap().agent;
+        // The other agents' heartbeats go on meanwhile; this one stays unregistered.
+        let version = cluster.platform.row("endpoint/runner-1").version;
+        Runtime::sleep(Duration::from_millis(300)).await;
+        assert_eq!(agent.incarnation(), 0);
+        assert_eq!(cluster.platform.row("endpoint/runner-1").version, version);
+        let gone = cluster.plan.endpoints["runner-1"].host.clone();
+        let mut hosts = cluster.platform.hosts().await.unwrap();
+        hosts.retain(|entry| entry.host != gone);
+        cluster.platform.set_hosts(hosts);
+        eventually("registered", || agent.incarnation() == 2).await;
+    });
+}
+
 fn model(cluster: &LocalCluster, name: &str) -> ModelRecord {
     let row = cluster.platform.row(&format!("model/{name}"));
     serde_json::from_str(&row.value.unwrap()).unwrap()
--- a/crates/radishpin-server/src/agent/process/registration.rs
+++ b/crates/radishpin-server/src/agent/process/registration.rs
@@ -13,6 +13,16 @@
 const RETRY_MIN: Duration = Duration::from_millis(100);
 const RETRY_MAX: Duration = Duration::from_secs(5);
 
+/// What a try to register came to.
+enum Attempted {
+    /// The row is written.
+    Registered(Incarnation, Version),
+    /// Another writer came first.
+    Overtaken,
+    /// The name belongs to this host, which has not gone.
+    Elsewhere(HostId),
+}
+
 impl Agent {
     /// Registers the endpoint, however long the platform is down.
     ///
@@ -22,11 +32,16 @@
         let mut pause = RETRY_MIN;
         loop {
             match self.try_register(client, address).await {
-                Ok(Some((incarnation, version))) => {
+                Ok(Attempted::Registered(incarnation, version)) => {
                     self.begin_incarnation(incarnation, version);
                     return;
                 }
-                Ok(None) => continue,
+                Ok(Attempted::Overtaken) => continue,
+                Ok(Attempted::Elsewhere(host)) => {
+                    let endpoint = self.settings.name.as_str();
+                    log::warn!(event = "registered_elsewhere", endpoint, host = host.as_str();
+                        "the endpoint is registered on a host that has not gone");
+                }
                 Err(cause) => {
                     log::warn!(event = "registration_failed", cause:% = cause; "registration failed");
                 }
@@ -36,12 +51,12 @@
         }
     }
 
-    /// One try; `None` where another writer came first.
+    /// One try.
     async fn try_register(
         &self,
         client: &PlatformClient,
         address: &str,
-    ) -> Result<Option<(Incarnation, Version)>, CallError> {
+    ) -> Result<Attempted, CallError> {
         let key = format!("{ENDPOINT_PREFIX}{}", self.settings.name);
         let row = client.get(&key).await?;
         let old = row
@@ -50,15 +65,20 @@
             .map(serde_json::from_str::<EndpointRecord>);
         // A row that cannot be read still proves an earlier life; its version is above any
         // incarnation that it may have held, as each incarnation took a commit.
-        let old_incarnation = match old {
+        let old_incarnation = match &old {
             None => 0,
             Some(Ok(record)) => record.incarnation,
             Some(Err(_)) => row.version,
         };
+        if let Some(Ok(old)) = &old
+            && self.is_elsewhere(client, old).await?
+        {
+            return Ok(Attempted::Elsewhere(old.host.clone()));
+        }
         let incarnation = old_incarnation + 1;
         let record = self.record(address, incarnation);
         let Ok(value) = serde_json::to_string(&record) else {
-            return Ok(None);
+            return Ok(Attempted::Overtaken);
         };
         let change = ViewChange {
             rows: vec![RowChange {
@@ -69,9 +89,23 @@
             ..ViewChange::default()
         };
         match ViewWriter::new(client.clone()).commit(&change).await? {
-            ChangeOutcome::Accepted(version) => Ok(Some((incarnation, version))),
-            ChangeOutcome::Conflict { .. } => Ok(None),
+            ChangeOutcome::Accepted(version) => Ok(Attempted::Registered(incarnation, version)),
+            ChangeOutcome::Conflict { .. } => Ok(Attempted::Overtaken),
+        }
+    }
+
+    /// Whether the endpoint's name belongs to a host that the platform still lists: an agent
+    /// there may live, and two agents under one name would count one memory twice.
+    async fn is_elsewhere(
+        &self,
+        client: &PlatformClient,
+        old: &EndpointRecord,
+    ) -> Result<bool, CallError> {
+        if old.host == self.settings.host {
+            return Ok(false);
         }
+        let hosts = client.hosts().await?;
+        Ok(hosts.iter().any(|entry| entry.host == old.host))
     }
 
     fn record(&self, address: &str, incarnation: Incarnation) -> EndpointRecord {
--- a/crates/radishpin-server/src/node/process.rs
+++ b/crates/radishpin-server/src/node/process.rs
@@ -82,6 +82,7 @@
         platform: Arc<dyn Platform>,
         shutdown: Shutdown,
     ) -> Self {
+        let boot_id: u64 = rand::random();
         let metrics = NodeMetrics::new();
         let client = platform_client(platform, &metrics.registry);
         Self {
@@ -100,11 +101,11 @@
             sync_wanted: Event::new(),
             members: Arc::default(),
             nodes: Mutex::default(),
-            leases: Leases::new(&settings.host),
+            leases: Leases::new(format!("{}/{boot_id:016x}", settings.host)),
             board: Arc::default(),
             retries: Mutex::new(RetryBudgets::new(NODE_RETRY_BURST, SERVICE_RETRY_BURST)),
             has_view: AtomicBool::new(false),
-            boot_id: rand::random(),
+            boot_id,
             last_request: AtomicU64::new(0),
             settings,
         }
--- a/crates/radishpin-server/src/node/version/leases.rs
+++ b/crates/radishpin-server/src/node/version/leases.rs
@@ -20,9 +20,10 @@
 }
 
 impl Leases {
-    /// Leases of which nothing is known yet.
-    pub(in crate::node) fn new(host: &HostId) -> Self {
-        let watch = |_| Mutex::new(LeaseWatch::new(host.clone()));
+    /// Leases of which nothing is known yet. `holder` names one life of the node, as a later
+    /// life must not count on what an earlier one held.
+    pub(in crate::node) fn new(holder: NodeId) -> Self {
+        let watch = |_| Mutex::new(LeaseWatch::new(holder.clone()));
         Self {
             watches: (0..SHARDS).map(watch).collect(),
         }
