--- a/crates/radishpin-local/examples/capacity.rs
+++ b/crates/radishpin-local/examples/capacity.rs
@@ -8,7 +8,8 @@
 //! - `plan`: time of a round of planning grants, and of gathering its facts;
 //! - `messages`: bytes of heartbeats and of the host list;
 //! - `subset`: time in which a node finds out which agents it sends heartbeats to;
-//! - `idle NODES AGENTS SECONDS`: processor time and memory of a cluster without callers;
+//! - `idle NODES AGENTS SECONDS`: processor time, memory and calls to the platform of a cluster
+//!   without callers;
 //! - `load NODES AGENTS SECONDS TOKENS TOKEN_MS CALLERS`: processor time of requests with so many
 //!   tokens, so many milliseconds apart;
 //! - `spread NODES AGENTS CHANGES`: time from accepted to in force, with a node paused, and after
--- a/crates/radishpin-local/examples/capacity/idle.rs
+++ b/crates/radishpin-local/examples/capacity/idle.rs
@@ -1,4 +1,4 @@
-//! Processor time and memory of a cluster without callers.
+//! Processor time, memory and calls to the platform of a cluster without callers.
 
 use super::{cluster, machine};
 use crate::Outcome;
@@ -15,16 +15,23 @@
         let cluster = cluster::start(nodes, agents).await?;
         Runtime::sleep(SETTLE).await;
         let before = machine::processor_time()?;
+        let counts_before = cluster.platform.counts();
         let seconds = u32::try_from(seconds)?;
         Runtime::sleep(Duration::from_secs(1) * seconds).await;
         let spent = machine::processor_time()? - before;
+        let counts = cluster.platform.counts();
+        let per_second = |after: u64, before: u64| (after - before) as f64 / f64::from(seconds);
+        let reads = per_second(counts.reads, counts_before.reads);
+        let writes = per_second(counts.writes, counts_before.writes);
         let resident = machine::resident_bytes()?.saturating_sub(before_bytes);
-        println!("| nodes | agents | processor ms a second | resident KB |");
-        println!("|---|---|---|---|");
+        println!(
+            "| nodes | agents | processor ms a second | resident KB | reads a second | writes a second |"
+        );
+        println!("|---|---|---|---|---|---|");
         let per_second_ms = spent.as_secs_f64() * 1_000.0 / f64::from(seconds);
+        let resident_kb = resident / 1_024;
         println!(
-            "| {nodes} | {agents} | {per_second_ms:.1} | {} |",
-            resident / 1_024
+            "| {nodes} | {agents} | {per_second_ms:.1} | {resident_kb} | {reads:.1} | {writes:.1} |"
         );
         cluster::stop(cluster).await?;
         Ok(())
