--- a/crates/radishpin-local/examples/capacity.rs
+++ b/crates/radishpin-local/examples/capacity.rs
@@ -14,7 +14,8 @@
 //!   tokens, so many milliseconds apart;
 //! - `spread NODES AGENTS CHANGES`: time from accepted to in force, with a node paused, and after
 //!   an outage of the platform;
-//! - `lower NODES AGENTS`: time until grants have gone after the count of replicas was lowered.
+//! - `lower NODES AGENTS`: time until grants have gone after the count of replicas was lowered;
+//! - `whole`: one node over a table and host list of the whole size, whose agents do not answer.
 
 mod capacity {
     pub mod cluster;
@@ -27,10 +28,11 @@
     pub mod spread;
     pub mod subset;
     pub mod view;
+    pub mod whole;
 }
 
 use capacity::{
-    idle, load, load::Traffic, lower, machine, messages, planning, spread, subset, view,
+    idle, load, load::Traffic, lower, machine, messages, planning, spread, subset, view, whole,
 };
 use std::{error::Error, time::Duration};
 
@@ -61,6 +63,7 @@
         }
         Some("spread") => spread::measure(number(1, 3)?, number(2, 6)?, number(3, 10)?)?,
         Some("lower") => lower::measure(number(1, 3)?, number(2, 6)?)?,
+        Some("whole") => whole::measure()?,
         _ => {
             return Err("name a measurement; they stand at the top of examples/capacity.rs".into());
         }
--- a/crates/radishpin-local/examples/capacity/messages.rs
+++ b/crates/radishpin-local/examples/capacity/messages.rs
@@ -31,12 +31,17 @@
         let bytes = reply(3, adapters).encoded_len();
         println!("| SyncReply, 3 replicas, adapters of each | {adapters} | {bytes} |");
     }
-    let hosts: Vec<HostEntry> = (0..ENDPOINTS + NODES).map(host).collect();
+    let hosts = hosts();
     let bytes = serde_json::to_vec(&hosts)?.len();
     println!("| host list, hosts | {} | {bytes} |", hosts.len());
     Ok(())
 }
 
+/// The host list of the letter's size.
+pub fn hosts() -> Vec<HostEntry> {
+    (0..ENDPOINTS + NODES).map(host).collect()
+}
+
 fn host(index: usize) -> HostEntry {
     HostEntry {
         host: format!("host-{index}"),
--- a/crates/radishpin-local/examples/capacity/view.rs
+++ b/crates/radishpin-local/examples/capacity/view.rs
@@ -11,6 +11,8 @@
 pub const MODELS: usize = 980;
 /// Endpoints of the letter's size.
 pub const ENDPOINTS: usize = 7_400;
+/// Address of the agents.
+pub const AGENT_ADDRESS: &str = "10.0.0.1:9000";
 const ADAPTERS: usize = 19_000;
 /// Rows of the larger sample, in multiples of the smaller.
 const GROWTH: usize = 4;
@@ -64,16 +66,25 @@
 
 /// A view of the letter's size.
 pub fn whole() -> Result<ClusterView, Box<dyn Error>> {
-    let mut view = view_of(MODELS, model)?;
-    add(&mut view, ADAPTERS, adapter)?;
-    add(&mut view, ENDPOINTS, endpoint)?;
-    add(&mut view, 1, profile)?;
-    let service = r#"{"kind":"models","profile":"profile-0"}"#;
-    view.apply_row("service/drafting", 1, Some(service))?;
+    let mut view = ClusterView::default();
+    for (key, value) in rows() {
+        view.apply_row(&key, 1, Some(&value))?;
+    }
     view.version = 1;
     Ok(view)
 }
 
+/// Keys and values of the rows of such a view.
+pub fn rows() -> impl Iterator<Item = (String, String)> {
+    let service = r#"{"kind":"models","profile":"profile-0"}"#;
+    let service = ("service/drafting".to_owned(), service.to_owned());
+    let models = (0..MODELS).map(model);
+    let adapters = (0..ADAPTERS).map(adapter);
+    let endpoints = (0..ENDPOINTS).map(endpoint);
+    let others = [profile(0), service].into_iter();
+    models.chain(adapters).chain(endpoints).chain(others)
+}
+
 fn view_of(rows: usize, row: MakeRow) -> Result<ClusterView, Box<dyn Error>> {
     let mut view = ClusterView::default();
     add(&mut view, rows, row)?;
@@ -109,7 +120,7 @@
 fn endpoint(index: usize) -> (String, String) {
     let zone = index % 20;
     let value = format!(
-        r#"{{"host":"host-{index}","availability_zone":"zone-{zone}","agent_address":"10.0.0.1:9000","service":"drafting","memory_mb":24000,"concurrency":16,"incarnation":1}}"#
+        r#"{{"host":"host-{index}","availability_zone":"zone-{zone}","agent_address":"{AGENT_ADDRESS}","service":"drafting","memory_mb":24000,"concurrency":16,"incarnation":1}}"#
     );
     (format!("endpoint/drafting-{index}"), value)
 }
