Let a node start from its peers while the platform is down

Cause: a node that started in an outage stayed unready until the platform answered, although other nodes had the configuration in force; the peer listener was a setting that nothing served.

A peer whose host refuses the connection is down; one that does not answer is waited for. A query that names a known version gets no rows, so asking many peers costs little. The embedded system keeps peers' addresses over restarts and waits until a killed process's sockets are closed.

Conclusion: a restarted node serves in an outage, and takes no version older than that of its peers and the agents they heard.

--- a/crates/radishpin-core/src/version/monotone.rs
+++ b/crates/radishpin-core/src/version/monotone.rs
@@ -35,13 +35,13 @@
     }
 }
 
-/// What a starting node does about its first view.
+/// What a starting node does about its first view; `P` names a peer.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum StartDecision {
+pub enum StartDecision<P> {
     /// Take the platform's view and become ready.
     FromPlatform,
-    /// Take the view of this node and become ready.
-    FromPeer(NodeId),
+    /// Take the view of this peer and become ready.
+    FromPeer(P),
     /// Stay unready and ask again.
     Wait,
 }
@@ -51,11 +51,11 @@
 /// A readable platform is newest by definition. Without it, every peer that is not known to be
 /// down must have answered (`None` is a peer that has not), so that no version in force at a
 /// peer is missed; `floor` is the newest version that any agent was heard to have in force.
-pub fn decide_start(
+pub fn decide_start<P: Clone + Ord>(
     platform_readable: bool,
-    peers: &BTreeMap<NodeId, Option<Version>>,
+    peers: &BTreeMap<P, Option<Version>>,
     floor: Version,
-) -> StartDecision {
+) -> StartDecision<P> {
     if platform_readable {
         return StartDecision::FromPlatform;
     }
@@ -64,8 +64,8 @@
     }
     let newest = peers.iter().max_by_key(|(_, version)| **version);
     match newest {
-        Some((node, Some(version))) if *version >= floor && *version > 0 => {
-            StartDecision::FromPeer(node.clone())
+        Some((peer, Some(version))) if *version >= floor && *version > 0 => {
+            StartDecision::FromPeer(peer.clone())
         }
         _ => StartDecision::Wait,
     }
--- a/crates/radishpin-core/tests/membership.rs
+++ b/crates/radishpin-core/tests/membership.rs
@@ -197,7 +197,7 @@
     let from_a = StartDecision::FromPeer("a".into());
     assert_eq!(decide_start(false, &peers(Some(8), Some(7)), 8), from_a);
     assert_eq!(
-        decide_start(false, &BTreeMap::new(), 0),
+        decide_start(false, &BTreeMap::<NodeId, _>::new(), 0),
         StartDecision::Wait
     );
 }
--- a/crates/radishpin-local/src/cluster.rs
+++ b/crates/radishpin-local/src/cluster.rs
@@ -30,6 +30,11 @@
 /// Time between two looks at whether the system is ready.
 const READY_LOOK: Duration = Duration::from_millis(20);
 
+/// Time between two looks at whether a killed predecessor has let its address go.
+const RELEASE_LOOK: Duration = Duration::from_millis(10);
+/// Looks before the address counts as held.
+const RELEASE_LOOKS: u32 = 200;
+
 /// A running embedded system; dropping it stops it at once.
 #[derive(Debug)]
 pub struct LocalCluster {
@@ -45,6 +50,8 @@
     pub nodes: BTreeMap<NodeId, LocalNode>,
     /// Endpoints with their agents, by endpoint.
     pub agents: BTreeMap<EndpointId, LocalAgent>,
+    /// Addresses for peers of all nodes that ever ran; a successor takes its predecessor's.
+    peer_addresses: BTreeMap<NodeId, SocketAddr>,
     standin_stop: Shutdown,
     standins: Vec<Task<io::Result<()>>>,
 }
@@ -88,6 +95,7 @@
             weight_store,
             nodes: BTreeMap::new(),
             agents: BTreeMap::new(),
+            peer_addresses: BTreeMap::new(),
             standin_stop: Shutdown::default(),
             standins: Vec::new(),
             plan,
@@ -133,13 +141,21 @@
         } else {
             loopback()
         };
+        let known = self.peer_addresses.get(&name);
+        let peer_listen = known.copied().unwrap_or_else(loopback);
+        released(peer_listen).await;
+        let others = self.peer_addresses.iter();
+        let others = others
+            .filter(|(other, _)| **other != name)
+            .map(|(_, address)| *address);
         let settings = NodeSettings {
             name: name.clone(),
             availability_zone: self.plan.nodes[index].clone(),
             host: name.clone(),
             listen,
             operator_listen: loopback(),
-            peer_listen: loopback(),
+            peer_listen,
+            peers: others.collect(),
             platform: loopback(),
             token: Token::new(OPERATOR_TOKEN)?,
             internal_token: Token::new(INTERNAL_TOKEN)?,
@@ -153,6 +169,8 @@
         let process = IsolatedRuntime::new(&self.runtime, PARALLEL);
         let running =
             Node::start(settings, process.handle(), self.platform(), stop.clone()).await?;
+        self.peer_addresses
+            .insert(name.clone(), running.peer_address);
         let node = LocalNode {
             running,
             stop,
@@ -200,6 +218,7 @@
         if let Some(agent) = self.agents.get_mut(endpoint) {
             agent.stop = Shutdown::default();
             let settings = agent.settings.clone();
+            released(settings.listen).await;
             let stop = agent.stop.clone();
             let running = Agent::start(settings, process.handle(), platform, stop).await?;
             agent.running = Some(running);
@@ -351,6 +370,17 @@
     }
 }
 
+/// Waits until nobody listens at the address: the sockets of a killed process are closed a
+/// little later. What still holds it then fails the start.
+async fn released(address: SocketAddr) {
+    for _ in 0..RELEASE_LOOKS {
+        if TcpListener::bind(address).await.is_ok() {
+            return;
+        }
+        Runtime::sleep(RELEASE_LOOK).await;
+    }
+}
+
 fn loopback() -> SocketAddr {
     (Ipv4Addr::LOCALHOST, 0).into()
 }
--- a/crates/radishpin-local/tests/cluster/main.rs
+++ b/crates/radishpin-local/tests/cluster/main.rs
@@ -6,6 +6,7 @@
 mod keyed;
 mod leaving;
 mod loads;
+mod restart;
 mod streams;
 mod support;
 mod whole_path;
--- a/crates/radishpin-protocol/src/lib.rs
+++ b/crates/radishpin-protocol/src/lib.rs
@@ -24,4 +24,4 @@
 pub use id::*;
 pub use profile::{Class, PROFILE_FORMAT, Profile, ProfileError};
 pub use record::*;
-pub use view::{AgentView, ClusterView, ModelGrant, Resolved, RowError};
+pub use view::{AgentView, ClusterView, ModelGrant, Resolved, RowError, StoredRow};
--- a/crates/radishpin-protocol/src/view.rs
+++ b/crates/radishpin-protocol/src/view.rs
@@ -6,7 +6,7 @@
     STOP_PREFIX, ServiceId, ServiceRecord, SizeMb, StopId, StopRecord, StopTarget, UnixMs, Version,
 };
 use quick_error::quick_error;
-use serde::de::DeserializeOwned;
+use serde::{Serialize, de::DeserializeOwned};
 use std::{collections::BTreeMap, time::Duration};
 
 quick_error! {
@@ -22,6 +22,17 @@
     }
 }
 
+/// One row of the view as the platform's table holds it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoredRow {
+    /// Key of the row.
+    pub key: String,
+    /// Version of the row.
+    pub version: Version,
+    /// The record as JSON.
+    pub value: String,
+}
+
 /// What a caller's `model` field names.
 #[derive(Clone, Copy, Debug)]
 pub struct Resolved<'a> {
@@ -84,6 +95,40 @@
         Ok(())
     }
 
+    /// The rows that [`Self::apply_row`] makes this view from.
+    ///
+    /// # Errors
+    /// A record that cannot be written as JSON.
+    pub fn to_rows(&self) -> Result<Vec<StoredRow>, serde_json::Error> {
+        let mut rows = Vec::with_capacity(self.row_versions.len());
+        self.push_rows(&mut rows, PROFILE_PREFIX, &self.profiles)?;
+        self.push_rows(&mut rows, SERVICE_PREFIX, &self.services)?;
+        self.push_rows(&mut rows, MODEL_PREFIX, &self.models)?;
+        self.push_rows(&mut rows, ADAPTER_PREFIX, &self.adapters)?;
+        self.push_rows(&mut rows, ENDPOINT_PREFIX, &self.endpoints)?;
+        self.push_rows(&mut rows, STOP_PREFIX, &self.stops)?;
+        Ok(rows)
+    }
+
+    fn push_rows<T: Serialize>(
+        &self,
+        rows: &mut Vec<StoredRow>,
+        prefix: &str,
+        records: &BTreeMap<String, T>,
+    ) -> Result<(), serde_json::Error> {
+        for (name, record) in records {
+            let key = format!("{prefix}{name}");
+            let version = self.row_versions.get(&key).copied().unwrap_or_default();
+            let value = serde_json::to_string(record)?;
+            rows.push(StoredRow {
+                key,
+                version,
+                value,
+            });
+        }
+        Ok(())
+    }
+
     /// The profile that governs a service.
     pub fn profile_of(&self, service: &str) -> Option<&Profile> {
         self.profiles.get(&self.services.get(service)?.profile)
--- a/crates/radishpin-server/src/node/connection.rs
+++ b/crates/radishpin-server/src/node/connection.rs
@@ -1,7 +1,11 @@
-//! What lives for a connection: callers' HTTP, and the links to agents.
+//! What lives for a connection: callers' HTTP, and the links to agents and other nodes.
 
 mod agent_link;
 mod callers;
+mod peer_link;
+mod peers;
 
 pub(super) use agent_link::AgentLink;
 pub(super) use callers::CallersApi;
+pub(super) use peer_link::{PeerError, PeerLink};
+pub(super) use peers::PeerService;
--- a/crates/radishpin-server/src/node/process.rs
+++ b/crates/radishpin-server/src/node/process.rs
@@ -8,7 +8,11 @@
 pub use error::NodeError;
 pub use run::RunningNode;
 
-use super::{connection::AgentLink, request::Refusal, version::Leases};
+use super::{
+    connection::{AgentLink, PeerLink},
+    request::Refusal,
+    version::Leases,
+};
 use crate::{
     clock::Clock, operator::StatusBoard, platform::platform_client, settings::NodeSettings,
 };
@@ -51,6 +55,8 @@
     pub(super) client: PlatformClient,
     view: Mutex<Arc<ClusterView>>,
     links: Mutex<Arc<Links>>,
+    /// Links to other nodes.
+    pub(super) peers: Vec<Arc<PeerLink>>,
     /// Notified when the view or what is known of an endpoint has changed.
     pub(super) routes_changed: Event,
     /// Notified when models want grants.
@@ -84,7 +90,11 @@
     ) -> Self {
         let metrics = NodeMetrics::new();
         let client = platform_client(platform, &metrics.registry);
+        let token = &settings.internal_token;
+        let peer_link = |address: &_| Arc::new(PeerLink::new(runtime.clone(), *address, token));
+        let peers = settings.peers.iter().map(peer_link).collect();
         Self {
+            peers,
             runtime,
             clock: Clock::start(),
             metrics,
@@ -115,6 +125,11 @@
         Arc::clone(&self.view.lock())
     }
 
+    /// Whether a view is in force.
+    pub(super) fn has_view(&self) -> bool {
+        self.has_view.load(Ordering::Acquire)
+    }
+
     /// The view in force.
     pub fn current_view(&self) -> Arc<ClusterView> {
         self.view()
@@ -208,7 +223,7 @@
             let reason = "the node is stopping";
             return Err(Refusal::new(ResultCode::Draining, reason).after(RETRY_ELSEWHERE));
         }
-        if !self.has_view.load(Ordering::Acquire) {
+        if !self.has_view() {
             let reason = "the node has no configuration yet";
             return Err(Refusal::new(ResultCode::NotReady, reason).after(RETRY_ELSEWHERE));
         }
--- a/crates/radishpin-server/src/node/process/run.rs
+++ b/crates/radishpin-server/src/node/process/run.rs
@@ -2,13 +2,14 @@
 
 use super::{Node, NodeError};
 use crate::{
-    node::connection::CallersApi,
+    node::connection::{CallersApi, PeerService},
     operator::{OperatorApi, OperatorContext, Table, ViewSource, operator_limits},
+    rpc::serve_rpc,
     settings::NodeSettings,
 };
 use radishpin_http::{Server, Shutdown};
 use radishpin_platform::{Platform, PlatformClient};
-use radishpin_protocol::prelude::*;
+use radishpin_protocol::{prelude::*, wire::peer_server::PeerServer};
 use radishpin_runtime::{Runtime, timeout};
 use smol::{Task, net::TcpListener};
 use std::{io, net::SocketAddr, sync::Arc, time::SystemTime};
@@ -29,9 +30,12 @@
     ) -> Result<RunningNode, NodeError> {
         let (callers, address) = listen(settings.listen).await?;
         let (operators, operator_address) = listen(settings.operator_listen).await?;
+        let (peers, peer_address) = listen(settings.peer_listen).await?;
         let node = Arc::new(Self::new(settings, runtime.clone(), platform, shutdown));
         let client = node.client.clone();
         let tasks = vec![
+            runtime.spawn(Arc::clone(&node).serve_peers(peers)),
+            runtime.spawn(Arc::clone(&node).hear_peers()),
             runtime.spawn(Arc::clone(&node).poll_views(client.clone())),
             runtime.spawn(Arc::clone(&node).poll_hosts(client.clone())),
             runtime.spawn(Arc::clone(&node).send_heartbeats()),
@@ -47,6 +51,7 @@
             node,
             address,
             operator_address,
+            peer_address,
             tasks,
             servers,
         })
@@ -59,6 +64,12 @@
         Server::serve(self.runtime.clone(), listener, handler, limits, shutdown).await
     }
 
+    async fn serve_peers(self: Arc<Self>, listener: TcpListener) {
+        let service = PeerServer::new(PeerService::new(Arc::clone(&self)));
+        let shutdown = self.shutdown.clone();
+        serve_rpc(self.runtime.clone(), listener, service, shutdown).await;
+    }
+
     async fn serve_operators(
         self: Arc<Self>,
         listener: TcpListener,
@@ -105,6 +116,8 @@
     pub address: SocketAddr,
     /// Address for operators.
     pub operator_address: SocketAddr,
+    /// Address for other nodes.
+    pub peer_address: SocketAddr,
     tasks: Vec<Task<()>>,
     servers: Vec<Task<io::Result<()>>>,
 }
--- a/crates/radishpin-server/src/node/version.rs
+++ b/crates/radishpin-server/src/node/version.rs
@@ -3,6 +3,7 @@
 mod control;
 mod grants;
 mod leases;
+mod peers;
 mod poll;
 mod stops;
 mod sweep;
--- a/crates/radishpin-server/src/node/version/poll.rs
+++ b/crates/radishpin-server/src/node/version/poll.rs
@@ -22,6 +22,9 @@
                 Err(cause) => {
                     self.metrics.polls_failed.inc();
                     log::debug!(event = "poll_failed", cause:% = cause; "cannot read the head row");
+                    if !self.has_view() {
+                        self.start_from_peers().await;
+                    }
                 }
             }
             // Jitter keeps nodes that started together from polling together.
@@ -46,7 +49,7 @@
         }
     }
 
-    fn take_view(self: &Arc<Self>, view: &ClusterView) {
+    pub(super) fn take_view(self: &Arc<Self>, view: &ClusterView) {
         let links = self.links_of(view);
         if self.put_view(view.clone(), links) {
             self.members
--- a/crates/radishpin-server/src/settings.rs
+++ b/crates/radishpin-server/src/settings.rs
@@ -22,6 +22,8 @@
     pub operator_listen: SocketAddr,
     /// Address of the listener for other nodes.
     pub peer_listen: SocketAddr,
+    /// Addresses at which other nodes listen for their peers; its own does no harm.
+    pub peers: Vec<SocketAddr>,
     /// HTTP address of the platform.
     pub platform: SocketAddr,
     /// Token that operators present.
--- a/src/command/node.rs
+++ b/src/command/node.rs
@@ -42,6 +42,13 @@
 )
 .env("RADISHPIN_PEER_LISTEN");
 
+static PEERS: Setting = Setting::optional(
+    "peers",
+    Kind::Addresses,
+    "Peer addresses of the other nodes, for a start while the platform is down.",
+)
+.env("RADISHPIN_PEERS");
+
 static HEAD_LIMIT: Setting = Setting::with_default(
     "head-limit-bytes",
     Kind::Number {
@@ -148,6 +155,7 @@
         &LISTEN,
         &OPERATOR_LISTEN,
         &PEER_LISTEN,
+        &PEERS,
         &PLATFORM,
         &TOKEN,
         &INTERNAL_TOKEN,
@@ -200,6 +208,7 @@
         listen: values.address(&LISTEN)?,
         operator_listen: values.address(&OPERATOR_LISTEN)?,
         peer_listen: values.address(&PEER_LISTEN)?,
+        peers: values.addresses(&PEERS),
         platform: values.address(&PLATFORM)?,
         token: values.token(&TOKEN)?,
         internal_token: values.token(&INTERNAL_TOKEN)?,
