Let the test of restarted agents reach the agents themselves

Cause: the node may pass over agents that it takes for dead, so refusals need not have come from an agent that is not registered.

Change: the test waits for the agents' own refusal before it counts.

Conclusion: the refusals counted are those of agents without an incarnation.

--- a/crates/radishpin-local/tests/cluster/restart.rs
+++ b/crates/radishpin-local/tests/cluster/restart.rs
@@ -122,6 +122,15 @@
             cluster.start_agent(&endpoint).await.unwrap();
         }
         let caller = Caller::of(&cluster, 0);
+        // Until the agents themselves refuse, the node goes past them as dead.
+        loop {
+            let booked = caller.book(&[], "early").await;
+            assert_eq!(booked.ran(), "no", "{booked}");
+            if booked.code() == 5001 {
+                break;
+            }
+            Runtime::sleep(LOOK).await;
+        }
         for _ in 0..5 {
             let booked = caller.book(&[], "nine").await;
             assert_eq!(booked.ran(), "no", "{booked}");
