Bound the reasons of refusals and refuse completions that are no UTF-8

Cause: a refusal repeated what it refused. A model name of 1 MB came back in an answer of 1000189 bytes and as long a log line; a string in place of the stream flag did the same through the JSON reader's message. A completion with bytes beyond UTF-8 in a field that the node doesn't read went on to an engine.

Change: a reason has at most 300 characters. A completion's body is checked as UTF-8 before it is read.

Conclusion: what a caller sends costs no more in answers and logs than a line.

--- a/crates/radishpin-server/src/node/request/parse.rs
+++ b/crates/radishpin-server/src/node/request/parse.rs
@@ -35,12 +35,7 @@
 /// # Errors
 /// The body or a header is not understood, or the model is unknown.
 pub(in crate::node) fn model_call(node: &Node, received: Received) -> Result<Call, Refusal> {
-    let fields: CompletionFields = serde_json::from_slice(&received.body).map_err(|e| {
-        Refusal::new(
-            ResultCode::InvalidField,
-            format!("the body is not a completion: {e}"),
-        )
-    })?;
+    let fields = completion_fields(&received.body)?;
     let view = node.view();
     let Some(found) = view.resolve(&fields.model) else {
         let reason = format!("no model or adapter is named {:?}", fields.model);
@@ -64,6 +59,16 @@
     )
 }
 
+/// Reads the fields that the node needs; the text of the others is checked as well.
+fn completion_fields(body: &[u8]) -> Result<CompletionFields, Refusal> {
+    let not_completion = |cause: &dyn std::fmt::Display| {
+        let reason = format!("the body is not a completion: {cause}");
+        Refusal::new(ResultCode::InvalidField, reason)
+    };
+    let text = std::str::from_utf8(body).map_err(|e| not_completion(&e))?;
+    serde_json::from_str(text).map_err(|e| not_completion(&e))
+}
+
 /// Understands a call to a plain service; `path` is what follows the service's name.
 ///
 /// # Errors
--- a/crates/radishpin-server/src/node/request/refusal.rs
+++ b/crates/radishpin-server/src/node/request/refusal.rs
@@ -6,6 +6,9 @@
 /// Header with the id of the request, taken and returned.
 pub(in crate::node) const REQUEST_ID_HEADER: &str = "x-request-id";
 
+/// Longest reason; a longer one, as of a name that the caller gave, is cut.
+const REASON_CHARACTERS_MAX: usize = 300;
+
 /// Why a request is not served.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(in crate::node) struct Refusal {
@@ -22,7 +25,7 @@
     pub(in crate::node) fn new(code: ResultCode, reason: impl Into<String>) -> Self {
         Self {
             code,
-            reason: reason.into(),
+            reason: shortened(reason.into()),
             retry_after: None,
         }
     }
@@ -34,6 +37,14 @@
     }
 }
 
+fn shortened(mut reason: String) -> String {
+    if let Some((end, _)) = reason.char_indices().nth(REASON_CHARACTERS_MAX) {
+        reason.truncate(end);
+        reason.push_str("..");
+    }
+    reason
+}
+
 /// The HTTP answer of a refusal.
 pub(in crate::node) fn refusal_response(refusal: &Refusal, request_id: &str) -> Response {
     let status = StatusCode::try_from(refusal.code.status());
