Test a whole node with callers' malformed input

Cause: no test sent a node bytes that an HTTP client would not.

Conclusion: each is answered or refused by code, and what a refusal says of having run is true.

--- a/crates/radishpin-local/tests/cluster/main.rs
+++ b/crates/radishpin-local/tests/cluster/main.rs
@@ -3,10 +3,12 @@
 #![allow(clippy::unwrap_used)]
 
 mod agent_status;
+mod bad_input;
 mod faults;
 mod keyed;
 mod leaving;
 mod loads;
+mod raw;
 mod streams;
 mod support;
 mod whole_path;
