--- a/tests/processes/process.rs
+++ b/tests/processes/process.rs
@@ -53,16 +53,22 @@
         }
     }
 
+    /// Reads the next line.
+    pub fn line(&mut self) -> String {
+        let mut line = String::new();
+        self.stdout.read_line(&mut line).expect("its output");
+        line.trim().to_owned()
+    }
+
     /// Reads lines until one is empty.
     pub fn paragraph(&mut self) -> Vec<String> {
         let mut lines = Vec::new();
         loop {
-            let mut line = String::new();
-            self.stdout.read_line(&mut line).expect("its output");
-            if line.trim().is_empty() {
+            let line = self.line();
+            if line.is_empty() {
                 return lines;
             }
-            lines.push(line.trim().to_owned());
+            lines.push(line);
         }
     }
 
--- a/tests/processes/roles.rs
+++ b/tests/processes/roles.rs
@@ -43,8 +43,8 @@
     let platform = Process::start("standin --listen 127.0.0.1:0");
     let engine = Process::start("standin --kind engine --listen 127.0.0.1:0");
     let plain = Process::start("standin --kind plain --listen 127.0.0.1:0");
-    let runner = "--memory-mb 24000 --fencing checked";
-    let runner = agent("runner-1", "drafting", runner, &platform, &engine);
+    let runner = "--memory-mb 24000 --fencing checked --metrics-listen 127.0.0.1:0";
+    let mut runner = agent("runner-1", "drafting", runner, &platform, &engine);
     let booking = agent("booking-1", "booking", "--kind plain", &platform, &plain);
     let operators = free_address();
     let node = node(&platform, operators);
@@ -56,6 +56,12 @@
     let path = "/services/booking/appointments";
     send_until_served(node.address, Method::Post, path, "tuner at nine");
 
+    let line = runner.line();
+    let monitor = line.strip_prefix("metrics http://").unwrap();
+    let metrics = send_until_served(monitor.parse().unwrap(), Method::Get, "/metrics", "");
+    let load = r#"radishpin_agent_orders_total{kind="load",outcome="done"} 1"#;
+    assert!(metrics.body.contains(load), "{metrics:?}");
+
     let status = Command::new(env!("CARGO_BIN_EXE_radishpin"))
         .args(["status", "--server", &operators.to_string()])
         .env("RADISHPIN_TOKEN", TOKEN)
