Close connections to an agent that never open HTTP/2

Cause: hyper awaits the connection preface without bound and pings only after it. A peer that connected and sent nothing, or half of the preface, held a socket and a task for good.

Change: the listener reads the preface itself, within 5 s, and hands hyper a connection that yields it once more; anything else is closed.

Conclusion: what has not spoken HTTP/2 costs an agent a socket for 5 s at most.

--- a/crates/radishpin-server/src/rpc.rs
+++ b/crates/radishpin-server/src/rpc.rs
@@ -2,6 +2,7 @@
 
 mod channel;
 mod listener;
+mod preface;
 mod token;
 
 pub use channel::{Channel, ChannelError};
--- a/crates/radishpin-server/src/rpc/listener.rs
+++ b/crates/radishpin-server/src/rpc/listener.rs
@@ -1,5 +1,6 @@
 //! Accepting side: one task a connection, one HTTP/2 connection a peer.
 
+use super::preface;
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http2;
@@ -74,6 +75,10 @@
     if let Err(cause) = stream.set_nodelay(true) {
         log::debug!(event = "nodelay_failed", cause:% = cause; "connection without TCP_NODELAY");
     }
+    let Some(stream) = preface::greeted(stream).await else {
+        log::debug!(event = "rpc_no_preface"; "a connection did not open HTTP/2");
+        return;
+    };
     let connection = http2::Builder::new(SmolExecutor(runtime))
         .timer(SmolTimer::new())
         .keep_alive_interval(KEEP_ALIVE_INTERVAL)
--- /dev/null
+++ b/crates/radishpin-server/src/rpc/preface.rs
@@ -0,0 +1,79 @@
+//! The bytes with which a peer opens HTTP/2, awaited for a bounded time.
+//!
+//! hyper waits for them without bound, so that silent connections would pile up.
+
+use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite};
+use radishpin_runtime::timeout;
+use smol::net::TcpStream;
+use std::{
+    io,
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+/// Connection preface of HTTP/2.
+const PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+/// Time in which it must come.
+const PREFACE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// A connection whose preface has come and is read once more by hyper.
+#[derive(Debug)]
+pub(super) struct Greeted {
+    preface: &'static [u8],
+    stream: TcpStream,
+}
+
+/// Awaits the preface; `None` where something else comes, or nothing in time.
+pub(super) async fn greeted(mut stream: TcpStream) -> Option<Greeted> {
+    let mut bytes = [0; PREFACE.len()];
+    let came = timeout(PREFACE_TIMEOUT, stream.read_exact(&mut bytes)).await;
+    let sound = matches!(came, Some(Ok(()))) && bytes == *PREFACE;
+    sound.then_some(Greeted {
+        preface: PREFACE,
+        stream,
+    })
+}
+
+impl AsyncRead for Greeted {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        if self.preface.is_empty() {
+            return Pin::new(&mut self.stream).poll_read(context, buffer);
+        }
+        let length = self.preface.len().min(buffer.len());
+        let (now, later) = self.preface.split_at(length);
+        buffer[..length].copy_from_slice(now);
+        self.preface = later;
+        Poll::Ready(Ok(length))
+    }
+}
+
+impl AsyncWrite for Greeted {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, parts)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(context)
+    }
+}
--- a/crates/radishpin-server/tests/agent_rpc/garbage.rs
+++ b/crates/radishpin-server/tests/agent_rpc/garbage.rs
@@ -113,6 +113,21 @@
     });
 }
 
+#[test]
+fn silent_connections_are_closed() {
+    let fixture = Fixture::plain();
+    let connect = |bytes: &[u8]| {
+        let mut stream = TcpStream::connect(fixture.running.address).unwrap();
+        stream.set_read_timeout(Some(CLOSE_WAIT)).unwrap();
+        stream.write_all(bytes).unwrap();
+        stream
+    };
+    for mut stream in [connect(b""), connect(&PREFACE[..10])] {
+        assert_eq!(stream.read_to_end(&mut Vec::new()).unwrap(), 0);
+    }
+    smol::block_on(fixture.assert_serves());
+}
+
 #[test]
 fn garbage_on_the_socket_closes_its_connection_only() {
     let fixture = Fixture::plain();
