--- a/crates/radishpin-local/tests/cluster/main.rs
+++ b/crates/radishpin-local/tests/cluster/main.rs
@@ -11,4 +11,5 @@
 mod raw;
 mod streams;
 mod support;
+mod truth;
 mod whole_path;
