--- a/crates/radishpin-local/tests/cluster/main.rs
+++ b/crates/radishpin-local/tests/cluster/main.rs
@@ -3,10 +3,12 @@
 #![allow(clippy::unwrap_used)]
 
 mod agent_status;
+mod bad_input;
 mod faults;
 mod keyed;
 mod leaving;
 mod loads;
+mod raw;
 mod restart;
 mod streams;
 mod support;
