Plan the stop of an endpoint that holds a grant

Cause: the test took runner-1 to hold a grant; which of the endpoints in an availability zone gets one depends on the order of their registrations (seen: none at runner-1 in a run of the whole suite).

Change: the test stops the first endpoint that holds one.

Conclusion: the same claim for whichever endpoint it is.

--- a/tests/local/planned_stop.rs
+++ b/tests/local/planned_stop.rs
@@ -3,27 +3,36 @@
 use crate::system::System;
 use radishpin_server::operator::document::StatusReport;
 
-const ENDPOINT: &str = "runner-1";
-
-fn leaves(report: &StatusReport) -> bool {
-    let endpoint = report.endpoints.iter().find(|e| e.name == ENDPOINT);
+fn leaves(report: &StatusReport, endpoint: &str) -> bool {
+    let endpoint = report.endpoints.iter().find(|e| e.name == endpoint);
     let heard = endpoint.and_then(|endpoint| endpoint.report.as_ref());
     heard.is_some_and(|heard| heard.leaving)
 }
 
-fn holds_grants(report: &StatusReport) -> bool {
+fn holds_grants(report: &StatusReport, endpoint: &str) -> bool {
     let mut models = report.models.iter();
-    models.any(|model| model.grants.contains_key(ENDPOINT))
+    models.any(|model| model.grants.contains_key(endpoint))
+}
+
+/// An endpoint with a grant; which one it is depends on the order of the registrations.
+fn holder(report: &StatusReport) -> Option<String> {
+    let mut grants = report.models.iter().flat_map(|model| model.grants.keys());
+    grants.next().cloned()
 }
 
 #[test]
 fn an_endpoint_that_stops_gives_its_grants_away_and_comes_back() {
     let system = System::start();
-    let before = system.wait_for("a grant at the endpoint", holds_grants);
+    let before = system.wait_for("a grant", |report| holder(report).is_some());
+    let endpoint = holder(&before).expect("an endpoint with a grant");
+    let found = before.endpoints.iter().find(|e| e.name == endpoint);
+    let host = found.expect("the endpoint of the grant").host.clone();
     // Within the time before the window in which endpoints take no new work.
-    system.accepted("stop plan --host host-runner-1 --from +10s --to +1h --id cage");
+    system.accepted(&format!(
+        "stop plan --host {host} --from +10s --to +1h --id cage"
+    ));
     let moved = system.wait_for("the endpoint leaves", |report| {
-        leaves(report) && !holds_grants(report)
+        leaves(report, &endpoint) && !holds_grants(report, &endpoint)
     });
     for (model, now) in before.models.iter().zip(&moved.models) {
         assert!(now.grants.len() <= now.replicas as usize, "{now:?}");
@@ -34,5 +43,5 @@
         assert_eq!(answer.status, 200, "{}: {answer:?}", model.name);
     }
     system.accepted("stop cancel cage");
-    system.wait_for("the endpoint is back", |report| !leaves(report));
+    system.wait_for("the endpoint is back", |report| !leaves(report, &endpoint));
 }
