--- a/crates/radishpin-local/examples/capacity/messages.rs
+++ b/crates/radishpin-local/examples/capacity/messages.rs
@@ -8,7 +8,7 @@
     GrantState, GrantView, Load, ReplicaReport, ReplicaState, SyncReply, SyncRequest, Tier,
 };
 
-/// Nodes of the letter's size.
+/// Nodes of the target size.
 pub const NODES: usize = 410;
 
 /// Prints the bytes of heartbeats without rows and with some, and of the host list.
@@ -37,7 +37,7 @@
     Ok(())
 }
 
-/// The host list of the letter's size.
+/// The host list of the target size.
 pub fn hosts() -> Vec<HostEntry> {
     (0..ENDPOINTS + NODES).map(host).collect()
 }
--- a/crates/radishpin-local/examples/capacity/planning.rs
+++ b/crates/radishpin-local/examples/capacity/planning.rs
@@ -9,7 +9,7 @@
 use radishpin_protocol::{ModelRecord, prelude::*};
 use std::{error::Error, hint::black_box, time::Instant};
 
-/// Sizes as shares of the letter's size: one in so many.
+/// Sizes as shares of the target size: one in so many.
 const SHARES: [usize; 3] = [4, 2, 1];
 /// Shards of the models, as in the node's leases.
 const SHARDS: usize = 16;
--- a/crates/radishpin-local/examples/capacity/subset.rs
+++ b/crates/radishpin-local/examples/capacity/subset.rs
@@ -6,7 +6,7 @@
 use radishpin_protocol::{engine::stable_hash, prelude::*};
 use std::time::Instant;
 
-/// Sizes as shares of the letter's size: one in so many.
+/// Sizes as shares of the target size: one in so many.
 const SHARES: [usize; 3] = [4, 2, 1];
 /// Nodes that send heartbeats to one agent, as in the node.
 const NODES_PER_AGENT: usize = 3;
--- a/crates/radishpin-local/examples/capacity/view.rs
+++ b/crates/radishpin-local/examples/capacity/view.rs
@@ -7,9 +7,9 @@
 
 /// Grants of each model.
 const GRANTS: usize = 3;
-/// Models of the letter's size.
+/// Models of the target size.
 pub const MODELS: usize = 980;
-/// Endpoints of the letter's size.
+/// Endpoints of the target size.
 pub const ENDPOINTS: usize = 7_400;
 /// Address of the agents.
 pub const AGENT_ADDRESS: &str = "10.0.0.1:9000";
@@ -64,7 +64,7 @@
     println!("an agent's part of the view {each:?}, mean of {rounds}, {grants} grants in all");
 }
 
-/// A view of the letter's size.
+/// A view of the target size.
 pub fn whole() -> Result<ClusterView, Box<dyn Error>> {
     let mut view = ClusterView::default();
     for (key, value) in rows() {
--- a/crates/radishpin-local/examples/capacity/whole.rs
+++ b/crates/radishpin-local/examples/capacity/whole.rs
@@ -1,4 +1,4 @@
-//! One node over a table and a host list of the letter's size, whose agents do not answer.
+//! One node over a table and a host list of the target size, whose agents do not answer.
 
 use super::{cluster, machine, messages, view};
 use crate::Outcome;
