--- a/crates/radishpin-core/src/process.rs
+++ b/crates/radishpin-core/src/process.rs
@@ -1,11 +1,17 @@
 //! Decisions whose state lives as long as a process.
 
+mod fleet;
 mod lease;
 mod membership;
 mod memory;
 mod order;
 mod replica_ledger;
+mod residency;
+mod roster;
 
+pub use fleet::{
+    Fleet, Outcome, Pick, PickQuery, Refusal, RefusalReason, Wait,
+};
 pub use lease::{
     HOLDER_VALID, LeaseDecision, LeaseRecord, LeaseWatch, READ_GAP, RENEW_EVERY, SPARE_CANDIDATES,
     TAKEOVER_AFTER, TAKEOVER_STAGGER, candidate_rank,
@@ -20,4 +26,11 @@
     DEFAULT_ORDER_LIFE, EngineReport, FENCE_MODEL, Fencing, Order, OrderKind, OrderNumber,
     OrderOutcome, Target,
 };
+pub use residency::{
+    Action, Demand, DemandReason, EndpointReport, GATEWAY_TIMEOUT, GatewayReport, LoadStatus,
+    ModelStatus, ModelUsage, Residency, Settled, Status, StoreLoadShare,
+};
+pub use roster::{
+    EndpointEntry, EndpointPhase, HeldModel, RETURN_GRACE, Roster, RosterChange,
+};
 pub use replica_ledger::{LoadDecision, LoadRefusal, ReplicaLedger, ReplicaState, ReplicaStatus};
--- /dev/null
+++ b/crates/radishpin-core/src/process/fleet.rs
@@ -0,0 +1,238 @@
+//! A gateway's view of the endpoints, and the requests that it has at them.
+
+mod endpoint;
+mod pick;
+mod plan;
+mod rate;
+
+pub use endpoint::Outcome;
+pub use pick::{Pick, PickQuery, Refusal, RefusalReason, Wait};
+
+use super::{
+    Demand, DemandReason, EndpointEntry, GatewayReport, ModelUsage, RosterChange, Status,
+};
+use crate::version::Catalog;
+use endpoint::Endpoint;
+use radishpin_protocol::prelude::*;
+use rate::Rate;
+use std::sync::Arc;
+
+/// Waits of this gateway's callers for one model or adapter.
+#[derive(Clone, Debug)]
+struct WaitEntry {
+    callers: u32,
+    endpoint: EndpointId,
+}
+
+/// A model, or an adapter of it.
+type Target = (ModelId, Option<AdapterId>);
+
+/// A gateway's view of the endpoints.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    gateway: NodeId,
+    incarnation: Incarnation,
+    availability_zone: AvailabilityZone,
+    catalog: Arc<Catalog>,
+    endpoints: BTreeMap<EndpointId, Endpoint>,
+    waits: BTreeMap<Target, WaitEntry>,
+    rates: BTreeMap<ModelId, Rate>,
+    planned: BTreeMap<EndpointId, Vec<Demand>>,
+    kept: BTreeSet<(EndpointId, ModelId)>,
+    sequence: u64,
+}
+
+impl Fleet {
+    /// A view without endpoints.
+    pub fn new(
+        gateway: NodeId,
+        incarnation: Incarnation,
+        availability_zone: AvailabilityZone,
+    ) -> Self {
+        Self {
+            gateway,
+            incarnation,
+            availability_zone,
+            catalog: Arc::new(Catalog::default()),
+            endpoints: BTreeMap::new(),
+            waits: BTreeMap::new(),
+            rates: BTreeMap::new(),
+            planned: BTreeMap::new(),
+            kept: BTreeSet::new(),
+            sequence: 0,
+        }
+    }
+
+    /// Takes in a configuration.
+    pub fn configure(&mut self, catalog: Arc<Catalog>) {
+        self.catalog = catalog;
+    }
+
+    /// Takes in the listed endpoints and what has changed of them.
+    pub fn list(
+        &mut self,
+        entries: &BTreeMap<EndpointId, EndpointEntry>,
+        changes: &[RosterChange],
+    ) {
+        self.endpoints.retain(|id, _| entries.contains_key(id));
+        for change in changes {
+            if let RosterChange::Restarted(id) = change {
+                self.endpoints.remove(id);
+            }
+        }
+        for (id, entry) in entries {
+            match self.endpoints.get_mut(id) {
+                Some(endpoint) => endpoint.entry = entry.clone(),
+                None => {
+                    let endpoint = Endpoint::new(entry.clone());
+                    self.endpoints.insert(id.clone(), endpoint);
+                }
+            }
+        }
+    }
+
+    /// Endpoints that have a sidecar: the engines of the configuration's services.
+    pub fn engines(&self) -> impl Iterator<Item = (&EndpointId, &EndpointEntry)> {
+        let endpoints = self.endpoints.iter();
+        let entries = endpoints.map(|(id, endpoint)| (id, &endpoint.entry));
+        entries.filter(|(_, entry)| {
+            let service = self.catalog.services.get(&entry.service);
+            service.is_some_and(|service| service.engine.is_some())
+        })
+    }
+
+    /// Takes in a sidecar's status; returns whether it is newer than the last one.
+    pub fn heard(&mut self, endpoint: &str, status: Status, now: Duration) -> bool {
+        let Some(endpoint) = self.endpoints.get_mut(endpoint) else {
+            return false;
+        };
+        endpoint.heard(status, now)
+    }
+
+    /// Records that a sidecar fell silent.
+    pub fn link_lost(&mut self, endpoint: &str) -> bool {
+        let endpoint = self.endpoints.get_mut(endpoint);
+        endpoint.is_some_and(|endpoint| endpoint.status.take().is_some())
+    }
+
+    /// Gateways that sidecars hear from, at least this one.
+    pub fn gateways(&self) -> u32 {
+        let statuses = self.endpoints.values().filter_map(|e| e.status.as_ref());
+        statuses.map(|status| status.gateways).max().unwrap_or(1).max(1)
+    }
+
+    /// Connections that this gateway may have to an endpoint of a service.
+    pub fn connection_share(&self, service: &str) -> u32 {
+        /// Connections of each endpoint that are left to gateways not heard of yet, as a divisor.
+        const RESERVE_DIVISOR: u32 = 4;
+        const CONNECTIONS_MIN: u32 = 2;
+        let service = self.catalog.services.get(service);
+        let limit = service.map_or(u32::MAX, |service| service.connection_limit);
+        let shared = limit - limit / RESERVE_DIVISOR;
+        (shared / self.gateways()).max(CONNECTIONS_MIN)
+    }
+
+    /// Records that a caller waits for a model or adapter at an endpoint.
+    pub fn begin_wait(&mut self, model: &str, adapter: Option<&str>, endpoint: &str) {
+        let target = (model.to_owned(), adapter.map(str::to_owned));
+        let entry = self.waits.entry(target).or_insert_with(|| WaitEntry {
+            callers: 0,
+            endpoint: endpoint.to_owned(),
+        });
+        entry.callers += 1;
+    }
+
+    /// Records that a caller no longer waits.
+    pub fn end_wait(&mut self, model: &str, adapter: Option<&str>) {
+        let target = (model.to_owned(), adapter.map(str::to_owned));
+        if let Some(entry) = self.waits.get_mut(&target) {
+            entry.callers -= 1;
+            if entry.callers == 0 {
+                self.waits.remove(&target);
+            }
+        }
+    }
+
+    /// Counts a caller's request for a model.
+    pub fn count_request(&mut self, model: &str, now: Duration) {
+        let rate = self.rates.entry(model.to_owned()).or_default();
+        rate.count(now);
+    }
+
+    /// Records the end of a request that [`Self::pick`] sent to an endpoint.
+    pub fn end_request(
+        &mut self,
+        endpoint: &str,
+        target: Option<(&str, Option<&str>)>,
+        outcome: Outcome,
+        now: Duration,
+    ) {
+        if let (Some((model, _)), Outcome::Served { took }) = (target, outcome) {
+            let rate = self.rates.entry(model.to_owned()).or_default();
+            rate.record_duration(took);
+        }
+        if let Some(endpoint) = self.endpoints.get_mut(endpoint) {
+            endpoint.end_request(target, outcome, now);
+        }
+    }
+
+    /// Takes in the load that an endpoint told on an answer.
+    pub fn record_load(&mut self, endpoint: &str, in_use: u32) {
+        if let Some(endpoint) = self.endpoints.get_mut(endpoint) {
+            endpoint.record_load(in_use);
+        }
+    }
+
+    /// What an endpoint's sidecar is told.
+    pub fn report_to(&mut self, id: &str, now: Duration) -> GatewayReport {
+        self.sequence += 1;
+        let endpoint = self.endpoints.get(id);
+        let status = endpoint.and_then(|endpoint| endpoint.status.as_ref());
+        GatewayReport {
+            gateway: self.gateway.clone(),
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            endpoint: id.to_owned(),
+            engines: endpoint.map_or(1, |endpoint| self.engines_of(&endpoint.entry.service)),
+            seen_incarnation: status.map_or(0, |status| status.incarnation),
+            seen_version: status.map_or(0, |status| status.version),
+            usage: endpoint.map(|endpoint| self.usage(id, endpoint, now)).unwrap_or_default(),
+            demands: self.demands(id),
+        }
+    }
+
+    fn engines_of(&self, service: &str) -> u32 {
+        let same = |endpoint: &&Endpoint| endpoint.entry.service == service;
+        u32::try_from(self.endpoints.values().filter(same).count()).unwrap_or(u32::MAX)
+    }
+
+    fn usage(&self, id: &str, endpoint: &Endpoint, now: Duration) -> BTreeMap<ModelId, ModelUsage> {
+        let held = endpoint.held_models();
+        let models: BTreeSet<&ModelId> = held.chain(endpoint.active.keys()).collect();
+        let usage = models.into_iter().map(|model| {
+            let per_s = self.rates.get(model).map_or(0.0, |rate| rate.per_s(now));
+            let active = endpoint.active.get(model);
+            let usage = ModelUsage {
+                per_s,
+                loss_per_s: self.loss_per_s(model, per_s),
+                active: active.map_or(0, |active| active.requests),
+                keep: self.kept.contains(&(id.to_owned(), model.clone())),
+                adapters: active.map(endpoint::Active::adapters).unwrap_or_default(),
+            };
+            (model.clone(), usage)
+        });
+        usage.collect()
+    }
+
+    fn demands(&self, endpoint: &str) -> Vec<Demand> {
+        let waits = self.waits.iter().filter(|(_, wait)| wait.endpoint == endpoint);
+        let waits = waits.map(|((model, adapter), wait)| Demand {
+            model: model.clone(),
+            adapter: adapter.clone(),
+            reason: DemandReason::Waiting,
+            waiting: wait.callers,
+        });
+        let planned = self.planned.get(endpoint).into_iter().flatten().cloned();
+        waits.chain(planned).collect()
+    }
+}
--- /dev/null
+++ b/crates/radishpin-core/src/process/fleet/pick.rs
@@ -0,0 +1,402 @@
+//! Where a request goes: to an endpoint, to wait for a load, or back to its caller.
+
+use super::{Fleet, WaitEntry, endpoint::Endpoint};
+use crate::{
+    process::residency::MAKE_ROOM,
+    request::Tier,
+    version::{EngineSpec, ModelSpec},
+};
+use radishpin_protocol::{engine::stable_hash, prelude::*};
+use std::net::SocketAddr;
+
+/// Loads that the weight store serves at full speed; beyond, each takes longer in proportion.
+pub(super) const FULL_SPEED_LOADS: u32 = 4;
+/// Cost of an endpoint in another availability zone, in shares of its places.
+const OTHER_ZONE_COST: f32 = 0.02;
+/// Cost of an endpoint without the request's adapter.
+const NO_ADAPTER_COST: f32 = 0.3;
+/// Cost of an endpoint all of whose recent requests failed.
+const FAILING_COST: f32 = 2.0;
+/// Places of an endpoint that its load may reach, in shares, by whether a request is urgent.
+const LOAD_MAX_URGENT: f32 = 1.5;
+const LOAD_MAX: f32 = 1.1;
+/// Longest time that a request waits for an adapter.
+const ADAPTER_WAIT_MAX: Duration = Duration::from_millis(1_500);
+/// From the end of a load to the first token.
+const FIRST_TOKEN: Duration = Duration::from_millis(100);
+/// Step in which estimates are compared, so that gateways with nearly the same view agree.
+const ESTIMATE_STEP_MS: u128 = 100;
+/// Added to the estimate of an endpoint where no model can make room.
+const NO_ROOM: Duration = Duration::from_secs(10);
+/// Time in which places of a loaded endpoint come free.
+const BUSY_RETRY: Duration = Duration::from_millis(700);
+/// Time in which an endpoint comes back, or another one is found.
+const ABSENT_RETRY: Duration = Duration::from_millis(1_000);
+
+/// A request that needs an endpoint.
+#[derive(Clone, Debug)]
+pub struct PickQuery<'a> {
+    /// Service that it goes to.
+    pub service: &'a str,
+    /// Model and adapter that it needs; `None` for a plain service.
+    pub target: Option<(&'a str, Option<&'a str>)>,
+    /// Rank; 0 is the most urgent.
+    pub priority: u8,
+    /// Time left to its deadline.
+    pub remaining: Duration,
+    /// Time for which it has waited.
+    pub waited: Duration,
+    /// Endpoints that it was sent to before.
+    pub tried: &'a BTreeSet<EndpointId>,
+    /// Random word that spreads callers that are told to come back.
+    pub random: u64,
+}
+
+/// Where a request goes.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Pick {
+    /// To this endpoint; it counts as begun there.
+    Send {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// Where it takes requests.
+        address: SocketAddr,
+        /// Requests that it runs or queues, by the newest word.
+        load: u32,
+    },
+    /// It waits for a load.
+    Wait(Wait),
+    /// It cannot be served in time; it has not run.
+    Refuse(Refusal),
+}
+
+/// A wait for a load.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Wait {
+    /// Endpoint that loads.
+    pub endpoint: EndpointId,
+    /// Time until it serves, by estimate.
+    pub estimate: Duration,
+}
+
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RefusalReason {
+    /// The service has no endpoint that can be reached.
+    NoEndpoint,
+    /// The endpoints that could serve it have no place.
+    Busy,
+    /// A load would come too late.
+    LoadTooLate,
+    /// No endpoint can load the model.
+    NoLoader,
+    /// The service does not offer the model.
+    UnknownModel,
+}
+
+impl RefusalReason {
+    /// Name for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NoEndpoint => "no_endpoint",
+            Self::Busy => "busy",
+            Self::LoadTooLate => "load_too_late",
+            Self::NoLoader => "no_loader",
+            Self::UnknownModel => "unknown_model",
+        }
+    }
+}
+
+/// A refusal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: RefusalReason,
+    /// When the caller may come back.
+    pub retry_after: Duration,
+}
+
+impl Refusal {
+    fn new(reason: RefusalReason, base: Duration, random: u64) -> Self {
+        /// Share of the base over which callers are spread, as a divisor.
+        const SPREAD_DIVISOR: u64 = 2;
+        let base_ms = u64::try_from(base.as_millis()).unwrap_or(u64::MAX);
+        let spread_ms = random % (base_ms / SPREAD_DIVISOR).max(1);
+        Self {
+            reason,
+            retry_after: base + Duration::from_millis(spread_ms),
+        }
+    }
+}
+
+impl Fleet {
+    /// Finds where a request goes; one that is sent counts as begun at its endpoint.
+    pub fn pick(&mut self, query: &PickQuery<'_>, now: Duration) -> Pick {
+        let best = self.best_holder(query, now);
+        let Some((endpoint, cost)) = best else {
+            return self.pick_without_holder(query, now);
+        };
+        let load_max = if query.priority == 0 { LOAD_MAX_URGENT } else { LOAD_MAX };
+        if cost.load_share >= load_max {
+            return Pick::Refuse(Refusal::new(RefusalReason::Busy, BUSY_RETRY, query.random));
+        }
+        if let Some((model, Some(adapter))) = query.target
+            && !cost.has_adapter
+        {
+            return self.pick_adapter(query, model, adapter, endpoint, now);
+        }
+        self.send(endpoint, query)
+    }
+
+    fn send(&mut self, id: EndpointId, query: &PickQuery<'_>) -> Pick {
+        let Some(endpoint) = self.endpoints.get_mut(&id) else {
+            return Pick::Refuse(Refusal::new(
+                RefusalReason::NoEndpoint,
+                ABSENT_RETRY,
+                query.random,
+            ));
+        };
+        let load = endpoint.load();
+        endpoint.begin_request(query.target);
+        Pick::Send {
+            endpoint: id,
+            address: endpoint.entry.address,
+            load,
+        }
+    }
+
+    fn best_holder(&self, query: &PickQuery<'_>, now: Duration) -> Option<(EndpointId, Cost)> {
+        let open = self.endpoints.iter().filter(|(id, endpoint)| {
+            endpoint.entry.service == query.service
+                && endpoint.is_open(now)
+                && !query.tried.contains(*id)
+                && query.target.is_none_or(|(model, _)| endpoint.serves(model))
+        });
+        let costs = open.map(|(id, endpoint)| (id, self.cost(id, endpoint, query)));
+        let best = costs.min_by(|(_, a), (_, b)| a.total.total_cmp(&b.total))?;
+        Some((best.0.clone(), best.1))
+    }
+
+    fn cost(&self, id: &str, endpoint: &Endpoint, query: &PickQuery<'_>) -> Cost {
+        let places = endpoint.entry.slots.max(1) as f32;
+        let load_share = endpoint.load() as f32 / places;
+        let mut total = load_share + endpoint.failure_share() * FAILING_COST;
+        if endpoint.entry.zone != self.availability_zone {
+            total += OTHER_ZONE_COST;
+        }
+        let mut has_adapter = true;
+        if let Some((model, Some(adapter))) = query.target {
+            has_adapter = endpoint.has_adapter(model, adapter);
+            if !has_adapter {
+                // The same endpoint for each request of an adapter, where loads are alike.
+                let spread = rendezvous(adapter, id) as f32 / u64::MAX as f32;
+                total += NO_ADAPTER_COST * (1.0 + spread);
+            }
+        }
+        Cost {
+            total,
+            load_share,
+            has_adapter,
+        }
+    }
+
+    fn pick_adapter(
+        &mut self,
+        query: &PickQuery<'_>,
+        model: &str,
+        adapter: &str,
+        endpoint: EndpointId,
+        now: Duration,
+    ) -> Pick {
+        let linked = |fleet: &Self, id: &str| {
+            let endpoint = fleet.endpoints.get(id);
+            endpoint.is_some_and(|e| e.takes_loads() && e.serves(model) && e.is_open(now))
+        };
+        let target = (model.to_owned(), Some(adapter.to_owned()));
+        let assigned = self.waits.get(&target).map(|wait| wait.endpoint.clone());
+        let endpoint = match assigned {
+            Some(assigned) if linked(self, &assigned) => assigned,
+            _ => endpoint,
+        };
+        if query.waited >= ADAPTER_WAIT_MAX || !linked(self, &endpoint) {
+            let reason = RefusalReason::NoLoader;
+            return Pick::Refuse(Refusal::new(reason, ABSENT_RETRY, query.random));
+        }
+        self.assign(target, &endpoint);
+        Pick::Wait(Wait {
+            endpoint,
+            estimate: Duration::ZERO,
+        })
+    }
+
+    fn pick_without_holder(&mut self, query: &PickQuery<'_>, now: Duration) -> Pick {
+        let refuse = |reason, base| Pick::Refuse(Refusal::new(reason, base, query.random));
+        let Some((model, adapter)) = query.target else {
+            return self.pick_suspected(query);
+        };
+        let service = self.catalog.services.get(query.service);
+        let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
+            return self.pick_suspected(query);
+        };
+        let Some(spec) = engine.models.get(model) else {
+            return refuse(RefusalReason::UnknownModel, ABSENT_RETRY);
+        };
+        let target = (model.to_owned(), adapter.map(str::to_owned));
+        let assigned = self.waits.get(&target).map(|wait| wait.endpoint.clone());
+        let kept = assigned.and_then(|id| {
+            let estimate = self.load_estimate(&id, query.service, model, spec, engine, now)?;
+            Some((id, estimate))
+        });
+        let best = kept.or_else(|| self.best_loader(query.service, model, spec, engine, &[], now));
+        let Some((endpoint, estimate)) = best else {
+            return refuse(RefusalReason::NoLoader, ABSENT_RETRY);
+        };
+        let needed = estimate + FIRST_TOKEN;
+        if needed > query.remaining {
+            return refuse(RefusalReason::LoadTooLate, estimate.min(ABSENT_RETRY * 3));
+        }
+        self.assign(target, &endpoint);
+        Pick::Wait(Wait { endpoint, estimate })
+    }
+
+    fn assign(&mut self, target: super::Target, endpoint: &str) {
+        if let Some(WaitEntry { endpoint: known, .. }) = self.waits.get_mut(&target)
+            && known != endpoint
+        {
+            endpoint.clone_into(known);
+        }
+    }
+
+    /// A plain service none of whose endpoints is open: one that is only suspected is better than none.
+    fn pick_suspected(&mut self, query: &PickQuery<'_>) -> Pick {
+        let listed = self.endpoints.iter().filter(|(id, endpoint)| {
+            endpoint.entry.service == query.service
+                && endpoint.entry.phase == crate::process::EndpointPhase::Ready
+                && !query.tried.contains(*id)
+        });
+        let costs = listed.map(|(id, endpoint)| (id, self.cost(id, endpoint, query).total));
+        let best = costs.min_by(|(_, a), (_, b)| a.total_cmp(b));
+        match best.map(|(id, _)| id.clone()) {
+            Some(id) => self.send(id, query),
+            None => Pick::Refuse(Refusal::new(
+                RefusalReason::NoEndpoint,
+                ABSENT_RETRY,
+                query.random,
+            )),
+        }
+    }
+
+    /// The endpoint that would serve a model soonest, but for those in `passed_over`.
+    pub(super) fn best_loader(
+        &self,
+        service: &str,
+        model: &str,
+        spec: &ModelSpec,
+        engine: &EngineSpec,
+        passed_over: &[EndpointId],
+        now: Duration,
+    ) -> Option<(EndpointId, Duration)> {
+        let candidates = self.endpoints.keys().filter(|id| !passed_over.contains(id));
+        let estimates = candidates.filter_map(|id| {
+            let estimate = self.load_estimate(id, service, model, spec, engine, now)?;
+            let step = estimate.as_millis() / ESTIMATE_STEP_MS;
+            Some((step, rendezvous(model, id), id, estimate))
+        });
+        let (_, _, id, estimate) = estimates.min()?;
+        Some((id.clone(), estimate))
+    }
+
+    /// Time until an endpoint would serve a model that it lacks; `None` where it can't load.
+    fn load_estimate(
+        &self,
+        id: &str,
+        service: &str,
+        model: &str,
+        spec: &ModelSpec,
+        engine: &EngineSpec,
+        now: Duration,
+    ) -> Option<Duration> {
+        let endpoint = self.endpoints.get(id)?;
+        let can_load = endpoint.takes_loads()
+            && endpoint.is_open(now)
+            && endpoint.entry.service == service;
+        if !can_load {
+            return None;
+        }
+        let status = endpoint.status.as_ref()?;
+        if let Some(loading) = &status.loading
+            && loading.model == model
+        {
+            return Some(Duration::from_millis(loading.remaining_ms));
+        }
+        let queue = Duration::from_millis(status.queue_ms);
+        if status.queue.iter().any(|queued| queued == model) {
+            return Some(queue);
+        }
+        let tier = status.tier(model);
+        let load = spec.load_time(tier).mul_f64(self.store_pressure(tier));
+        Some(queue + load + self.room_time(id, endpoint, spec, engine, now))
+    }
+
+    /// How much longer one more load takes under the present use of the weight store.
+    fn store_pressure(&self, tier: Tier) -> f64 {
+        if tier != Tier::Remote {
+            return 1.0;
+        }
+        let loads = self.store_loads() + 1;
+        (f64::from(loads) / f64::from(FULL_SPEED_LOADS)).max(1.0)
+    }
+
+    /// Loads from the weight store in progress.
+    pub(super) fn store_loads(&self) -> u32 {
+        let statuses = self.endpoints.values().filter_map(|e| e.status.as_ref());
+        let loads = statuses.filter_map(|status| status.loading.as_ref());
+        let count = loads.filter(|loading| loading.tier == Tier::Remote).count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
+    /// Time to make room, with the requests that miss the model that goes counted in.
+    fn room_time(
+        &self,
+        id: &str,
+        endpoint: &Endpoint,
+        spec: &ModelSpec,
+        engine: &EngineSpec,
+        now: Duration,
+    ) -> Duration {
+        let weights = |model: &ModelId| engine.models.get(model).map_or(0, |m| m.weights_mb);
+        let used: SizeMb = endpoint.held_models().map(weights).sum();
+        if engine.memory_mb.saturating_sub(used) >= spec.weights_mb {
+            return Duration::ZERO;
+        }
+        let losses = endpoint.held_models().filter_map(|model| {
+            let kept = self.kept.contains(&(id.to_owned(), model.clone()));
+            let per_s = self.rates.get(model).map_or(0.0, |rate| rate.per_s(now));
+            (!kept).then(|| self.loss_per_s(model, per_s))
+        });
+        match losses.min_by(f32::total_cmp) {
+            Some(loss_per_s) => MAKE_ROOM + Duration::from_secs_f32(loss_per_s),
+            None => NO_ROOM,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Cost {
+    total: f32,
+    load_share: f32,
+    has_adapter: bool,
+}
+
+/// A weight that all gateways compute alike, to spread targets over endpoints.
+pub(super) fn rendezvous(target: &str, endpoint: &str) -> u64 {
+    let mut bytes = Vec::with_capacity(target.len() + endpoint.len() + 1);
+    bytes.extend_from_slice(target.as_bytes());
+    bytes.push(0);
+    bytes.extend_from_slice(endpoint.as_bytes());
+    // FNV leaves the high bits of short texts alike; this spreads them.
+    let hash = stable_hash(&bytes);
+    let hash = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    let hash = (hash ^ (hash >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    hash ^ (hash >> 33)
+}
--- /dev/null
+++ b/crates/radishpin-core/src/process/fleet/plan.rs
@@ -0,0 +1,170 @@
+//! Which replicas the load needs, and which weights are copied ahead of demand.
+
+use super::{
+    Fleet,
+    pick::{FULL_SPEED_LOADS, rendezvous},
+};
+use crate::{
+    process::{Demand, DemandReason, Status},
+    version::EngineSpec,
+};
+use radishpin_protocol::prelude::*;
+use std::sync::Arc;
+
+/// Requests a second from which a model is kept loaded on as many endpoints as its load needs.
+const BUSY_PER_S: f32 = 0.5;
+/// Share of an endpoint's places that one busy model is meant to take.
+const PLACES_PER_MODEL: f32 = 0.5;
+/// Replicas of a busy model beyond those that its load needs: one endpoint may be lost.
+const SPARE_REPLICAS: usize = 1;
+/// Weight of a replica among others: the loss of one of several is no loss at once.
+const REDUNDANT_WEIGHT: f32 = 0.1;
+
+impl Fleet {
+    /// Renews which replicas are kept, and what sidecars are asked to load ahead of callers.
+    pub fn plan(&mut self, now: Duration) {
+        self.planned.clear();
+        self.kept.clear();
+        let catalog = Arc::clone(&self.catalog);
+        for (name, service) in &catalog.services {
+            if let Some(engine) = &service.engine {
+                self.plan_service(name, engine, now);
+            }
+        }
+    }
+
+    fn plan_service(&mut self, service: &str, engine: &EngineSpec, now: Duration) {
+        for (model, per_s) in self.demand(service, now) {
+            if per_s >= BUSY_PER_S && engine.models.contains_key(&model) {
+                self.plan_replicas(service, engine, &model, per_s, now);
+            }
+        }
+        self.plan_prefetch(service, engine);
+    }
+
+    /// Requests a second for each model, over all gateways as far as is known.
+    fn demand(&self, service: &str, now: Duration) -> BTreeMap<ModelId, f32> {
+        let own = self.rates.iter().map(|(model, rate)| (model.clone(), rate.per_s(now)));
+        let mut demand: BTreeMap<ModelId, f32> = own.collect();
+        for (_, status) in self.statuses(service) {
+            for (model, held) in &status.models {
+                let per_s = demand.entry(model.clone()).or_default();
+                *per_s = per_s.max(held.per_s);
+            }
+        }
+        demand
+    }
+
+    fn statuses<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = (&'a EndpointId, &'a Status)> {
+        self.endpoints.iter().filter_map(move |(id, endpoint)| {
+            let usable = endpoint.entry.service == service && endpoint.takes_loads();
+            let status = endpoint.status.as_ref()?;
+            usable.then_some((id, status))
+        })
+    }
+
+    fn plan_replicas(
+        &mut self,
+        service: &str,
+        engine: &EngineSpec,
+        model: &ModelId,
+        per_s: f32,
+        now: Duration,
+    ) {
+        let duration_s = self.rates.get(model).copied().unwrap_or_default().duration_s();
+        let places = (engine.slots.max(1) as f32) * PLACES_PER_MODEL;
+        let by_load = (per_s * duration_s / places).ceil().max(1.0) as usize;
+        let needed = by_load + SPARE_REPLICAS;
+        let mut holders = Vec::new();
+        let mut coming = 0;
+        for (id, status) in self.statuses(service) {
+            if status.models.get(model).is_some_and(|held| !held.leaving) {
+                holders.push(id.clone());
+            } else if status.loading.as_ref().is_some_and(|load| &load.model == model) {
+                coming += 1;
+            }
+        }
+        holders.sort_by_key(|id| rendezvous(model, id));
+        for id in holders.iter().take(needed) {
+            self.kept.insert((id.clone(), model.clone()));
+        }
+        if holders.len() + coming < needed {
+            self.plan_replica(service, engine, model, &holders, now);
+        }
+    }
+
+    fn plan_replica(
+        &mut self,
+        service: &str,
+        engine: &EngineSpec,
+        model: &ModelId,
+        holders: &[EndpointId],
+        now: Duration,
+    ) {
+        let Some(spec) = engine.models.get(model) else {
+            return;
+        };
+        let best = self.best_loader(service, model, spec, engine, holders, now);
+        let Some((endpoint, _)) = best else {
+            return;
+        };
+        self.planned.entry(endpoint).or_default().push(Demand {
+            model: model.clone(),
+            adapter: None,
+            reason: DemandReason::Replica,
+            waiting: 0,
+        });
+    }
+
+    /// Has idle endpoints copy weights that no endpoint has at hand, within what the weight store
+    /// serves at full speed. All gateways come to the same list.
+    fn plan_prefetch(&mut self, service: &str, engine: &EngineSpec) {
+        let mut at_hand: BTreeSet<&ModelId> = BTreeSet::new();
+        let mut idle: Vec<EndpointId> = Vec::new();
+        let mut engines = 0;
+        for (id, status) in self.statuses(service) {
+            engines += 1;
+            at_hand.extend(status.models.keys());
+            at_hand.extend(&status.in_memory);
+            at_hand.extend(&status.on_disk);
+            at_hand.extend(status.loading.iter().map(|loading| &loading.model));
+            if status.loading.is_none() && !status.busy && status.queue.is_empty() {
+                idle.push(id.clone());
+            }
+        }
+        let mut missing: Vec<&ModelId> = engine
+            .models
+            .keys()
+            .filter(|model| !at_hand.contains(model))
+            .collect();
+        missing.sort_by_key(|model| rendezvous(model, ""));
+        let allowed = FULL_SPEED_LOADS.min(engines / 2 + 1);
+        let free_loads = allowed.saturating_sub(self.store_loads()) as usize;
+        idle.sort_by_key(|id| rendezvous("", id));
+        let pairs: Vec<(EndpointId, ModelId)> = idle
+            .into_iter()
+            .zip(missing.into_iter().cloned())
+            .take(free_loads)
+            .collect();
+        for (endpoint, model) in pairs {
+            self.planned.entry(endpoint).or_default().push(Demand {
+                model,
+                adapter: None,
+                reason: DemandReason::Prefetch,
+                waiting: 0,
+            });
+        }
+    }
+
+    /// Requests a second that would find no replica if one of a model's replicas went.
+    pub(super) fn loss_per_s(&self, model: &str, per_s: f32) -> f32 {
+        let holders = self.endpoints.values().filter(|e| e.serves(model)).count();
+        match holders {
+            0 | 1 => per_s,
+            _ => per_s * REDUNDANT_WEIGHT / holders as f32,
+        }
+    }
+}
--- /dev/null
+++ b/crates/radishpin-core/src/process/residency.rs
@@ -0,0 +1,525 @@
+//! Which models and adapters a sidecar has its engine hold.
+//!
+//! The sidecar beside an engine is the only sender of orders to it. Gateways tell it what their
+//! callers wait for; it decides what is loaded next and what makes room. Every order names the
+//! count of orders that the engine must have accepted before, so that of two orders with the same
+//! count at most one takes effect, however late the other one arrives.
+
+mod exchange;
+mod queue;
+mod victim;
+
+pub use exchange::{
+    Demand, DemandReason, GatewayReport, LoadStatus, ModelStatus, ModelUsage, Status,
+};
+
+pub(crate) use queue::MAKE_ROOM;
+
+use crate::{process::HeldModel, request::Tier, version::EngineSpec};
+use radishpin_protocol::{UnixMs, prelude::*};
+use std::sync::Arc;
+
+/// Age at which a gateway's report no longer counts: the gateway is gone or cut off.
+pub const GATEWAY_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Longest wait for the calls of a model before its unload is ordered all the same.
+const LEAVE_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long an order without an answer may still take effect.
+const LATE_ORDER_LIFE: Duration = Duration::from_secs(13);
+/// Pause after an order was refused, so that the cause can pass.
+const REFUSED_PAUSE: Duration = Duration::from_millis(100);
+
+/// What an engine reports of itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EndpointReport {
+    /// Models that it holds.
+    pub models: BTreeMap<ModelId, HeldModel>,
+    /// Whether it carries out an order on a model.
+    pub busy: bool,
+    /// Orders that it has accepted since its start.
+    pub sequence: u64,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that run.
+    pub running: u32,
+    /// Unix time of its start in milliseconds.
+    pub started_unix_ms: UnixMs,
+    /// Models whose weights lie in the host's memory.
+    pub in_memory: BTreeSet<ModelId>,
+    /// Models whose weights lie on the host's disk.
+    pub on_disk: BTreeSet<ModelId>,
+    /// Adapters on their way to it.
+    pub arriving_adapters: BTreeSet<(ModelId, AdapterId)>,
+}
+
+/// What an order is about.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Load a model.
+    Load(ModelId),
+    /// Unload a model.
+    Unload(ModelId),
+    /// Load an adapter of a model that is held.
+    LoadAdapter(ModelId, AdapterId),
+    /// Unload an adapter.
+    UnloadAdapter(ModelId, AdapterId),
+}
+
+/// How an order was answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Settled {
+    /// The engine carries it out.
+    Accepted,
+    /// It already holds.
+    Unneeded,
+    /// The engine refused it; it has no effect.
+    Refused,
+    /// No answer: it may have been accepted, or may take effect later.
+    Unknown,
+}
+
+/// The sidecars' shares of the loads that the weight store allows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StoreLoadShare {
+    /// Shortest time between two loads from the store by one sidecar.
+    pub gap: Duration,
+}
+
+impl StoreLoadShare {
+    /// The share where `engines` sidecars together may begin `loads_per_s` in each `window`.
+    pub fn new(engines: u32, loads_per_s: f64, window: Duration) -> Self {
+        let allowed = (loads_per_s * window.as_secs_f64()).max(1.0);
+        let windows = (f64::from(engines) / allowed).ceil().max(1.0);
+        Self {
+            gap: window.mul_f64(windows),
+        }
+    }
+}
+
+/// A load in progress.
+#[derive(Clone, Debug)]
+struct Loading {
+    model: ModelId,
+    tier: Tier,
+    expected_end: Duration,
+}
+
+/// A model that is about to be unloaded: gateways send it no more requests.
+#[derive(Clone, Debug)]
+struct Leaving {
+    model: ModelId,
+    since: Duration,
+    status_version: u64,
+}
+
+/// An order without an answer, for an engine that may have restarted since.
+#[derive(Clone, Debug)]
+struct LateOrder {
+    weights_mb: SizeMb,
+    adapters: usize,
+    engine_started_unix_ms: UnixMs,
+    until: Duration,
+}
+
+#[derive(Clone, Debug)]
+struct Heard {
+    report: GatewayReport,
+    at: Duration,
+}
+
+/// The models of one engine.
+#[derive(Clone, Debug)]
+pub struct Residency {
+    spec: Option<Arc<EngineSpec>>,
+    report: Option<EndpointReport>,
+    gateways: BTreeMap<NodeId, Heard>,
+    wanted_since: BTreeMap<ModelId, Duration>,
+    held_since: BTreeMap<ModelId, Duration>,
+    adapter_used: BTreeMap<(ModelId, AdapterId), Duration>,
+    loading: Option<Loading>,
+    leaving: Option<Leaving>,
+    late: Vec<LateOrder>,
+    unknown: Option<(Action, u64)>,
+    paused_until: Duration,
+    adapters_paused_until: Duration,
+    store_window: Duration,
+    next_store_load: Duration,
+    incarnation: Incarnation,
+    status_version: u64,
+}
+
+impl Residency {
+    /// The state at the start of a sidecar. `store_load_after` is the earliest time of a load from
+    /// the weight store: an earlier life of the sidecar may just have begun one.
+    pub fn new(incarnation: Incarnation, store_load_after: Duration) -> Self {
+        Self {
+            spec: None,
+            report: None,
+            gateways: BTreeMap::new(),
+            wanted_since: BTreeMap::new(),
+            held_since: BTreeMap::new(),
+            adapter_used: BTreeMap::new(),
+            loading: None,
+            leaving: None,
+            late: Vec::new(),
+            unknown: None,
+            paused_until: Duration::ZERO,
+            adapters_paused_until: Duration::ZERO,
+            store_window: Duration::ZERO,
+            next_store_load: store_load_after,
+            incarnation,
+            status_version: 1,
+        }
+    }
+
+    /// Takes in the engine's part of a configuration, and the window in which loads from the
+    /// weight store are counted.
+    pub fn configure(&mut self, spec: EngineSpec, store_window: Duration) {
+        self.spec = Some(Arc::new(spec));
+        self.store_window = store_window;
+    }
+
+    /// The endpoint that gateways take the engine for, by the newest word.
+    pub fn endpoint(&self) -> Option<&EndpointId> {
+        let newest = self.gateways.values().max_by_key(|heard| heard.at)?;
+        Some(&newest.report.endpoint)
+    }
+
+    /// Shortest time between two of this sidecar's loads from the weight store.
+    fn store_gap(&self) -> Duration {
+        let engines = self.gateways.values().map(|heard| heard.report.engines).max();
+        let engines = engines.unwrap_or(1).max(1);
+        let loads_per_s = self.spec.as_ref().map_or(0.0, |spec| spec.store_loads_per_s);
+        StoreLoadShare::new(engines, loads_per_s, self.store_window).gap
+    }
+
+    /// Whether a configuration is known.
+    pub fn is_configured(&self) -> bool {
+        self.spec.is_some()
+    }
+
+    /// Records that the engine could not be reached.
+    pub fn engine_lost(&mut self) {
+        if self.report.take().is_some() {
+            self.status_version += 1;
+        }
+        self.loading = None;
+        self.leaving = None;
+    }
+
+    /// Takes in a report that was read at `now`.
+    pub fn observe(&mut self, report: EndpointReport, now: Duration) {
+        let before = self.report.as_ref();
+        let restarted =
+            before.is_some_and(|before| before.started_unix_ms != report.started_unix_ms);
+        if restarted {
+            self.loading = None;
+            self.leaving = None;
+            self.held_since.clear();
+        }
+        if !report.busy {
+            self.loading = None;
+        }
+        let changed = before.is_none_or(|before| {
+            before.models != report.models
+                || before.busy != report.busy
+                || before.on_disk != report.on_disk
+                || before.started_unix_ms != report.started_unix_ms
+        });
+        self.held_since
+            .retain(|model, _| report.models.contains_key(model));
+        for model in report.models.keys() {
+            self.held_since.entry(model.clone()).or_insert(now);
+        }
+        if let Some(leaving) = &self.leaving
+            && !report.models.contains_key(&leaving.model)
+        {
+            self.leaving = None;
+        }
+        self.late.retain(|order| order.until > now);
+        let took_effect = self.unknown.take_if(|(_, sequence)| report.sequence > *sequence);
+        self.report = Some(report);
+        if let Some((action, _)) = took_effect {
+            self.begin(&action, now);
+        }
+        if changed {
+            self.status_version += 1;
+        }
+    }
+
+    /// Takes in a gateway's report; returns whether it wants something that the last one did not.
+    pub fn heard(&mut self, report: GatewayReport, now: Duration) -> bool {
+        let known = self.gateways.get(&report.gateway);
+        if known.is_some_and(|known| {
+            known.report.incarnation == report.incarnation
+                && known.report.sequence >= report.sequence
+        }) {
+            return false;
+        }
+        let old: BTreeSet<&Demand> = known
+            .map(|known| known.report.demands.iter().collect())
+            .unwrap_or_default();
+        let news = report.demands.iter().any(|demand| !old.contains(demand));
+        for demand in &report.demands {
+            self.wanted_since.entry(demand.model.clone()).or_insert(now);
+            if let Some(adapter) = &demand.adapter {
+                let key = (demand.model.clone(), adapter.clone());
+                self.adapter_used.insert(key, now);
+            }
+        }
+        for (model, usage) in &report.usage {
+            for adapter in &usage.adapters {
+                let key = (model.clone(), adapter.clone());
+                self.adapter_used.insert(key, now);
+            }
+        }
+        let gateway = report.gateway.clone();
+        self.gateways.insert(gateway, Heard { report, at: now });
+        news || self.leaving.is_some()
+    }
+
+    /// Forgets gateways that fell silent, and what only they waited for.
+    fn expire(&mut self, now: Duration) {
+        let live = |heard: &Heard| now.saturating_sub(heard.at) < GATEWAY_TIMEOUT;
+        self.gateways.retain(|_, heard| live(heard));
+        let wanted: BTreeSet<&ModelId> = self
+            .gateways
+            .values()
+            .flat_map(|heard| heard.report.demands.iter().map(|demand| &demand.model))
+            .collect();
+        self.wanted_since.retain(|model, _| wanted.contains(model));
+    }
+
+    /// The next order, with the count that it must name; `None` where nothing is to be done now.
+    pub fn decide(&mut self, now: Duration) -> Option<(Action, u64)> {
+        self.expire(now);
+        let spec = Arc::clone(self.spec.as_ref()?);
+        let sequence = self.report.as_ref()?.sequence;
+        if now >= self.adapters_paused_until
+            && let Some(action) = self.adapter_action(&spec)
+        {
+            return Some((action, sequence));
+        }
+        if now < self.paused_until || self.report.as_ref()?.busy {
+            return None;
+        }
+        let action = self.model_action(&spec, now)?;
+        Some((action, sequence))
+    }
+
+    fn model_action(&mut self, spec: &EngineSpec, now: Duration) -> Option<Action> {
+        let Some(next) = self.next_load(spec, now) else {
+            self.cancel_leaving();
+            return None;
+        };
+        let weights_mb = spec.models.get(&next.model)?.weights_mb;
+        if self.free_mb(spec) >= weights_mb {
+            self.cancel_leaving();
+            return Some(Action::Load(next.model));
+        }
+        if self.leaving.is_none() {
+            let victim = self.choose_victim(&next, now)?;
+            self.status_version += 1;
+            self.leaving = Some(Leaving {
+                model: victim,
+                since: now,
+                status_version: self.status_version,
+            });
+        }
+        let leaving = self.leaving.as_ref()?;
+        let patience_over = now.saturating_sub(leaving.since) >= LEAVE_TIMEOUT;
+        if self.is_idle_everywhere(leaving) || patience_over {
+            return Some(Action::Unload(leaving.model.clone()));
+        }
+        None
+    }
+
+    fn cancel_leaving(&mut self) {
+        if self.leaving.take().is_some() {
+            self.status_version += 1;
+        }
+    }
+
+    /// Whether each gateway knows that the model leaves and has no request at it.
+    fn is_idle_everywhere(&self, leaving: &Leaving) -> bool {
+        self.gateways.values().all(|heard| {
+            let usage = heard.report.usage.get(&leaving.model);
+            let knows = heard.report.seen_incarnation == self.incarnation
+                && heard.report.seen_version >= leaving.status_version;
+            knows && usage.is_none_or(|usage| usage.active == 0)
+        })
+    }
+
+    /// Memory that is free, with what an unanswered order may still take at a restarted engine.
+    fn free_mb(&self, spec: &EngineSpec) -> SizeMb {
+        let Some(report) = &self.report else {
+            return 0;
+        };
+        let mut used: SizeMb = 0;
+        for (model, held) in &report.models {
+            let Some(model) = spec.models.get(model) else {
+                continue;
+            };
+            let adapters = SizeMb::try_from(held.adapters.len()).unwrap_or(SizeMb::MAX);
+            let adapters_mb = model.adapter_mb.saturating_mul(adapters);
+            used = used.saturating_add(model.weights_mb.saturating_add(adapters_mb));
+        }
+        for (model, _) in &report.arriving_adapters {
+            let adapter_mb = spec.models.get(model).map_or(0, |model| model.adapter_mb);
+            used = used.saturating_add(adapter_mb);
+        }
+        let late = self.late_orders(report);
+        used = late.fold(used, |used, order| used.saturating_add(order.weights_mb));
+        spec.memory_mb.saturating_sub(used)
+    }
+
+    fn late_orders<'a>(
+        &'a self,
+        report: &'a EndpointReport,
+    ) -> impl Iterator<Item = &'a LateOrder> {
+        // At the engine that got it, a late order loses against any order with its count.
+        self.late
+            .iter()
+            .filter(|order| order.engine_started_unix_ms != report.started_unix_ms)
+    }
+
+    /// Records what came of an order that [`Self::decide`] returned.
+    pub fn settle(&mut self, action: &Action, settled: Settled, now: Duration) {
+        let is_adapter = matches!(
+            action,
+            Action::LoadAdapter(..) | Action::UnloadAdapter(..)
+        );
+        match settled {
+            Settled::Accepted => self.begin(action, now),
+            Settled::Unneeded => {}
+            Settled::Refused if is_adapter => self.adapters_paused_until = now + REFUSED_PAUSE,
+            Settled::Refused => self.paused_until = now + REFUSED_PAUSE,
+            Settled::Unknown => self.remember_late(action, now),
+        }
+    }
+
+    fn begin(&mut self, action: &Action, now: Duration) {
+        let Action::Load(model) = action else {
+            return;
+        };
+        let tier = self.tier(model);
+        let spec = self.spec.as_ref().and_then(|spec| spec.models.get(model));
+        let expected = spec.map_or(Duration::ZERO, |spec| spec.load_time(tier));
+        if tier == Tier::Remote {
+            self.next_store_load = now + self.store_gap();
+        }
+        self.loading = Some(Loading {
+            model: model.clone(),
+            tier,
+            expected_end: now + expected,
+        });
+        self.status_version += 1;
+    }
+
+    fn remember_late(&mut self, action: &Action, now: Duration) {
+        let (weights_mb, adapters) = match action {
+            Action::Load(model) => (self.model_mb(model), 0),
+            Action::LoadAdapter(..) => (0, 1),
+            Action::Unload(_) | Action::UnloadAdapter(..) => return,
+        };
+        if let Action::Load(model) = action
+            && self.tier(model) == Tier::Remote
+        {
+            self.next_store_load = now + self.store_gap();
+        }
+        let Some(report) = &self.report else {
+            return;
+        };
+        self.unknown = Some((action.clone(), report.sequence));
+        self.late.push(LateOrder {
+            weights_mb,
+            adapters,
+            engine_started_unix_ms: report.started_unix_ms,
+            until: now + LATE_ORDER_LIFE,
+        });
+    }
+
+    fn model_mb(&self, model: &str) -> SizeMb {
+        let spec = self.spec.as_ref().and_then(|spec| spec.models.get(model));
+        spec.map_or(0, |spec| spec.weights_mb)
+    }
+
+    /// Where the weights of a model are nearest to the engine.
+    fn tier(&self, model: &str) -> Tier {
+        match &self.report {
+            Some(report) if report.in_memory.contains(model) => Tier::Memory,
+            Some(report) if report.on_disk.contains(model) => Tier::Disk,
+            _ => Tier::Remote,
+        }
+    }
+
+    /// What gateways learn.
+    pub fn status(&self, now: Duration) -> Status {
+        let Some(report) = &self.report else {
+            return Status {
+                incarnation: self.incarnation,
+                version: self.status_version,
+                ..Status::default()
+            };
+        };
+        let models = report.models.iter().map(|(model, held)| {
+            let status = ModelStatus {
+                adapters: held.adapters.clone(),
+                leaving: self.is_leaving(model),
+                per_s: self.demand_per_s(model),
+            };
+            (model.clone(), status)
+        });
+        let loading = self.loading.as_ref().map(|loading| LoadStatus {
+            model: loading.model.clone(),
+            tier: loading.tier,
+            remaining_ms: millis(loading.expected_end.saturating_sub(now)),
+        });
+        let queue = self.queued(now);
+        Status {
+            incarnation: self.incarnation,
+            version: self.status_version,
+            engine_up: true,
+            engine_started_unix_ms: report.started_unix_ms,
+            running: report.running,
+            waiting: report.waiting,
+            models: models.collect(),
+            queue_ms: millis(self.queue_time(&queue, now)),
+            queue,
+            loading,
+            busy: report.busy,
+            in_memory: report.in_memory.clone(),
+            on_disk: report.on_disk.clone(),
+            gateways: u32::try_from(self.gateways.len()).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Whether an order or a demand is open, so that the engine is worth looking at soon.
+    pub fn is_active(&self) -> bool {
+        let busy = self.report.as_ref().is_some_and(|report| report.busy);
+        busy || self.leaving.is_some() || !self.wanted_since.is_empty()
+    }
+
+    /// Version of [`Self::status`]; grows whenever gateways should hear at once.
+    pub fn status_version(&self) -> u64 {
+        self.status_version
+    }
+
+    fn is_leaving(&self, model: &str) -> bool {
+        let leaving = self.leaving.as_ref();
+        leaving.is_some_and(|leaving| leaving.model == model)
+    }
+
+    fn usages<'a>(&'a self, model: &'a str) -> impl Iterator<Item = &'a ModelUsage> {
+        self.gateways
+            .values()
+            .filter_map(move |heard| heard.report.usage.get(model))
+    }
+
+    fn demand_per_s(&self, model: &str) -> f32 {
+        self.usages(model).map(|usage| usage.per_s).sum()
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/radishpin-core/src/process/residency/victim.rs
@@ -0,0 +1,63 @@
+//! Which model makes room for another one.
+
+use super::{DemandReason, Residency, queue::Wanted};
+use radishpin_protocol::prelude::*;
+
+/// How long a model stays at least once callers waited for it.
+const STAY_MIN: Duration = Duration::from_millis(600);
+/// How long a model stays before one that nobody waits for may take its place.
+const STAY_BEFORE_PREFETCH: Duration = Duration::from_secs(2);
+/// Requests a second from which a model doesn't make room for a prefetch.
+const PREFETCH_LOSS_MAX_PER_S: f32 = 0.5;
+
+/// Order of preference; the smallest goes first.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+struct Rank {
+    in_use: bool,
+    loss_per_s: f32,
+    held_since_s: f64,
+}
+
+impl Residency {
+    /// The model that is missed least; `None` where none may go now.
+    pub(super) fn choose_victim(&self, next: &Wanted, now: Duration) -> Option<ModelId> {
+        let report = self.report.as_ref()?;
+        let stay = match next.reason {
+            DemandReason::Waiting => STAY_MIN,
+            DemandReason::Replica | DemandReason::Prefetch => STAY_BEFORE_PREFETCH,
+        };
+        let movable = report.models.keys().filter(|model| {
+            let since = self.held_since.get(*model).copied().unwrap_or(now);
+            now.saturating_sub(since) >= stay && !self.is_needed(model)
+        });
+        let ranked = movable.map(|model| (self.rank(model), model));
+        let (rank, model) = ranked.min_by(|(a, _), (b, _)| {
+            a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal)
+        })?;
+        let prefetch = next.reason == DemandReason::Prefetch;
+        if prefetch && (rank.in_use || rank.loss_per_s > PREFETCH_LOSS_MAX_PER_S) {
+            return None;
+        }
+        Some(model.clone())
+    }
+
+    /// Whether a gateway needs this replica for the load, or its callers wait for it.
+    fn is_needed(&self, model: &str) -> bool {
+        let kept = self.usages(model).any(|usage| usage.keep);
+        let awaited = self.gateways.values().any(|heard| {
+            let demands = heard.report.demands.iter();
+            let mut awaited = demands.filter(|demand| demand.reason == DemandReason::Waiting);
+            awaited.any(|demand| demand.model == model)
+        });
+        kept || awaited
+    }
+
+    fn rank(&self, model: &str) -> Rank {
+        let held_since = self.held_since.get(model).copied().unwrap_or_default();
+        Rank {
+            in_use: self.usages(model).any(|usage| usage.active > 0),
+            loss_per_s: self.usages(model).map(|usage| usage.loss_per_s).sum(),
+            held_since_s: held_since.as_secs_f64(),
+        }
+    }
+}
--- a/crates/radishpin-core/src/request.rs
+++ b/crates/radishpin-core/src/request.rs
@@ -8,6 +8,7 @@
 mod keyed_call;
 mod load_limit;
 mod prefix_hints;
+mod prompt;
 mod retry;
 mod retry_budget;
 mod routing;
@@ -23,6 +24,7 @@
 };
 pub use load_limit::LoadLimit;
 pub use prefix_hints::{CacheEvent, PrefixHash, PrefixHints};
+pub use prompt::PromptSize;
 pub use retry::{
     AttemptOutcome, CallFacts, MAX_ATTEMPTS, RetryReason, Step, TOMBSTONE_TIMEOUT, next_step,
 };
--- a/crates/radishpin-core/src/request/routing.rs
+++ b/crates/radishpin-core/src/request/routing.rs
@@ -2,6 +2,7 @@
 
 use crate::request::estimate_wait;
 use radishpin_protocol::prelude::*;
+use serde::{Deserialize, Serialize};
 
 /// Time that a hop into another availability zone adds to a call.
 const ZONE_COST: Duration = Duration::from_millis(2);
@@ -11,6 +12,7 @@
 
 /// Where the weights of a model are nearest to an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub enum Tier {
     /// In the host's memory.
     Memory,
--- a/crates/radishpin-core/src/version.rs
+++ b/crates/radishpin-core/src/version.rs
@@ -1,9 +1,13 @@
 //! Decisions whose state lives as long as one version of the configuration.
 
+mod catalog;
 mod grants;
 mod monotone;
 mod placement;
 
+pub use catalog::{
+    CallerLimits, Catalog, EngineSpec, ModelSpec, Repetition, Route, Service, Split,
+};
 #[cfg(feature = "mutations")]
 #[doc(hidden)]
 pub use grants::plan_with_mutation;
--- /dev/null
+++ b/crates/radishpin-gateway/src/connection.rs
@@ -0,0 +1,11 @@
+//! What lives as long as a connection.
+
+mod client;
+mod link;
+mod pool;
+mod server;
+
+pub(crate) use client::{Connection, ExchangeError, get, keep_alive, post};
+pub(crate) use link::run_link;
+pub(crate) use pool::{Pool, PooledConnection};
+pub(crate) use server::{ServerLimits, listen, serve};
--- /dev/null
+++ b/crates/radishpin-gateway/src/connection/client.rs
@@ -0,0 +1,186 @@
+//! A client connection.
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
+use quick_error::quick_error;
+use radishpin_protocol::prelude::*;
+use radishpin_runtime::{Runtime, timeout};
+use smol::{Task, net::TcpStream};
+use smol_hyper::rt::FuturesIo;
+use std::{io, net::SocketAddr};
+
+/// Longest time to make a connection.
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time for which an idle connection is kept where the other side names none.
+const IDLE_DEFAULT: Duration = Duration::from_millis(700);
+/// Part of the other side's idle timeout for which a connection is kept, in tenths.
+const IDLE_TENTHS: u32 = 7;
+
+quick_error! {
+    /// Why an exchange brought no answer.
+    #[derive(Debug)]
+    #[allow(missing_docs)]
+    pub enum ExchangeError {
+        /// No connection; nothing was sent.
+        Connect(cause: io::Error) {
+            display("cannot connect: {cause}")
+            source(cause)
+        }
+        /// The connection ended before any byte of the request was written.
+        NotSent {
+            display("the connection had ended before the request was sent")
+        }
+        /// The connection failed; the other side may have the request.
+        Broken(cause: hyper::Error) {
+            display("connection failed: {cause}")
+            source(cause)
+            from()
+        }
+        /// The answer is larger than allowed, or broke off.
+        Body(cause: String) {
+            display("answer broke off: {cause}")
+        }
+    }
+}
+
+/// A connection that carries one exchange at a time. Dropping it closes the socket.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    keep_until: Duration,
+    _driver: Task<()>,
+}
+
+impl Connection {
+    /// Connects.
+    pub(crate) async fn open(runtime: &Runtime, address: SocketAddr) -> Result<Self, ExchangeError> {
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+            .await
+            .unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
+            .map_err(ExchangeError::Connect)?;
+        stream.set_nodelay(true).map_err(ExchangeError::Connect)?;
+        let (sender, connection) = http1::Builder::new()
+            .handshake(FuturesIo::new(stream))
+            .await?;
+        let driver = runtime.spawn(async move {
+            if let Err(cause) = connection.await {
+                log::debug!(event = "connection_ended", cause:% = cause; "connection ended");
+            }
+        });
+        Ok(Self {
+            sender,
+            keep_until: Duration::ZERO,
+            _driver: driver,
+        })
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, ExchangeError> {
+        if self.sender.ready().await.is_err() {
+            return Err(ExchangeError::NotSent);
+        }
+        self.sender
+            .try_send_request(request)
+            .await
+            .map_err(|mut failed| match failed.take_message() {
+                Some(_) => ExchangeError::NotSent,
+                None => ExchangeError::Broken(failed.into_error()),
+            })
+    }
+
+    /// Whether it can carry another exchange.
+    pub(crate) fn is_usable(&self, now: Duration) -> bool {
+        now < self.keep_until && !self.sender.is_closed()
+    }
+
+    /// Keeps it for another exchange, as long as the other side does; `None` for not at all.
+    pub(crate) fn keep(&mut self, keep_alive: Option<Duration>, now: Duration) {
+        self.keep_until = keep_alive.map_or(Duration::ZERO, |idle| now + idle);
+    }
+}
+
+/// For how long a connection can be kept after an answer with these headers.
+pub(crate) fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
+    let connection = headers.get(header::CONNECTION);
+    let close = connection.is_some_and(|value| {
+        value
+            .to_str()
+            .is_ok_and(|text| text.to_ascii_lowercase().contains("close"))
+    });
+    if close {
+        return None;
+    }
+    let text = headers.get("keep-alive").and_then(|value| value.to_str().ok());
+    let seconds = text.and_then(|text| {
+        let mut fields = text.split(',').map(str::trim);
+        fields.find_map(|field| field.strip_prefix("timeout=")?.parse::<u32>().ok())
+    });
+    Some(match seconds {
+        Some(seconds) => Duration::from_secs(seconds.into()) * IDLE_TENTHS / 10,
+        None => IDLE_DEFAULT,
+    })
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub(crate) struct WholeAnswer {
+    pub(crate) status: u16,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) keep_alive: Option<Duration>,
+}
+
+/// Gets a resource.
+pub(crate) async fn get(
+    connection: &mut Connection,
+    host: SocketAddr,
+    path: &str,
+    bytes_max: usize,
+) -> Result<WholeAnswer, ExchangeError> {
+    let request = Request::get(path).header(header::HOST, host.to_string());
+    call(connection, request.body(Full::default()), bytes_max).await
+}
+
+/// Posts a JSON body, with further headers.
+pub(crate) async fn post(
+    connection: &mut Connection,
+    host: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: Vec<u8>,
+    bytes_max: usize,
+) -> Result<WholeAnswer, ExchangeError> {
+    let mut request = Request::post(path)
+        .header(header::HOST, host.to_string())
+        .header(header::CONTENT_TYPE, "application/json");
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    call(connection, request.body(Full::from(body)), bytes_max).await
+}
+
+async fn call(
+    connection: &mut Connection,
+    request: http::Result<Request<Full<Bytes>>>,
+    bytes_max: usize,
+) -> Result<WholeAnswer, ExchangeError> {
+    let request = request.map_err(|cause| ExchangeError::Body(cause.to_string()))?;
+    let response = connection.send(request).await?;
+    let (head, body) = response.into_parts();
+    let body = Limited::new(body, bytes_max).collect().await;
+    let body = body.map_err(|cause| ExchangeError::Body(cause.to_string()))?;
+    Ok(WholeAnswer {
+        status: head.status.as_u16(),
+        keep_alive: keep_alive(&head.headers),
+        headers: head.headers,
+        body: body.to_bytes(),
+    })
+}
--- /dev/null
+++ b/crates/radishpin-gateway/src/connection/server.rs
@@ -0,0 +1,117 @@
+//! Listeners, and the connections that they accept.
+
+use crate::process::{GatewayError, Shutdown};
+use futures_lite::future;
+use http::{Request, Response};
+use hyper::{
+    body::{Body, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
+use radishpin_protocol::prelude::*;
+use radishpin_runtime::Runtime;
+use smol::net::{TcpListener, TcpStream};
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+use std::{convert::Infallible, error::Error, net::SocketAddr, pin::pin, sync::Arc};
+
+/// Pause after a connection could not be accepted: descriptors may be short.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// What the other side may send, and how long it may take.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ServerLimits {
+    /// Largest head of a request.
+    pub(crate) head_bytes: usize,
+    /// Longest time to the end of the next head, idle time counted in.
+    pub(crate) head_timeout: Duration,
+}
+
+/// Listens on an address.
+///
+/// # Errors
+/// The address cannot be had.
+pub(crate) async fn listen(address: SocketAddr) -> Result<TcpListener, GatewayError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|cause| GatewayError::Listen(address, cause))
+}
+
+/// Serves the connections of a listener until the shutdown closes.
+pub(crate) async fn serve<B, H, F>(
+    runtime: Runtime,
+    listener: TcpListener,
+    limits: impl Fn() -> ServerLimits,
+    shutdown: Arc<Shutdown>,
+    handler: H,
+) where
+    B: Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+{
+    loop {
+        let accepted = async { Some(listener.accept().await) };
+        let closed = async {
+            shutdown.closed().await;
+            None
+        };
+        match future::or(accepted, closed).await {
+            None => return,
+            Some(Ok((stream, _))) => {
+                let shutdown = Arc::clone(&shutdown);
+                let handler = handler.clone();
+                runtime.spawn_detached(serve_connection(stream, limits(), shutdown, handler));
+            }
+            Some(Err(cause)) => {
+                log::warn!(event = "accept_failed", cause:% = cause; "cannot accept a connection");
+                Runtime::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection<B, H, F>(
+    stream: TcpStream,
+    limits: ServerLimits,
+    shutdown: Arc<Shutdown>,
+    handler: H,
+) where
+    B: Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+{
+    let _guard = shutdown.count_connection();
+    if let Err(cause) = stream.set_nodelay(true) {
+        log::debug!(event = "caller_lost", cause:% = cause; "connection ended at once");
+        return;
+    }
+    let service = service_fn(move |request| {
+        let answer = handler(request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(SmolTimer::new())
+        .header_read_timeout(limits.head_timeout)
+        .max_buf_size(limits.head_bytes);
+    let mut connection = pin!(builder.serve_connection(FuturesIo::new(stream), service));
+    let ended = async { Some(connection.as_mut().await) };
+    let closed = async {
+        shutdown.closed().await;
+        None
+    };
+    let ended = future::or(ended, closed).await;
+    let result = match ended {
+        Some(result) => result,
+        None => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(cause) = result {
+        log::debug!(event = "caller_lost", cause:% = cause; "connection ended early");
+    }
+}
--- /dev/null
+++ b/crates/radishpin-gateway/src/process.rs
@@ -0,0 +1,21 @@
+//! What lives as long as the process.
+
+mod clock;
+mod error;
+mod gateway;
+mod metrics;
+mod settings;
+mod shutdown;
+mod sidecar;
+mod store;
+
+pub(crate) use clock::Clock;
+pub use error::GatewayError;
+pub(crate) use gateway::Gateway;
+pub use gateway::run_gateway;
+pub(crate) use metrics::Metrics;
+pub use settings::read_settings;
+pub(crate) use settings::watch_settings;
+pub(crate) use shutdown::{Shutdown, stop_asked};
+pub use sidecar::run_sidecar;
+pub(crate) use store::{StoreClient, StoreError};
--- /dev/null
+++ b/crates/radishpin-gateway/src/process/gateway.rs
@@ -0,0 +1,334 @@
+//! The gateway: takes callers' requests.
+
+use super::{
+    Clock, GatewayError, Metrics, Shutdown, StoreClient, read_settings, stop_asked, watch_settings,
+};
+use crate::{
+    connection::{Pool, ServerLimits, listen, run_link, serve},
+    request::serve_request,
+    version::{watch_catalog, watch_roster},
+};
+use event_listener::Event;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::{Bytes, Incoming};
+use parking_lot::Mutex;
+use radishpin_adapter::{READINESS_PATH, Settings};
+use radishpin_core::{
+    process::{Fleet, GatewayReport, Roster, RosterChange, Status},
+    request::RetryBudgets,
+    version::Catalog,
+};
+use radishpin_protocol::prelude::*;
+use radishpin_runtime::{Runtime, timeout};
+use smol::Task;
+use std::{
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+/// Time between two plans of replicas and prefetches.
+const PLAN_GAP: Duration = Duration::from_millis(200);
+/// Longest wait of a call for a new configuration; a silent connection is noticed after it.
+const CATALOG_WAIT: Duration = Duration::from_secs(1);
+/// Time after SIGTERM in which the platform's probes take the gateway out of rotation.
+const ROTATION_TIME: Duration = Duration::from_millis(2_600);
+/// Time before the end of the grace period in which the process exits by itself.
+const EXIT_MARGIN: Duration = Duration::from_millis(500);
+/// Largest head of a request before a configuration is known, in bytes.
+const HEAD_BYTES_MIN: usize = 16 * 1024;
+/// Room for a request line and separators beyond the configured size of a head, in bytes.
+const HEAD_BYTES_SLACK: usize = 8 * 1024;
+/// Share of the cluster's retries beyond the ratio that one gateway may save up, as a divisor.
+const RETRY_SLACK_DIVISOR: u32 = 20;
+/// Retries that a gateway may save up at least.
+const RETRY_BURST_MIN: u32 = 2;
+
+/// State of a gateway.
+#[derive(Debug)]
+pub(crate) struct Gateway {
+    pub(crate) runtime: Runtime,
+    pub(crate) clock: Clock,
+    pub(crate) settings: Mutex<Arc<Settings>>,
+    pub(crate) fleet: Mutex<Fleet>,
+    /// Notified when a request that waits may find an endpoint.
+    pub(crate) fleet_changed: Event,
+    pub(crate) pool: Pool,
+    pub(crate) budgets: Mutex<RetryBudgets>,
+    pub(crate) shutdown: Arc<Shutdown>,
+    pub(crate) metrics: Metrics,
+    catalog: Mutex<Option<Arc<Catalog>>>,
+    endpoints_known: AtomicBool,
+    demand_events: Mutex<BTreeMap<EndpointId, Arc<Event>>>,
+    links: Mutex<BTreeMap<EndpointId, Link>>,
+}
+
+#[derive(Debug)]
+struct Link {
+    sidecar: SocketAddr,
+    _task: Task<()>,
+}
+
+impl Gateway {
+    fn new(runtime: Runtime, settings: Settings) -> Result<Self, GatewayError> {
+        let clock = Clock::start();
+        let fleet = Fleet::new(
+            settings.host.clone(),
+            rand::random(),
+            settings.availability_zone.clone(),
+        );
+        let slack = settings.bounds.retry_slack / RETRY_SLACK_DIVISOR;
+        let burst = slack.max(RETRY_BURST_MIN);
+        let metrics = Metrics::new().map_err(std::io::Error::other)?;
+        Ok(Self {
+            pool: Pool::new(runtime.clone(), clock),
+            runtime,
+            clock,
+            fleet: Mutex::new(fleet),
+            fleet_changed: Event::new(),
+            budgets: Mutex::new(RetryBudgets::new(burst * 2, burst)),
+            settings: Mutex::new(Arc::new(settings)),
+            shutdown: Arc::default(),
+            metrics,
+            catalog: Mutex::default(),
+            endpoints_known: AtomicBool::new(false),
+            demand_events: Mutex::default(),
+            links: Mutex::default(),
+        })
+    }
+
+    /// The configuration in force.
+    pub(crate) fn catalog(&self) -> Option<Arc<Catalog>> {
+        self.catalog.lock().clone()
+    }
+
+    /// Notified when the sidecar of an endpoint should hear at once.
+    pub(crate) fn demand_event(&self, endpoint: &str) -> Arc<Event> {
+        let mut events = self.demand_events.lock();
+        Arc::clone(events.entry(endpoint.to_owned()).or_default())
+    }
+
+    /// Tells a sidecar at once what callers wait for.
+    pub(crate) fn announce_demand(&self, endpoint: &str) {
+        self.demand_event(endpoint).notify(1);
+    }
+
+    pub(crate) fn report_to(&self, endpoint: &str) -> GatewayReport {
+        self.fleet.lock().report_to(endpoint, self.clock.now())
+    }
+
+    pub(crate) fn heard(&self, endpoint: &str, status: Status) {
+        if self.fleet.lock().heard(endpoint, status, self.clock.now()) {
+            self.fleet_changed.notify(usize::MAX);
+        }
+    }
+
+    pub(crate) fn link_lost(&self, endpoint: &str) {
+        if self.fleet.lock().link_lost(endpoint) {
+            log::warn!(event = "sidecar_lost", endpoint = endpoint; "sidecar fell silent");
+            self.fleet_changed.notify(usize::MAX);
+        }
+    }
+
+    fn accept_catalog(self: &Arc<Self>, catalog: Arc<Catalog>) {
+        let version = i64::try_from(catalog.version).unwrap_or(i64::MAX);
+        self.metrics.configuration_version.set(version);
+        self.fleet.lock().configure(Arc::clone(&catalog));
+        *self.catalog.lock() = Some(catalog);
+        self.renew_links();
+        self.fleet_changed.notify(usize::MAX);
+    }
+
+    fn accept_roster(self: &Arc<Self>, roster: &Roster, changes: &[RosterChange]) {
+        self.fleet.lock().list(roster.entries(), changes);
+        self.endpoints_known.store(true, Ordering::Relaxed);
+        if !changes.is_empty() {
+            self.renew_links();
+            self.pool.prune(|id| roster.entries().contains_key(id));
+            self.fleet_changed.notify(usize::MAX);
+        }
+    }
+
+    /// Keeps one link to the sidecar of each engine.
+    fn renew_links(self: &Arc<Self>) {
+        let port = self.settings.lock().internal_port;
+        let fleet = self.fleet.lock();
+        let engines = fleet.engines();
+        let sidecars: BTreeMap<EndpointId, SocketAddr> = engines
+            .map(|(id, entry)| (id.clone(), SocketAddr::new(entry.address.ip(), port)))
+            .collect();
+        drop(fleet);
+        let mut links = self.links.lock();
+        links.retain(|id, link| sidecars.get(id) == Some(&link.sidecar));
+        self.demand_events
+            .lock()
+            .retain(|id, _| sidecars.contains_key(id));
+        for (id, sidecar) in sidecars {
+            links.entry(id.clone()).or_insert_with(|| Link {
+                sidecar,
+                _task: self.runtime.spawn(run_link(Arc::clone(self), id, sidecar)),
+            });
+        }
+    }
+
+    /// Whether callers can be served.
+    fn is_ready(&self) -> bool {
+        !self.shutdown.is_draining()
+            && self.endpoints_known.load(Ordering::Relaxed)
+            && self.catalog.lock().is_some()
+    }
+
+    fn caller_limits(&self) -> ServerLimits {
+        let catalog = self.catalog();
+        let limits = catalog.map(|catalog| catalog.limits).unwrap_or_default();
+        ServerLimits {
+            head_bytes: limits.head_bytes.max(HEAD_BYTES_MIN) + HEAD_BYTES_SLACK,
+            head_timeout: limits.idle_timeout.max(limits.head_timeout),
+        }
+    }
+
+    async fn plan_always(&self) {
+        loop {
+            Runtime::sleep(PLAN_GAP).await;
+            self.fleet.lock().plan(self.clock.now());
+        }
+    }
+}
+
+/// Limits of the connections between the system's processes and the platform.
+pub(crate) fn internal_limits() -> ServerLimits {
+    ServerLimits {
+        head_bytes: HEAD_BYTES_MIN,
+        head_timeout: Duration::from_secs(30),
+    }
+}
+
+/// Runs a gateway until it is asked to stop.
+///
+/// # Errors
+/// The settings lack an address, an address cannot be had, or the process cannot be set up.
+pub fn run_gateway(path: PathBuf) -> Result<(), GatewayError> {
+    let settings = read_settings(&path)?;
+    let runtime = Runtime::start(settings.cores)?;
+    let gateway = Arc::new(Gateway::new(runtime, settings)?);
+    smol::block_on(run(gateway, path))
+}
+
+async fn run(gateway: Arc<Gateway>, path: PathBuf) -> Result<(), GatewayError> {
+    let settings = Arc::clone(&gateway.settings.lock());
+    let callers = settings
+        .callers_listen
+        .ok_or(GatewayError::MissingSetting("address for callers"))?;
+    let ready = settings
+        .ready_listen
+        .ok_or(GatewayError::MissingSetting("address for readiness probes"))?;
+    serve_callers(&gateway, callers).await?;
+    serve_readiness(&gateway, ready).await?;
+    serve_metrics(&gateway, SocketAddr::new(settings.ip_address, settings.metrics_port)).await?;
+    follow_store(&gateway, settings.store);
+    let planner = Arc::clone(&gateway);
+    gateway
+        .runtime
+        .spawn_detached(async move { planner.plan_always().await });
+    spawn_settings_watch(&gateway, &path);
+    log::info!(
+        event = "started", role = "gateway", host = settings.host, callers:% = callers, store:% = settings.store,
+        version = env!("CARGO_PKG_VERSION"), first_start = settings.first_start;
+        "gateway started"
+    );
+    stop_asked().await?;
+    stop(&gateway, settings.bounds.stop_grace).await;
+    Ok(())
+}
+
+fn spawn_settings_watch(gateway: &Arc<Gateway>, path: &Path) {
+    let watcher = Arc::clone(gateway);
+    let path = path.to_owned();
+    gateway
+        .runtime
+        .spawn_detached(async move { watch_settings(&path, &watcher.settings).await });
+}
+
+async fn stop(gateway: &Gateway, grace: Duration) {
+    let connections = gateway.shutdown.connections();
+    log::info!(event = "stopping", connections = connections; "asked to stop; draining");
+    gateway.shutdown.drain();
+    let rotation = ROTATION_TIME.min(grace / 2);
+    Runtime::sleep(rotation).await;
+    gateway.shutdown.close();
+    let left = grace.saturating_sub(rotation + EXIT_MARGIN);
+    let ended = timeout(left, gateway.shutdown.connections_ended()).await;
+    let cut = if ended.is_some() { 0 } else { gateway.shutdown.connections() };
+    log::info!(event = "stopped", connections_cut = cut; "gateway stopped");
+}
+
+async fn serve_callers(gateway: &Arc<Gateway>, address: SocketAddr) -> Result<(), GatewayError> {
+    let listener = listen(address).await?;
+    let limits_of = Arc::clone(gateway);
+    let handling = Arc::clone(gateway);
+    gateway.runtime.spawn_detached(serve(
+        gateway.runtime.clone(),
+        listener,
+        move || limits_of.caller_limits(),
+        Arc::clone(&gateway.shutdown),
+        move |request| serve_request(Arc::clone(&handling), request),
+    ));
+    Ok(())
+}
+
+async fn serve_readiness(gateway: &Arc<Gateway>, address: SocketAddr) -> Result<(), GatewayError> {
+    let listener = listen(address).await?;
+    let asked = Arc::clone(gateway);
+    gateway.runtime.spawn_detached(serve(
+        gateway.runtime.clone(),
+        listener,
+        internal_limits,
+        // Probes are answered to the end.
+        Arc::default(),
+        move |request| std::future::ready(readiness(&asked, &request)),
+    ));
+    Ok(())
+}
+
+fn readiness(gateway: &Gateway, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = match request.uri().path() {
+        READINESS_PATH if gateway.is_ready() => StatusCode::OK,
+        READINESS_PATH => StatusCode::SERVICE_UNAVAILABLE,
+        _ => StatusCode::NOT_FOUND,
+    };
+    response
+}
+
+async fn serve_metrics(gateway: &Arc<Gateway>, address: SocketAddr) -> Result<(), GatewayError> {
+    let listener = listen(address).await?;
+    let asked = Arc::clone(gateway);
+    gateway.runtime.spawn_detached(serve(
+        gateway.runtime.clone(),
+        listener,
+        internal_limits,
+        Arc::default(),
+        move |_| std::future::ready(asked.metrics.answer()),
+    ));
+    Ok(())
+}
+
+fn follow_store(gateway: &Arc<Gateway>, address: SocketAddr) {
+    let client = || StoreClient::new(gateway.runtime.clone(), gateway.clock, address);
+    let accepting = Arc::clone(gateway);
+    let accept = move |catalog| accepting.accept_catalog(catalog);
+    gateway
+        .runtime
+        .spawn_detached(watch_catalog(client(), CATALOG_WAIT, accept));
+    let accepting = Arc::clone(gateway);
+    let accept = move |roster: &Roster, changes: &[RosterChange]| {
+        accepting.accept_roster(roster, changes);
+    };
+    gateway
+        .runtime
+        .spawn_detached(watch_roster(client(), gateway.clock, accept));
+}
--- /dev/null
+++ b/crates/radishpin-gateway/src/process/metrics.rs
@@ -0,0 +1,112 @@
+//! Counters and histograms of the process.
+
+use http::{Response, header};
+use http_body_util::Full;
+use hyper::body::Bytes;
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
+};
+
+/// Upper bounds of latency buckets, in seconds.
+const LATENCY_BUCKETS_S: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 25.0,
+];
+
+/// Metrics of a gateway or sidecar.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    /// Requests by outcome.
+    pub(crate) requests: IntCounterVec,
+    /// Refusals by reason.
+    pub(crate) refusals: IntCounterVec,
+    /// Requests sent once more, by reason.
+    pub(crate) retries: IntCounterVec,
+    /// Time from a request to the head of its answer.
+    pub(crate) first_byte_s: Histogram,
+    /// Time from a request to the end of its answer.
+    pub(crate) answer_s: Histogram,
+    /// Time that requests waited for a load.
+    pub(crate) load_wait_s: Histogram,
+    /// Orders to the engine by kind and outcome.
+    pub(crate) orders: IntCounterVec,
+    /// Time that the engine took to answer an order.
+    pub(crate) order_s: Histogram,
+    /// Endpoints by state.
+    pub(crate) endpoints: IntGaugeVec,
+    /// Version of the configuration in force.
+    pub(crate) configuration_version: IntGauge,
+}
+
+impl Metrics {
+    /// Registers all metrics.
+    ///
+    /// # Errors
+    /// Two metrics have one name.
+    pub(crate) fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counters.clone()))?;
+            Ok::<_, prometheus::Error>(counters)
+        };
+        let histogram = |name: &str, help: &str| {
+            let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS_S.to_vec());
+            let histogram = Histogram::with_opts(options)?;
+            registry.register(Box::new(histogram.clone()))?;
+            Ok::<_, prometheus::Error>(histogram)
+        };
+        let requests = counters("radishpin_requests_total", "Requests by outcome", &["outcome"])?;
+        let refusals = counters("radishpin_refusals_total", "Refusals by reason", &["reason"])?;
+        let retries = counters("radishpin_retries_total", "Retries by reason", &["reason"])?;
+        let orders = counters(
+            "radishpin_orders_total",
+            "Orders to the engine",
+            &["kind", "outcome"],
+        )?;
+        let first_byte_s = histogram(
+            "radishpin_first_byte_seconds",
+            "Time to the head of the answer",
+        )?;
+        let answer_s = histogram("radishpin_answer_seconds", "Time to the end of the answer")?;
+        let load_wait_s = histogram("radishpin_load_wait_seconds", "Time waited for a load")?;
+        let order_s = histogram("radishpin_order_seconds", "Time to the answer to an order")?;
+        let endpoints = IntGaugeVec::new(
+            Opts::new("radishpin_endpoints", "Endpoints by state"),
+            &["state"],
+        )?;
+        registry.register(Box::new(endpoints.clone()))?;
+        let configuration_version = IntGauge::new(
+            "radishpin_configuration_version",
+            "Version of the configuration in force",
+        )?;
+        registry.register(Box::new(configuration_version.clone()))?;
+        Ok(Self {
+            registry,
+            requests,
+            refusals,
+            retries,
+            first_byte_s,
+            answer_s,
+            load_wait_s,
+            orders,
+            order_s,
+            endpoints,
+            configuration_version,
+        })
+    }
+
+    /// All metrics as text.
+    pub(crate) fn answer(&self) -> Response<Full<Bytes>> {
+        let mut text = Vec::new();
+        let encoder = TextEncoder::new();
+        if let Err(cause) = encoder.encode(&self.registry.gather(), &mut text) {
+            log::error!(event = "metrics_failed", cause:% = cause; "metrics cannot be written");
+        }
+        let mut response = Response::new(Full::from(text));
+        let content_type = http::HeaderValue::from_static("text/plain; version=0.0.4");
+        response.headers_mut().insert(header::CONTENT_TYPE, content_type);
+        response
+    }
+}
--- /dev/null
+++ b/crates/radishpin-gateway/src/process/shutdown.rs
@@ -0,0 +1,92 @@
+//! The stages of an orderly stop.
+
+use async_signal::{Signal, Signals};
+use event_listener::Event;
+use futures_lite::StreamExt;
+use std::{
+    io,
+    sync::atomic::{AtomicBool, AtomicUsize, Ordering},
+};
+
+/// Whether the process is stopping, and what still has to end.
+#[derive(Debug, Default)]
+pub(crate) struct Shutdown {
+    draining: AtomicBool,
+    closing: AtomicBool,
+    closed: Event,
+    connections: AtomicUsize,
+    connection_ended: Event,
+}
+
+impl Shutdown {
+    /// Whether the process asks callers to go elsewhere.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    /// Begins to drain: requests are still taken, connections end with their next answer.
+    pub(crate) fn drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
+    /// Ends listeners at once, and connections after the request that they carry.
+    pub(crate) fn close(&self) {
+        self.closing.store(true, Ordering::SeqCst);
+        self.closed.notify(usize::MAX);
+    }
+
+    /// Waits for [`Self::close`].
+    pub(crate) async fn closed(&self) {
+        loop {
+            let listener = self.closed.listen();
+            if self.closing.load(Ordering::SeqCst) {
+                return;
+            }
+            listener.await;
+        }
+    }
+
+    /// Counts a connection until the guard is dropped.
+    pub(crate) fn count_connection(&self) -> ConnectionGuard<'_> {
+        self.connections.fetch_add(1, Ordering::SeqCst);
+        ConnectionGuard { shutdown: self }
+    }
+
+    /// Connections that are open.
+    pub(crate) fn connections(&self) -> usize {
+        self.connections.load(Ordering::SeqCst)
+    }
+
+    /// Waits until no connection is open.
+    pub(crate) async fn connections_ended(&self) {
+        loop {
+            let listener = self.connection_ended.listen();
+            if self.connections() == 0 {
+                return;
+            }
+            listener.await;
+        }
+    }
+}
+
+/// A connection that is open.
+#[derive(Debug)]
+pub(crate) struct ConnectionGuard<'a> {
+    shutdown: &'a Shutdown,
+}
+
+impl Drop for ConnectionGuard<'_> {
+    fn drop(&mut self) {
+        self.shutdown.connections.fetch_sub(1, Ordering::SeqCst);
+        self.shutdown.connection_ended.notify(usize::MAX);
+    }
+}
+
+/// Waits for SIGINT or SIGTERM.
+pub(crate) async fn stop_asked() -> io::Result<()> {
+    let mut signals = Signals::new([Signal::Int, Signal::Term])?;
+    match signals.next().await {
+        Some(Err(cause)) => Err(cause),
+        Some(Ok(_)) | None => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/radishpin-gateway/src/request/attempt.rs
@@ -0,0 +1,166 @@
+//! One send of a request to one endpoint.
+
+use super::{call::{Call, text}, place::Place};
+use crate::{
+    connection::{ExchangeError, PooledConnection, keep_alive},
+    process::Gateway,
+};
+use bytes::Bytes;
+use http::{StatusCode, response::Parts};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use radishpin_adapter::{LoadHeader, header as wire};
+use radishpin_core::process::Outcome;
+use radishpin_protocol::prelude::*;
+use radishpin_runtime::timeout;
+
+/// Bytes of an answer that is collected whole, at most.
+const WHOLE_BYTES_MAX: usize = 64 * 1024 * 1024;
+
+/// How an attempt went.
+#[derive(Debug)]
+pub(crate) enum Attempt {
+    /// A whole answer of the endpoint.
+    Whole {
+        head: Parts,
+        body: Bytes,
+    },
+    /// The head of a stream.
+    Stream(Box<OpenStream>),
+    /// The endpoint did not run the request.
+    NotRun {
+        status: StatusCode,
+    },
+    /// No byte of it reached an endpoint.
+    NotSent {
+        cause: String,
+    },
+    /// It may have run, or still run.
+    Unknown {
+        cause: String,
+    },
+    /// The time for it is over; it may have run, or still run.
+    TimedOut,
+}
+
+/// A stream whose head has come.
+#[derive(Debug)]
+pub(crate) struct OpenStream {
+    pub(crate) head: Parts,
+    pub(crate) body: Incoming,
+    pub(crate) place: Place,
+    pub(crate) pooled: PooledConnection,
+    pub(crate) keep_alive: Option<Duration>,
+}
+
+/// Sends a request to the endpoint of its place, for at most `patience`.
+pub(crate) async fn send(
+    gateway: &Gateway,
+    call: &Call,
+    place: Place,
+    last_event_id: Option<&str>,
+    patience: Duration,
+) -> Attempt {
+    match timeout(patience, exchange(gateway, call, place, last_event_id)).await {
+        Some(attempt) => attempt,
+        None => Attempt::TimedOut,
+    }
+}
+
+async fn exchange(
+    gateway: &Gateway,
+    call: &Call,
+    place: Place,
+    last_event_id: Option<&str>,
+) -> Attempt {
+    let limit = gateway.fleet.lock().connection_share(&call.service);
+    // A kept connection may have ended unnoticed; what was not written is sent on another one.
+    loop {
+        let taken = gateway.pool.take(&place.endpoint, place.address, limit).await;
+        let mut pooled = match taken {
+            Ok(Some(pooled)) => pooled,
+            Ok(None) => {
+                place.end(Outcome::Refused);
+                return Attempt::NotSent { cause: "no connection left".to_owned() };
+            }
+            Err(cause) => {
+                place.end(Outcome::Unreachable);
+                return Attempt::NotSent { cause: cause.to_string() };
+            }
+        };
+        let request = call.request_to(&place.endpoint, last_event_id, gateway.clock.now());
+        let request = match request {
+            Ok(request) => request,
+            Err(cause) => {
+                place.end(Outcome::Canceled);
+                return Attempt::NotSent { cause: cause.to_string() };
+            }
+        };
+        match pooled.connection.send(request).await {
+            Ok(response) => {
+                let (head, body) = response.into_parts();
+                return receive(gateway, call, place, pooled, head, body).await;
+            }
+            Err(ExchangeError::NotSent) if pooled.reused => {}
+            Err(ExchangeError::NotSent) => {
+                place.end(Outcome::Unreachable);
+                return Attempt::NotSent { cause: "connection ended at once".to_owned() };
+            }
+            Err(cause) => {
+                place.end(Outcome::Failed);
+                return Attempt::Unknown { cause: cause.to_string() };
+            }
+        }
+    }
+}
+
+async fn receive(
+    gateway: &Gateway,
+    call: &Call,
+    place: Place,
+    pooled: PooledConnection,
+    head: Parts,
+    body: Incoming,
+) -> Attempt {
+    if let Some(load) = text(&head.headers, wire::LOAD).and_then(LoadHeader::parse) {
+        let in_use = load.running.saturating_add(load.waiting);
+        gateway.fleet.lock().record_load(&place.endpoint, in_use);
+    }
+    let answers_this = text(&head.headers, wire::ATTEMPT_ID) == Some(call.id.as_str());
+    if !answers_this && !call.id.is_empty() {
+        // A late second answer to an earlier request; the one to this request can't be told from it.
+        place.end(Outcome::Failed);
+        return Attempt::Unknown { cause: "answer to another request".to_owned() };
+    }
+    let not_run = head.headers.contains_key(wire::NOT_RUN);
+    let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+    if head.status.is_success() && !head.headers.contains_key(wire::SIGNATURE) {
+        place.end(Outcome::Failed);
+        return Attempt::Unknown { cause: "answer without a signature".to_owned() };
+    }
+    let keep_alive = keep_alive(&head.headers);
+    if head.status.is_success() && call.route.repetition.is_stream() {
+        return Attempt::Stream(Box::new(OpenStream { head, body, place, pooled, keep_alive }));
+    }
+    let body = match Limited::new(body, WHOLE_BYTES_MAX).collect().await {
+        Ok(body) => body.to_bytes(),
+        // What has been refused has been refused, whatever became of the text.
+        Err(_) if not_run || misdirected => Bytes::new(),
+        Err(cause) => {
+            place.end(Outcome::Failed);
+            return Attempt::Unknown { cause: cause.to_string() };
+        }
+    };
+    gateway.pool.give_back(&place.endpoint, pooled, keep_alive);
+    let outcome = match head.status {
+        StatusCode::MISDIRECTED_REQUEST => Outcome::Misdirected,
+        _ if not_run => Outcome::Refused,
+        status if status.is_server_error() => Outcome::Failed,
+        _ => place.served(),
+    };
+    place.end(outcome);
+    if not_run || misdirected {
+        return Attempt::NotRun { status: head.status };
+    }
+    Attempt::Whole { head, body }
+}
--- /dev/null
+++ b/crates/radishpin-gateway/src/request/forward.rs
@@ -0,0 +1,286 @@
+//! The way of a request through a gateway.
+
+use super::{
+    answer::{AnswerBody, own_answer, refusal, remove_connection_headers, whole},
+    attempt::{Attempt, send},
+    call::Call,
+    place::find_place,
+    stream::stream_answer,
+};
+use crate::process::Gateway;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+use radishpin_core::{process::Refusal, version::Repetition};
+use radishpin_protocol::prelude::*;
+use std::sync::Arc;
+
+/// Time after which an idempotent request without an answer is tried elsewhere.
+const SILENCE_MAX: Duration = Duration::from_millis(300);
+/// Time that an answer may take beyond the deadline that its endpoint was told.
+const DEADLINE_SLACK: Duration = Duration::from_millis(60);
+/// When a caller may come back whose request was refused by endpoints.
+const REFUSED_RETRY: Duration = Duration::from_millis(400);
+/// Sends that did not reach an endpoint, or that endpoints refused, at most.
+const REFUSED_SENDS_MAX: usize = 3;
+
+/// Serves one request.
+pub(crate) async fn serve_request(
+    gateway: Arc<Gateway>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let mut response = match Call::read(&gateway, request).await {
+        Ok(call) => Forward::new(gateway.clone(), Arc::new(call)).run().await,
+        Err(response) => {
+            let status = response.status().as_str().to_owned();
+            let outcome = format!("own_{status}");
+            gateway.metrics.requests.with_label_values(&[&outcome]).inc();
+            *response
+        }
+    };
+    if gateway.shutdown.is_draining() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+/// A request and what became of its sends so far.
+pub(crate) struct Forward {
+    pub(crate) gateway: Arc<Gateway>,
+    pub(crate) call: Arc<Call>,
+    tried: BTreeSet<EndpointId>,
+    /// Sends that may have run.
+    ran: u32,
+    /// Sends that have not run.
+    refused: usize,
+    last_refusal: Option<StatusCode>,
+}
+
+/// What the endpoints made of a request.
+pub(crate) enum Forwarded {
+    /// An endpoint's answer, or the head of its stream.
+    Answered(Attempt),
+    /// It has not run.
+    Refused(Refused),
+    /// It may have run.
+    Failed { cause: String, timed_out: bool },
+}
+
+/// Why a request has not run.
+pub(crate) enum Refused {
+    ByGateway(Refusal),
+    ByEndpoints,
+    TimedOut,
+}
+
+impl Forward {
+    fn new(gateway: Arc<Gateway>, call: Arc<Call>) -> Self {
+        let now = gateway.clock.now();
+        if let Some((model, _)) = call.target() {
+            gateway.fleet.lock().count_request(model, now);
+        }
+        gateway.budgets.lock().record_request(&call.service);
+        Self {
+            gateway,
+            call,
+            tried: BTreeSet::new(),
+            ran: 0,
+            refused: 0,
+            last_refusal: None,
+        }
+    }
+
+    async fn run(mut self) -> Response<AnswerBody> {
+        match self.forward(None).await {
+            Forwarded::Answered(Attempt::Stream(open)) => {
+                self.observe_first_byte();
+                stream_answer(self, *open)
+            }
+            Forwarded::Answered(Attempt::Whole { mut head, body }) => {
+                self.observe_first_byte();
+                self.finish("answered", head.status, "-");
+                remove_connection_headers(&mut head.headers);
+                Response::from_parts(head, whole(body))
+            }
+            Forwarded::Answered(_) => self.fail("no answer", StatusCode::BAD_GATEWAY),
+            Forwarded::Refused(refused) => self.refuse(&refused),
+            Forwarded::Failed { cause, timed_out } => {
+                let status = if timed_out {
+                    StatusCode::GATEWAY_TIMEOUT
+                } else {
+                    StatusCode::BAD_GATEWAY
+                };
+                self.fail(&cause, status)
+            }
+        }
+    }
+
+    /// Sends the request until an endpoint answers, or it can't be sent again.
+    pub(crate) async fn forward(&mut self, last_event_id: Option<&str>) -> Forwarded {
+        loop {
+            let call = Arc::clone(&self.call);
+            let place = match find_place(&self.gateway, &call, &self.tried).await {
+                Ok(place) => place,
+                Err(refusal) if self.ran == 0 => {
+                    return Forwarded::Refused(Refused::ByGateway(refusal));
+                }
+                Err(refusal) => {
+                    let cause = format!("no other endpoint: {}", refusal.reason.name());
+                    return Forwarded::Failed { cause, timed_out: false };
+                }
+            };
+            let now = self.gateway.clock.now();
+            let remaining = call.remaining(now);
+            if remaining.is_zero() {
+                return self.out_of_time();
+            }
+            let endpoint = place.endpoint.clone();
+            let patience = self.patience(remaining);
+            let attempt = send(&self.gateway, &call, place, last_event_id, patience).await;
+            self.tried.insert(endpoint.clone());
+            if let Some(done) = self.settle(attempt, &endpoint, now) {
+                return done;
+            }
+        }
+    }
+
+    fn patience(&self, remaining: Duration) -> Duration {
+        let may_try_again = self.call.route.repetition == Repetition::Idempotent
+            && self.ran + 1 < self.call.route.max_attempts
+            && remaining > SILENCE_MAX * 3 / 2;
+        if may_try_again {
+            SILENCE_MAX
+        } else {
+            remaining + DEADLINE_SLACK
+        }
+    }
+
+    /// What an attempt means for the request; `None` where it is sent again.
+    fn settle(&mut self, attempt: Attempt, endpoint: &str, sent_at: Duration) -> Option<Forwarded> {
+        let took = self.gateway.clock.now().saturating_sub(sent_at);
+        let (reason, cause, timed_out) = match attempt {
+            Attempt::Stream(open) => return Some(Forwarded::Answered(Attempt::Stream(open))),
+            Attempt::Whole { head, body } => {
+                let failed = head.status.is_server_error();
+                let repeatable = failed && self.call.route.repetition == Repetition::Idempotent;
+                self.ran += 1;
+                if !repeatable || !self.may_run_again("endpoint_failed") {
+                    return Some(Forwarded::Answered(Attempt::Whole { head, body }));
+                }
+                ("endpoint_failed", head.status.to_string(), false)
+            }
+            Attempt::NotRun { status } => {
+                self.refused += 1;
+                self.last_refusal = Some(status);
+                self.log_attempt(endpoint, "not_run", status.as_str(), took);
+                return self.after_refusal(true);
+            }
+            Attempt::NotSent { cause } => {
+                self.refused += 1;
+                self.log_attempt(endpoint, "not_sent", &cause, took);
+                return self.after_refusal(false);
+            }
+            Attempt::Unknown { cause } => ("broken", cause, false),
+            Attempt::TimedOut => ("silent", "no answer in time".to_owned(), true),
+        };
+        self.log_attempt(endpoint, reason, &cause, took);
+        if reason != "endpoint_failed" {
+            self.ran += 1;
+            let repeatable = self.call.route.repetition.may_repeat();
+            if !repeatable || !self.may_run_again(reason) {
+                return Some(Forwarded::Failed { cause, timed_out });
+            }
+        }
+        None
+    }
+
+    /// Counts a stream that broke off; returns whether another endpoint may go on with it.
+    pub(crate) fn may_resume(&mut self) -> bool {
+        self.ran += 1;
+        self.may_run_again("stream_broke_off")
+    }
+
+    /// Whether a request that may have run is sent again.
+    fn may_run_again(&self, reason: &str) -> bool {
+        let now = self.gateway.clock.now();
+        let left = !self.call.remaining(now).is_zero();
+        let again = left
+            && self.ran < self.call.route.max_attempts
+            && self.gateway.budgets.lock().try_take(&self.call.service);
+        if again {
+            self.gateway.metrics.retries.with_label_values(&[reason]).inc();
+        }
+        again
+    }
+
+    fn after_refusal(&self, arrived: bool) -> Option<Forwarded> {
+        let now = self.gateway.clock.now();
+        if self.call.remaining(now).is_zero() {
+            return Some(self.out_of_time());
+        }
+        // A send that an endpoint saw counts against the retry budget, one that none saw doesn't.
+        let again = self.refused < REFUSED_SENDS_MAX
+            && (!arrived || self.gateway.budgets.lock().try_take(&self.call.service));
+        if again {
+            let reason = if arrived { "refused" } else { "not_sent" };
+            self.gateway.metrics.retries.with_label_values(&[reason]).inc();
+            return None;
+        }
+        Some(if self.ran == 0 {
+            Forwarded::Refused(Refused::ByEndpoints)
+        } else {
+            Forwarded::Failed { cause: "refused after a failure".to_owned(), timed_out: false }
+        })
+    }
+
+    fn out_of_time(&self) -> Forwarded {
+        if self.ran == 0 {
+            Forwarded::Refused(Refused::TimedOut)
+        } else {
+            Forwarded::Failed { cause: "out of time".to_owned(), timed_out: true }
+        }
+    }
+
+    fn refuse(&self, refused: &Refused) -> Response<AnswerBody> {
+        let (reason, retry_after) = match refused {
+            Refused::ByGateway(refusal) => (refusal.reason.name(), refusal.retry_after),
+            Refused::ByEndpoints => ("refused_by_endpoints", REFUSED_RETRY),
+            Refused::TimedOut => ("out_of_time", REFUSED_RETRY),
+        };
+        self.gateway.metrics.refusals.with_label_values(&[reason]).inc();
+        self.finish("refused", StatusCode::SERVICE_UNAVAILABLE, reason);
+        refusal(reason, retry_after)
+    }
+
+    fn fail(&self, cause: &str, status: StatusCode) -> Response<AnswerBody> {
+        self.finish("failed", status, cause);
+        own_answer(status, "the endpoint gave no answer; the request may have run")
+    }
+
+    fn observe_first_byte(&self) {
+        let took = self.gateway.clock.now().saturating_sub(self.call.received_at);
+        self.gateway.metrics.first_byte_s.observe(took.as_secs_f64());
+    }
+
+    fn log_attempt(&self, endpoint: &str, outcome: &str, cause: &str, took: Duration) {
+        log::info!(
+            event = "attempt_failed", request = self.call.id, endpoint = endpoint, outcome = outcome,
+            cause = cause, took_ms = took.as_millis() as u64, sends_refused = self.refused, sends_ran = self.ran;
+            "attempt brought no answer"
+        );
+    }
+
+    /// Records the end of the request.
+    pub(crate) fn finish(&self, outcome: &str, status: StatusCode, reason: &str) {
+        let took = self.gateway.clock.now().saturating_sub(self.call.received_at);
+        self.gateway.metrics.answer_s.observe(took.as_secs_f64());
+        self.gateway.metrics.requests.with_label_values(&[outcome]).inc();
+        let model = self.call.target.as_ref().map_or("-", |(model, _)| model);
+        log::info!(
+            event = "request_ended", request = self.call.id, route = self.call.route.name, model = model,
+            outcome = outcome, status = status.as_u16(), reason = reason, took_ms = took.as_millis() as u64,
+            sends_ran = self.ran, sends_refused = self.refused, configuration = self.call.catalog_version;
+            "request ended"
+        );
+    }
+}
--- /dev/null
+++ b/crates/radishpin-gateway/src/request/place.rs
@@ -0,0 +1,154 @@
+//! Finding an endpoint for a request, and the account of it there.
+
+use super::call::Call;
+use crate::process::Gateway;
+use futures_lite::future;
+use radishpin_core::process::{Outcome, Pick, PickQuery, Refusal, Wait};
+use radishpin_protocol::prelude::*;
+use radishpin_runtime::Runtime;
+use std::{net::SocketAddr, sync::Arc};
+
+/// Longest time between two looks of a request that waits.
+const LOOK_GAP: Duration = Duration::from_millis(250);
+
+/// A request's place at an endpoint. Dropping it without an outcome counts the request as canceled.
+#[derive(Debug)]
+pub(crate) struct Place {
+    gateway: Arc<Gateway>,
+    call: Arc<Call>,
+    pub(crate) endpoint: EndpointId,
+    pub(crate) address: SocketAddr,
+    pub(crate) begun_at: Duration,
+    ended: bool,
+}
+
+impl Place {
+    /// Records how the request ended there.
+    pub(crate) fn end(mut self, outcome: Outcome) {
+        self.record(outcome);
+    }
+
+    fn record(&mut self, outcome: Outcome) {
+        if std::mem::replace(&mut self.ended, true) {
+            return;
+        }
+        let now = self.gateway.clock.now();
+        let mut fleet = self.gateway.fleet.lock();
+        fleet.end_request(&self.endpoint, self.call.target(), outcome, now);
+    }
+
+    /// The outcome of an answer that is complete now.
+    pub(crate) fn served(&self) -> Outcome {
+        let now = self.gateway.clock.now();
+        Outcome::Served {
+            took: now.saturating_sub(self.begun_at),
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.record(Outcome::Canceled);
+    }
+}
+
+/// A request that waits for a load.
+struct Waiting<'a> {
+    gateway: &'a Gateway,
+    call: &'a Call,
+    since: Duration,
+    endpoint: EndpointId,
+}
+
+impl<'a> Waiting<'a> {
+    fn begin(gateway: &'a Gateway, call: &'a Call, wait: &Wait) -> Self {
+        let since = gateway.clock.now();
+        if let Some((model, adapter)) = call.target() {
+            let mut fleet = gateway.fleet.lock();
+            fleet.begin_wait(model, adapter, &wait.endpoint);
+        }
+        gateway.announce_demand(&wait.endpoint);
+        let (model, adapter) = call.target().unwrap_or_default();
+        log::info!(
+            event = "request_waits", request = call.id, model = model, adapter = adapter.unwrap_or("-"),
+            endpoint = wait.endpoint, estimate_ms = wait.estimate.as_millis() as u64,
+            left_ms = call.remaining(since).as_millis() as u64;
+            "waits for a load"
+        );
+        Self {
+            gateway,
+            call,
+            since,
+            endpoint: wait.endpoint.clone(),
+        }
+    }
+
+    fn follow(&mut self, wait: &Wait) {
+        if self.endpoint != wait.endpoint {
+            self.endpoint.clone_from(&wait.endpoint);
+            self.gateway.announce_demand(&wait.endpoint);
+        }
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let waited = self.gateway.clock.now().saturating_sub(self.since);
+        self.gateway.metrics.load_wait_s.observe(waited.as_secs_f64());
+        if let Some((model, adapter)) = self.call.target() {
+            self.gateway.fleet.lock().end_wait(model, adapter);
+        }
+    }
+}
+
+/// Finds an endpoint; waits for a load where that is in time.
+///
+/// # Errors
+/// The request cannot be served in time; it has not run.
+pub(crate) async fn find_place(
+    gateway: &Arc<Gateway>,
+    call: &Arc<Call>,
+    tried: &BTreeSet<EndpointId>,
+) -> Result<Place, Refusal> {
+    let mut waiting: Option<Waiting<'_>> = None;
+    loop {
+        let listener = gateway.fleet_changed.listen();
+        let now = gateway.clock.now();
+        let query = PickQuery {
+            service: &call.service,
+            target: call.target(),
+            priority: call.route.priority,
+            remaining: call.remaining(now),
+            waited: waiting.as_ref().map_or(Duration::ZERO, |w| now.saturating_sub(w.since)),
+            tried,
+            random: call.random,
+        };
+        let pick = gateway.fleet.lock().pick(&query, now);
+        let wait = match pick {
+            Pick::Send { endpoint, address, load } => {
+                log::info!(
+                    event = "request_sent", request = call.id, route = call.route.name, endpoint = endpoint,
+                    load = load, configuration = call.catalog_version, tried = tried.len(),
+                    waited_ms = query.waited.as_millis() as u64, left_ms = query.remaining.as_millis() as u64;
+                    "sent to an endpoint"
+                );
+                return Ok(Place {
+                    gateway: Arc::clone(gateway),
+                    call: Arc::clone(call),
+                    endpoint,
+                    address,
+                    begun_at: now,
+                    ended: false,
+                });
+            }
+            Pick::Refuse(refusal) => return Err(refusal),
+            Pick::Wait(wait) => wait,
+        };
+        match &mut waiting {
+            Some(waiting) => waiting.follow(&wait),
+            None => waiting = Some(Waiting::begin(gateway, call, &wait)),
+        }
+        let look_again = call.remaining(now).min(LOOK_GAP);
+        future::or(listener, Runtime::sleep(look_again)).await;
+    }
+}
--- /dev/null
+++ b/crates/radishpin-gateway/src/request/stream.rs
@@ -0,0 +1,149 @@
+//! Answers that are streams: each event is passed on as it comes.
+
+use super::{
+    answer::{AnswerBody, AnswerError, remove_connection_headers},
+    attempt::{Attempt, OpenStream},
+    events::EventBuffer,
+    forward::{Forward, Forwarded},
+};
+use bytes::Bytes;
+use futures_lite::stream::unfold;
+use http::{Response, StatusCode};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use radishpin_core::{process::Outcome, version::Repetition};
+use radishpin_runtime::timeout;
+
+/// A stream on its way to the caller.
+struct Streaming {
+    forward: Forward,
+    open: Option<OpenStream>,
+    /// Cuts the stream into events where another endpoint may go on with it.
+    events: Option<EventBuffer>,
+    ended: bool,
+}
+
+/// The answer that passes a stream on.
+pub(crate) fn stream_answer(forward: Forward, open: OpenStream) -> Response<AnswerBody> {
+    let mut head = open.head.clone();
+    remove_connection_headers(&mut head.headers);
+    let resumable = forward.call.route.repetition == Repetition::ResumableStream;
+    let streaming = Streaming {
+        forward,
+        open: Some(open),
+        events: resumable.then(EventBuffer::default),
+        ended: false,
+    };
+    let frames = unfold(streaming, |mut streaming| async move {
+        let frame = streaming.next().await?;
+        Some((frame.map(Frame::data), streaming))
+    });
+    Response::from_parts(head, StreamBody::new(frames).boxed_unsync())
+}
+
+impl Streaming {
+    /// The next part of the stream; `None` at its end.
+    async fn next(&mut self) -> Option<Result<Bytes, AnswerError>> {
+        while !self.ended {
+            let part = match self.receive().await {
+                Ok(Some(part)) => part,
+                Ok(None) => return self.end(),
+                Err(AnswerError::TimedOut) => return Some(Err(self.cut("out_of_time"))),
+                Err(AnswerError::BrokenOff) => {
+                    if self.resume().await {
+                        continue;
+                    }
+                    return Some(Err(self.cut("endpoint_broke_off")));
+                }
+            };
+            let whole = match &mut self.events {
+                Some(events) => events.push(&part),
+                None => part,
+            };
+            if !whole.is_empty() {
+                return Some(Ok(whole));
+            }
+        }
+        None
+    }
+
+    /// The next chunk from the endpoint; `None` at the end of the stream.
+    async fn receive(&mut self) -> Result<Option<Bytes>, AnswerError> {
+        let now = self.forward.gateway.clock.now();
+        let remaining = self.forward.call.remaining(now);
+        let Some(open) = &mut self.open else {
+            return Err(AnswerError::BrokenOff);
+        };
+        loop {
+            match timeout(remaining, open.body.frame()).await {
+                None => return Err(AnswerError::TimedOut),
+                Some(None) => return Ok(None),
+                Some(Some(Err(_))) => return Err(AnswerError::BrokenOff),
+                Some(Some(Ok(frame))) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Ok(Some(data));
+                    }
+                }
+            }
+        }
+    }
+
+    fn end(&mut self) -> Option<Result<Bytes, AnswerError>> {
+        self.ended = true;
+        if let Some(open) = self.open.take() {
+            let OpenStream { place, pooled, keep_alive, .. } = open;
+            let pool = &self.forward.gateway.pool;
+            pool.give_back(&place.endpoint, pooled, keep_alive);
+            let served = place.served();
+            place.end(served);
+        }
+        self.forward.finish("answered", StatusCode::OK, "stream");
+        let rest = self.events.as_mut().map(EventBuffer::take_rest);
+        rest.filter(|rest| !rest.is_empty()).map(Ok)
+    }
+
+    fn cut(&mut self, reason: &str) -> AnswerError {
+        self.ended = true;
+        self.end_place();
+        self.forward.finish("cut", StatusCode::OK, reason);
+        AnswerError::BrokenOff
+    }
+
+    fn end_place(&mut self) {
+        if let Some(open) = self.open.take() {
+            open.place.end(Outcome::Failed);
+        }
+    }
+
+    /// Has another endpoint go on after the last whole event; returns whether one does.
+    async fn resume(&mut self) -> bool {
+        self.end_place();
+        let Some(events) = &mut self.events else {
+            return false;
+        };
+        events.drop_partial();
+        let last_id = events.last_id().map(str::to_owned);
+        if !self.forward.may_resume() {
+            return false;
+        }
+        log::info!(
+            event = "stream_resumes", request = self.forward.call.id, after = last_id.as_deref().unwrap_or("-");
+            "stream broke off; another endpoint is asked to go on"
+        );
+        match self.forward.forward(last_id.as_deref()).await {
+            Forwarded::Answered(Attempt::Stream(open)) => {
+                self.open = Some(*open);
+                true
+            }
+            _ => false,
+        }
+    }
+}
+
+impl Drop for Streaming {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.forward.finish("canceled", StatusCode::OK, "caller_left");
+        }
+    }
+}
--- /dev/null
+++ b/crates/radishpin-gateway/src/version/roster_watch.rs
@@ -0,0 +1,79 @@
+//! Follows the list of endpoints.
+
+use crate::process::{Clock, StoreClient};
+use radishpin_adapter::{Row, Table, decode_endpoint};
+use radishpin_core::process::{EndpointEntry, Roster, RosterChange};
+use radishpin_protocol::prelude::*;
+use radishpin_runtime::Runtime;
+
+/// Time between two reads: endpoints write far more often than their entries change.
+const READ_GAP: Duration = Duration::from_millis(500);
+/// Pause after a read that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Follows the list and calls `accept` after each read.
+pub(crate) async fn watch_roster(
+    mut store: StoreClient,
+    clock: Clock,
+    mut accept: impl FnMut(&Roster, &[RosterChange]),
+) {
+    let mut roster = Roster::default();
+    let mut reachable = true;
+    let mut unreadable = BTreeSet::new();
+    loop {
+        match store.rows(Table::Endpoints).await {
+            Ok(page) => {
+                if !std::mem::replace(&mut reachable, true) {
+                    log::info!(event = "store_regained", feed = "endpoints"; "store answers again");
+                }
+                let listed = decode(page.rows, &mut unreadable);
+                let changes = roster.read(listed, clock.now());
+                changes.iter().for_each(log_change);
+                accept(&roster, &changes);
+                Runtime::sleep(READ_GAP).await;
+            }
+            Err(cause) => {
+                roster.read_failed();
+                if std::mem::replace(&mut reachable, false) {
+                    log::warn!(event = "store_lost", feed = "endpoints", cause:% = cause; "store does not answer");
+                }
+                Runtime::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Reads the rows; those that cannot be read name no endpoint and are logged once.
+fn decode(rows: Vec<Row>, unreadable: &mut BTreeSet<String>) -> BTreeMap<EndpointId, EndpointEntry> {
+    let mut listed = BTreeMap::new();
+    let mut skipped = BTreeSet::new();
+    for row in rows {
+        let decoded = match &row.value {
+            Some(value) => decode_endpoint(value).map_err(|cause| cause.to_string()),
+            None => Err("value is not base64".to_owned()),
+        };
+        match decoded {
+            Ok(entry) => {
+                listed.insert(row.key, entry);
+            }
+            Err(cause) => {
+                if !unreadable.contains(&row.key) {
+                    log::warn!(event = "entry_unreadable", endpoint = row.key, cause = cause; "entry is passed over");
+                }
+                skipped.insert(row.key);
+            }
+        }
+    }
+    *unreadable = skipped;
+    listed
+}
+
+fn log_change(change: &RosterChange) {
+    let (what, endpoint) = match change {
+        RosterChange::Joined(id) => ("joined", id),
+        RosterChange::Restarted(id) => ("restarted", id),
+        RosterChange::Draining(id) => ("draining", id),
+        RosterChange::Gone(id) => ("gone", id),
+    };
+    log::info!(event = "endpoint_changed", change = what, endpoint = endpoint; "list of endpoints changed");
+}
--- a/src/command.rs
+++ b/src/command.rs
@@ -2,9 +2,11 @@
 
 mod agent;
 mod check;
+mod gateway;
 mod load;
 mod node;
 mod profile;
+mod sidecar;
 mod standin;
 mod status;
 mod stop;
@@ -12,7 +14,8 @@
 
 use crate::{
     CommandError,
-    settings::{Fault, Setting, Values},
+    logging::LogOutput,
+    settings::{Fault, Setting, Values, common},
 };
 
 /// What a command is called and which settings it takes.
@@ -43,6 +46,10 @@
     Node,
     /// The role beside an endpoint.
     Agent,
+    /// The role on an entry host of a platform with a table store.
+    Gateway,
+    /// The role beside a model engine of such a platform.
+    Sidecar,
     /// Stand-ins for other processes.
     Standin,
     /// Checks settings and documents without starting.
@@ -59,10 +66,12 @@
 
 impl Command {
     /// Every command, in the order of the help.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 11] = [
         Self::Try,
         Self::Node,
         Self::Agent,
+        Self::Gateway,
+        Self::Sidecar,
         Self::Standin,
         Self::Check,
         Self::Profile,
@@ -83,16 +92,45 @@
 
     /// The command with this name, if it starts a long-running process.
     pub fn role(name: &str) -> Option<Self> {
-        let roles = [Self::Try, Self::Node, Self::Agent, Self::Standin];
+        let roles = [
+            Self::Try,
+            Self::Node,
+            Self::Agent,
+            Self::Gateway,
+            Self::Sidecar,
+            Self::Standin,
+        ];
         roles.into_iter().find(|command| command.name() == name)
     }
 
+    /// Reads the files that the settings of a role name.
+    ///
+    /// # Errors
+    /// A file cannot be read, or is not of the expected form.
+    pub fn check_files(self, values: &Values) -> Result<(), CommandError> {
+        if matches!(self, Self::Gateway | Self::Sidecar) {
+            let path = values.text(&common::BOOT)?;
+            radishpin_gateway::read_settings(path.as_ref())?;
+        }
+        Ok(())
+    }
+
+    /// Where its log lines go.
+    pub fn log_output(self) -> LogOutput {
+        match self {
+            Self::Gateway | Self::Sidecar => LogOutput::Stdout,
+            _ => LogOutput::Stderr,
+        }
+    }
+
     /// Its settings and help.
     pub fn spec(self) -> &'static CommandSpec {
         match self {
             Self::Try => &r#try::SPEC,
             Self::Node => &node::SPEC,
             Self::Agent => &agent::SPEC,
+            Self::Gateway => &gateway::SPEC,
+            Self::Sidecar => &sidecar::SPEC,
             Self::Standin => &standin::SPEC,
             Self::Check => &check::SPEC,
             Self::Profile => &profile::SPEC,
@@ -111,6 +149,8 @@
             Self::Try => r#try::run(values),
             Self::Node => node::run(values),
             Self::Agent => agent::run(values),
+            Self::Gateway => gateway::run(values),
+            Self::Sidecar => sidecar::run(values),
             Self::Standin => standin::run(values),
             Self::Check => check::run(values),
             Self::Profile => profile::run(values),
--- /dev/null
+++ b/src/command/sidecar.rs
@@ -0,0 +1,27 @@
+//! `radishpin sidecar`: the role beside a model engine of a platform with a table store.
+
+use super::{CommandSpec, no_operands};
+use crate::{
+    CommandError,
+    settings::{
+        Values,
+        common::{BOOT, ROLE_LOG_LEVEL},
+    },
+};
+
+pub(super) static SPEC: CommandSpec = CommandSpec {
+    name: "sidecar",
+    summary: "Load and unload models at the engine beside it.",
+    usages: &["[FLAGS]"],
+    settings: &[&BOOT, &ROLE_LOG_LEVEL],
+    examples: &[
+        "radishpin sidecar --boot /etc/radishpin/boot.json",
+        "radishpin check sidecar --boot /etc/radishpin/boot.json",
+    ],
+    notes: "",
+    check: no_operands,
+};
+
+pub(super) fn run(values: &Values) -> Result<(), CommandError> {
+    Ok(radishpin_gateway::run_sidecar(values.text(&BOOT)?.into())?)
+}
--- a/src/error.rs
+++ b/src/error.rs
@@ -41,6 +41,12 @@
             source(cause)
             from()
         }
+        /// A gateway or sidecar cannot start.
+        Gateway(cause: radishpin_gateway::GatewayError) {
+            display("{cause}")
+            source(cause)
+            from()
+        }
         /// An agent cannot start.
         Agent(cause: radishpin_server::AgentError) {
             display("{cause}")
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,6 @@
 
 pub use command::{Command, CommandSpec};
 pub use error::CommandError;
-pub use logging::{format_record, start_logging};
+pub use logging::{LogOutput, QueuedLines, format_record, start_logging};
 pub use run::{Outcome, evaluate, main};
 pub use settings::{Fault, Input, Kind, Presence, Setting, TimeSpec, Value, Values};
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,4 +1,4 @@
-//! Logs to standard error: one line a record, `key=value` pairs.
+//! Logs: one line a record, `key=value` pairs.
 
 use log::{
     LevelFilter, Record,
@@ -6,16 +6,80 @@
 };
 use std::{
     io::{self, Write},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+        mpsc::{self, SyncSender},
+    },
+    thread,
     time::SystemTime,
 };
 
+/// Where log lines go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogOutput {
+    /// To standard error, by the thread that logs.
+    Stderr,
+    /// To standard output, by a thread of their own, so that a full pipe holds up nothing.
+    Stdout,
+}
+
+/// Lines that wait to be written to standard output, at most; further ones are left out.
+const QUEUED_LINES_MAX: usize = 4_096;
+
 /// Starts the logs at `level`; a second call changes nothing.
-pub fn start_logging(level: &str) {
+pub fn start_logging(level: &str, output: LogOutput) {
     let level: LevelFilter = level.parse().unwrap_or(LevelFilter::Info);
-    let _ = env_logger::Builder::new()
+    let mut builder = env_logger::Builder::new();
+    builder
         .filter_level(level)
-        .format(|out, record| format_record(out, SystemTime::now(), record))
-        .try_init();
+        .format(|out, record| format_record(out, SystemTime::now(), record));
+    if output == LogOutput::Stdout {
+        let lines = QueuedLines::start(io::stdout(), QUEUED_LINES_MAX);
+        builder.target(env_logger::Target::Pipe(Box::new(lines)));
+    }
+    let _ = builder.try_init();
+}
+
+/// A writer that never blocks: a thread writes what it is given, and what finds the queue full is
+/// left out and counted.
+pub struct QueuedLines {
+    sender: SyncSender<Vec<u8>>,
+    left_out: Arc<AtomicU64>,
+}
+
+impl QueuedLines {
+    /// Starts the thread that writes to `output`.
+    pub fn start(mut output: impl Write + Send + 'static, lines_max: usize) -> Self {
+        let (sender, lines) = mpsc::sync_channel::<Vec<u8>>(lines_max);
+        let left_out = Arc::new(AtomicU64::new(0));
+        let counted = Arc::clone(&left_out);
+        thread::spawn(move || {
+            while let Ok(line) = lines.recv() {
+                // Without standard output there is nowhere to say so.
+                let _ = output.write_all(&line);
+                let missing = counted.swap(0, Ordering::Relaxed);
+                if missing > 0 {
+                    let _ = writeln!(output, "level=warn event=lines_left_out count={missing}");
+                }
+                let _ = output.flush();
+            }
+        });
+        Self { sender, left_out }
+    }
+}
+
+impl Write for QueuedLines {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        if self.sender.try_send(line.to_vec()).is_err() {
+            self.left_out.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
 }
 
 /// Writes one record: time, level, target and message, then the record's own pairs.
--- a/src/run.rs
+++ b/src/run.rs
@@ -22,7 +22,7 @@
     /// Run the command.
     Run(Command, Values),
     /// Check the settings of a role and end well.
-    Checked(Command),
+    Checked(Command, Values),
     /// Bad settings, all of them.
     Bad(Vec<Fault>),
 }
@@ -31,14 +31,11 @@
 pub fn main() -> ExitCode {
     match evaluate(&Input::of_process()) {
         Outcome::Print(text) => finish(print(&text)),
-        Outcome::Checked(command) => finish(print(&format!(
-            "settings of {} are valid\n",
-            command.name()
-        ))),
+        Outcome::Checked(command, values) => finish(report_checked(command, &values)),
         Outcome::Bad(faults) => finish(Err(CommandError::Settings(faults))),
         Outcome::Run(command, values) => {
             let level = values.optional_text(&common::LOG_LEVEL);
-            start_logging(level.unwrap_or("warn"));
+            start_logging(level.unwrap_or("warn"), command.log_output());
             finish(command.run(&values))
         }
     }
@@ -69,10 +66,16 @@
     }
 }
 
+/// Says that a role's settings are valid, after a look at the file that they name.
+fn report_checked(command: Command, values: &Values) -> Result<(), CommandError> {
+    command.check_files(values)?;
+    print(&format!("settings of {} are valid\n", command.name()))
+}
+
 fn check_role(role: Command, input: &Input) -> Outcome {
     match read(role.spec(), input) {
         Ok(values) if values.wants_help() => Outcome::Print(command_help(role.spec())),
-        Ok(_) => Outcome::Checked(role),
+        Ok(values) => Outcome::Checked(role, values),
         Err(faults) => Outcome::Bad(faults),
     }
 }
@@ -122,7 +125,7 @@
     // Standard error may be closed; the exit code still tells.
     let _ = writeln!(io::stderr(), "{error}");
     match error {
-        CommandError::Settings(_) => ExitCode::from(BAD_SETTINGS),
+        CommandError::Settings(_) | CommandError::Gateway(_) => ExitCode::from(BAD_SETTINGS),
         _ => ExitCode::from(FAILURE),
     }
 }
--- a/src/settings/common.rs
+++ b/src/settings/common.rs
@@ -1,6 +1,7 @@
 //! Settings that several commands share.
 
 use super::{Kind, Setting};
+use radishpin_adapter::SETTINGS_PATH_VARIABLE;
 use std::time::Duration;
 
 /// Name of the node or endpoint.
@@ -76,6 +77,23 @@
 )
 .env("RADISHPIN_DRAIN_TIMEOUT");
 
+/// File with what a process learns from its platform.
+pub(crate) static BOOT: Setting = Setting::required(
+    "boot",
+    Kind::File,
+    "File with the settings that the platform gives to this process.",
+)
+.env(SETTINGS_PATH_VARIABLE);
+
+/// Level of the logs of a role that logs to standard output.
+pub(crate) static ROLE_LOG_LEVEL: Setting = Setting::with_default(
+    "log-level",
+    Kind::Choice(&["off", "error", "warn", "info", "debug", "trace"]),
+    "info",
+    "Least severe level that is logged, to standard output.",
+)
+.env("RADISHPIN_LOG_LEVEL");
+
 /// Level of the logs.
 pub(crate) static LOG_LEVEL: Setting = Setting::with_default(
     "log-level",
