--- a/crates/radishpin-core/src/process.rs
+++ b/crates/radishpin-core/src/process.rs
@@ -9,9 +9,7 @@
 mod residency;
 mod roster;
 
-pub use fleet::{
-    Fleet, Outcome, Pick, PickQuery, Refusal, RefusalReason, Wait,
-};
+pub use fleet::{Fleet, Outcome, Pick, PickQuery, Refusal, RefusalReason, Wait};
 pub use lease::{
     HOLDER_VALID, LeaseDecision, LeaseRecord, LeaseWatch, READ_GAP, RENEW_EVERY, SPARE_CANDIDATES,
     TAKEOVER_AFTER, TAKEOVER_STAGGER, candidate_rank,
@@ -26,11 +24,9 @@
     DEFAULT_ORDER_LIFE, EngineReport, FENCE_MODEL, Fencing, Order, OrderKind, OrderNumber,
     OrderOutcome, Target,
 };
+pub use replica_ledger::{LoadDecision, LoadRefusal, ReplicaLedger, ReplicaState, ReplicaStatus};
 pub use residency::{
     Action, Demand, DemandReason, EndpointReport, GATEWAY_TIMEOUT, GatewayReport, LoadStatus,
     ModelStatus, ModelUsage, Residency, Settled, Status, StoreLoadShare,
 };
-pub use roster::{
-    EndpointEntry, EndpointPhase, HeldModel, RETURN_GRACE, Roster, RosterChange,
-};
-pub use replica_ledger::{LoadDecision, LoadRefusal, ReplicaLedger, ReplicaState, ReplicaStatus};
+pub use roster::{EndpointEntry, EndpointPhase, HeldModel, RETURN_GRACE, Roster, RosterChange};
--- a/crates/radishpin-core/src/process/fleet.rs
+++ b/crates/radishpin-core/src/process/fleet.rs
@@ -8,9 +8,7 @@
 pub use endpoint::Outcome;
 pub use pick::{Pick, PickQuery, Refusal, RefusalReason, Wait};
 
-use super::{
-    Demand, DemandReason, EndpointEntry, GatewayReport, ModelUsage, RosterChange, Status,
-};
+use super::{Demand, DemandReason, EndpointEntry, GatewayReport, ModelUsage, RosterChange, Status};
 use crate::version::Catalog;
 use endpoint::Endpoint;
 use radishpin_protocol::prelude::*;
@@ -118,7 +116,11 @@
     /// Gateways that sidecars hear from, at least this one.
     pub fn gateways(&self) -> u32 {
         let statuses = self.endpoints.values().filter_map(|e| e.status.as_ref());
-        statuses.map(|status| status.gateways).max().unwrap_or(1).max(1)
+        statuses
+            .map(|status| status.gateways)
+            .max()
+            .unwrap_or(1)
+            .max(1)
     }
 
     /// Connections that this gateway may have to an endpoint of a service.
@@ -196,7 +198,9 @@
             engines: endpoint.map_or(1, |endpoint| self.engines_of(&endpoint.entry.service)),
             seen_incarnation: status.map_or(0, |status| status.incarnation),
             seen_version: status.map_or(0, |status| status.version),
-            usage: endpoint.map(|endpoint| self.usage(id, endpoint, now)).unwrap_or_default(),
+            usage: endpoint
+                .map(|endpoint| self.usage(id, endpoint, now))
+                .unwrap_or_default(),
             demands: self.demands(id),
         }
     }
@@ -225,7 +229,10 @@
     }
 
     fn demands(&self, endpoint: &str) -> Vec<Demand> {
-        let waits = self.waits.iter().filter(|(_, wait)| wait.endpoint == endpoint);
+        let waits = self
+            .waits
+            .iter()
+            .filter(|(_, wait)| wait.endpoint == endpoint);
         let waits = waits.map(|((model, adapter), wait)| Demand {
             model: model.clone(),
             adapter: adapter.clone(),
--- a/crates/radishpin-core/src/process/fleet/endpoint.rs
+++ b/crates/radishpin-core/src/process/fleet/endpoint.rs
@@ -92,8 +92,8 @@
         if changed {
             self.missing.clear();
         }
-        let came_up = status.engine_up
-            && !self.status.as_ref().is_some_and(|known| known.engine_up);
+        let came_up =
+            status.engine_up && !self.status.as_ref().is_some_and(|known| known.engine_up);
         if came_up {
             self.suspected_until = Duration::ZERO;
             self.unreachable = 0;
@@ -245,8 +245,8 @@
 
     /// Whether the sidecar's word is of the engine's present life.
     fn status_is_current(&self) -> bool {
-        self.status.as_ref().is_some_and(|status| {
-            status.engine_started_unix_ms >= self.entry.started_unix_ms
-        })
+        self.status
+            .as_ref()
+            .is_some_and(|status| status.engine_started_unix_ms >= self.entry.started_unix_ms)
     }
 }
--- a/crates/radishpin-core/src/process/fleet/pick.rs
+++ b/crates/radishpin-core/src/process/fleet/pick.rs
@@ -136,7 +136,11 @@
         let Some((endpoint, cost)) = best else {
             return self.pick_without_holder(query, now);
         };
-        let load_max = if query.priority == 0 { LOAD_MAX_URGENT } else { LOAD_MAX };
+        let load_max = if query.priority == 0 {
+            LOAD_MAX_URGENT
+        } else {
+            LOAD_MAX
+        };
         if cost.load_share >= load_max {
             return Pick::Refuse(Refusal::new(RefusalReason::Busy, BUSY_RETRY, query.random));
         }
@@ -260,7 +264,9 @@
     }
 
     fn assign(&mut self, target: super::Target, endpoint: &str) {
-        if let Some(WaitEntry { endpoint: known, .. }) = self.waits.get_mut(&target)
+        if let Some(WaitEntry {
+            endpoint: known, ..
+        }) = self.waits.get_mut(&target)
             && known != endpoint
         {
             endpoint.clone_into(known);
@@ -317,9 +323,8 @@
         now: Duration,
     ) -> Option<Duration> {
         let endpoint = self.endpoints.get(id)?;
-        let can_load = endpoint.takes_loads()
-            && endpoint.is_open(now)
-            && endpoint.entry.service == service;
+        let can_load =
+            endpoint.takes_loads() && endpoint.is_open(now) && endpoint.entry.service == service;
         if !can_load {
             return None;
         }
--- a/crates/radishpin-core/src/process/fleet/plan.rs
+++ b/crates/radishpin-core/src/process/fleet/plan.rs
@@ -44,7 +44,10 @@
 
     /// Requests a second for each model, over all gateways as far as is known.
     fn demand(&self, service: &str, now: Duration) -> BTreeMap<ModelId, f32> {
-        let own = self.rates.iter().map(|(model, rate)| (model.clone(), rate.per_s(now)));
+        let own = self
+            .rates
+            .iter()
+            .map(|(model, rate)| (model.clone(), rate.per_s(now)));
         let mut demand: BTreeMap<ModelId, f32> = own.collect();
         for (_, status) in self.statuses(service) {
             for (model, held) in &status.models {
@@ -74,7 +77,12 @@
         per_s: f32,
         now: Duration,
     ) {
-        let duration_s = self.rates.get(model).copied().unwrap_or_default().duration_s();
+        let duration_s = self
+            .rates
+            .get(model)
+            .copied()
+            .unwrap_or_default()
+            .duration_s();
         let places = (engine.slots.max(1) as f32) * PLACES_PER_MODEL;
         let by_load = (per_s * duration_s / places).ceil().max(1.0) as usize;
         let needed = by_load + SPARE_REPLICAS;
@@ -83,7 +91,11 @@
         for (id, status) in self.statuses(service) {
             if status.models.get(model).is_some_and(|held| !held.leaving) {
                 holders.push(id.clone());
-            } else if status.loading.as_ref().is_some_and(|load| &load.model == model) {
+            } else if status
+                .loading
+                .as_ref()
+                .is_some_and(|load| &load.model == model)
+            {
                 coming += 1;
             }
         }
--- a/crates/radishpin-core/src/process/residency.rs
+++ b/crates/radishpin-core/src/process/residency.rs
@@ -7,6 +7,7 @@
 
 mod exchange;
 mod queue;
+mod store_share;
 mod victim;
 
 pub use exchange::{
@@ -14,10 +15,11 @@
 };
 
 pub(crate) use queue::MAKE_ROOM;
+pub use store_share::StoreLoadShare;
 
 use crate::{process::HeldModel, request::Tier, version::EngineSpec};
 use radishpin_protocol::{UnixMs, prelude::*};
-use std::sync::Arc;
+use std::{collections::VecDeque, sync::Arc};
 
 /// Age at which a gateway's report no longer counts: the gateway is gone or cut off.
 pub const GATEWAY_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -77,24 +79,6 @@
     Unknown,
 }
 
-/// The sidecars' shares of the loads that the weight store allows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct StoreLoadShare {
-    /// Shortest time between two loads from the store by one sidecar.
-    pub gap: Duration,
-}
-
-impl StoreLoadShare {
-    /// The share where `engines` sidecars together may begin `loads_per_s` in each `window`.
-    pub fn new(engines: u32, loads_per_s: f64, window: Duration) -> Self {
-        let allowed = (loads_per_s * window.as_secs_f64()).max(1.0);
-        let windows = (f64::from(engines) / allowed).ceil().max(1.0);
-        Self {
-            gap: window.mul_f64(windows),
-        }
-    }
-}
-
 /// A load in progress.
 #[derive(Clone, Debug)]
 struct Loading {
@@ -142,7 +126,9 @@
     paused_until: Duration,
     adapters_paused_until: Duration,
     store_window: Duration,
-    next_store_load: Duration,
+    /// When loads from the weight store began, newest last.
+    store_loads: VecDeque<Duration>,
+    store_load_after: Duration,
     incarnation: Incarnation,
     status_version: u64,
 }
@@ -165,7 +151,8 @@
             paused_until: Duration::ZERO,
             adapters_paused_until: Duration::ZERO,
             store_window: Duration::ZERO,
-            next_store_load: store_load_after,
+            store_loads: VecDeque::new(),
+            store_load_after,
             incarnation,
             status_version: 1,
         }
@@ -184,12 +171,28 @@
         Some(&newest.report.endpoint)
     }
 
-    /// Shortest time between two of this sidecar's loads from the weight store.
-    fn store_gap(&self) -> Duration {
-        let engines = self.gateways.values().map(|heard| heard.report.engines).max();
-        let engines = engines.unwrap_or(1).max(1);
-        let loads_per_s = self.spec.as_ref().map_or(0.0, |spec| spec.store_loads_per_s);
-        StoreLoadShare::new(engines, loads_per_s, self.store_window).gap
+    fn store_share(&self) -> StoreLoadShare {
+        let engines = self.gateways.values().map(|heard| heard.report.engines);
+        let loads_per_s = self
+            .spec
+            .as_ref()
+            .map_or(0.0, |spec| spec.store_loads_per_s);
+        StoreLoadShare::new(engines.max().unwrap_or(1), loads_per_s, self.store_window)
+    }
+
+    /// Whether a load from the weight store may begin now.
+    fn store_is_open(&self, now: Duration) -> bool {
+        let share = self.store_share();
+        let recent = |begun: &&Duration| now.saturating_sub(**begun) < share.window;
+        let begun = self.store_loads.iter().rev().take_while(recent).count();
+        now >= self.store_load_after && begun < share.loads
+    }
+
+    fn count_store_load(&mut self, now: Duration) {
+        let window = self.store_share().window;
+        self.store_loads
+            .retain(|begun| now.saturating_sub(*begun) < window);
+        self.store_loads.push_back(now);
     }
 
     /// Whether a configuration is known.
@@ -236,7 +239,9 @@
             self.leaving = None;
         }
         self.late.retain(|order| order.until > now);
-        let took_effect = self.unknown.take_if(|(_, sequence)| report.sequence > *sequence);
+        let took_effect = self
+            .unknown
+            .take_if(|(_, sequence)| report.sequence > *sequence);
         self.report = Some(report);
         if let Some((action, _)) = took_effect {
             self.begin(&action, now);
@@ -384,10 +389,7 @@
 
     /// Records what came of an order that [`Self::decide`] returned.
     pub fn settle(&mut self, action: &Action, settled: Settled, now: Duration) {
-        let is_adapter = matches!(
-            action,
-            Action::LoadAdapter(..) | Action::UnloadAdapter(..)
-        );
+        let is_adapter = matches!(action, Action::LoadAdapter(..) | Action::UnloadAdapter(..));
         match settled {
             Settled::Accepted => self.begin(action, now),
             Settled::Unneeded => {}
@@ -405,7 +407,7 @@
         let spec = self.spec.as_ref().and_then(|spec| spec.models.get(model));
         let expected = spec.map_or(Duration::ZERO, |spec| spec.load_time(tier));
         if tier == Tier::Remote {
-            self.next_store_load = now + self.store_gap();
+            self.count_store_load(now);
         }
         self.loading = Some(Loading {
             model: model.clone(),
@@ -424,7 +426,7 @@
         if let Action::Load(model) = action
             && self.tier(model) == Tier::Remote
         {
-            self.next_store_load = now + self.store_gap();
+            self.count_store_load(now);
         }
         let Some(report) = &self.report else {
             return;
--- a/crates/radishpin-core/src/process/residency/queue.rs
+++ b/crates/radishpin-core/src/process/residency/queue.rs
@@ -34,7 +34,10 @@
             return Vec::new();
         };
         let mut wanted: BTreeMap<&ModelId, Wanted> = BTreeMap::new();
-        let demands = self.gateways.values().flat_map(|heard| &heard.report.demands);
+        let demands = self
+            .gateways
+            .values()
+            .flat_map(|heard| &heard.report.demands);
         for demand in demands {
             let Some(model) = spec.models.get(&demand.model) else {
                 continue;
@@ -69,7 +72,7 @@
 
     /// The load that goes next, under the sidecar's share of loads from the weight store.
     pub(super) fn next_load(&self, spec: &EngineSpec, now: Duration) -> Option<Wanted> {
-        let store_open = now >= self.next_store_load;
+        let store_open = self.store_is_open(now);
         let mut wanted = self.wanted(spec, now).into_iter();
         wanted.find(|wanted| store_open || wanted.tier != Tier::Remote)
     }
@@ -114,11 +117,16 @@
                 .arriving_adapters
                 .contains(&(model.clone(), adapter.clone()))
         };
-        let demands = self.gateways.values().flat_map(|heard| &heard.report.demands);
+        let demands = self
+            .gateways
+            .values()
+            .flat_map(|heard| &heard.report.demands);
         let missing = demands.filter_map(|demand| {
             let adapter = demand.adapter.as_ref()?;
-            let usable = report.models.contains_key(&demand.model) && !self.is_leaving(&demand.model);
-            let known = held.contains(&(&demand.model, adapter)) || arriving(&demand.model, adapter);
+            let usable =
+                report.models.contains_key(&demand.model) && !self.is_leaving(&demand.model);
+            let known =
+                held.contains(&(&demand.model, adapter)) || arriving(&demand.model, adapter);
             (usable && !known).then_some((&demand.model, adapter))
         });
         let wanted: BTreeSet<(&ModelId, &AdapterId)> = missing.collect();
--- a/crates/radishpin-core/src/process/residency/victim.rs
+++ b/crates/radishpin-core/src/process/residency/victim.rs
@@ -1,6 +1,7 @@
 //! Which model makes room for another one.
 
 use super::{DemandReason, Residency, queue::Wanted};
+use crate::request::Tier;
 use radishpin_protocol::prelude::*;
 
 /// How long a model stays at least once callers waited for it.
@@ -26,15 +27,16 @@
             DemandReason::Waiting => STAY_MIN,
             DemandReason::Replica | DemandReason::Prefetch => STAY_BEFORE_PREFETCH,
         };
+        let prefetch = next.reason == DemandReason::Prefetch;
         let movable = report.models.keys().filter(|model| {
             let since = self.held_since.get(*model).copied().unwrap_or(now);
-            now.saturating_sub(since) >= stay && !self.is_needed(model)
+            // A copy ahead of demand must not cost the only copy that is near.
+            let comes_back = !prefetch || self.tier(model) != Tier::Remote;
+            now.saturating_sub(since) >= stay && !self.is_needed(model) && comes_back
         });
         let ranked = movable.map(|model| (self.rank(model), model));
-        let (rank, model) = ranked.min_by(|(a, _), (b, _)| {
-            a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal)
-        })?;
-        let prefetch = next.reason == DemandReason::Prefetch;
+        let (rank, model) = ranked
+            .min_by(|(a, _), (b, _)| a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal))?;
         if prefetch && (rank.in_use || rank.loss_per_s > PREFETCH_LOSS_MAX_PER_S) {
             return None;
         }
--- a/crates/radishpin-core/src/version/catalog.rs
+++ b/crates/radishpin-core/src/version/catalog.rs
@@ -62,7 +62,11 @@
 impl Route {
     /// The service for a request, spread over the splits by `random`.
     pub fn service(&self, random: u64) -> Option<&ServiceId> {
-        let total: u64 = self.splits.iter().map(|split| u64::from(split.weight)).sum();
+        let total: u64 = self
+            .splits
+            .iter()
+            .map(|split| u64::from(split.weight))
+            .sum();
         let Some(mut point) = random.checked_rem(total) else {
             return self.splits.first().map(|split| &split.service);
         };
--- a/crates/radishpin-gateway/src/connection/client.rs
+++ b/crates/radishpin-gateway/src/connection/client.rs
@@ -10,6 +10,7 @@
 use quick_error::quick_error;
 use radishpin_protocol::prelude::*;
 use radishpin_runtime::{Runtime, timeout};
+use rustix::net::sockopt::set_socket_linger;
 use smol::{Task, net::TcpStream};
 use smol_hyper::rt::FuturesIo;
 use std::{io, net::SocketAddr};
@@ -58,12 +59,16 @@
 
 impl Connection {
     /// Connects.
-    pub(crate) async fn open(runtime: &Runtime, address: SocketAddr) -> Result<Self, ExchangeError> {
+    pub(crate) async fn open(
+        runtime: &Runtime,
+        address: SocketAddr,
+    ) -> Result<Self, ExchangeError> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
             .await
             .unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
             .map_err(ExchangeError::Connect)?;
         stream.set_nodelay(true).map_err(ExchangeError::Connect)?;
+        reset_on_close(&stream).map_err(ExchangeError::Connect)?;
         let (sender, connection) = http1::Builder::new()
             .handshake(FuturesIo::new(stream))
             .await?;
@@ -107,6 +112,13 @@
     }
 }
 
+/// Has the socket reset its connection when it is closed: what the other side has not read by
+/// then, it never reads. An exchange that is given up leaves nothing behind to be run later.
+fn reset_on_close(stream: &TcpStream) -> io::Result<()> {
+    set_socket_linger(stream, Some(Duration::ZERO))?;
+    Ok(())
+}
+
 /// For how long a connection can be kept after an answer with these headers.
 pub(crate) fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
     let connection = headers.get(header::CONNECTION);
@@ -118,7 +130,9 @@
     if close {
         return None;
     }
-    let text = headers.get("keep-alive").and_then(|value| value.to_str().ok());
+    let text = headers
+        .get("keep-alive")
+        .and_then(|value| value.to_str().ok());
     let seconds = text.and_then(|text| {
         let mut fields = text.split(',').map(str::trim);
         fields.find_map(|field| field.strip_prefix("timeout=")?.parse::<u32>().ok())
@@ -133,7 +147,6 @@
 #[derive(Debug)]
 pub(crate) struct WholeAnswer {
     pub(crate) status: u16,
-    pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) keep_alive: Option<Duration>,
 }
@@ -180,7 +193,6 @@
     Ok(WholeAnswer {
         status: head.status.as_u16(),
         keep_alive: keep_alive(&head.headers),
-        headers: head.headers,
         body: body.to_bytes(),
     })
 }
--- a/crates/radishpin-gateway/src/connection/link.rs
+++ b/crates/radishpin-gateway/src/connection/link.rs
@@ -102,7 +102,15 @@
         let report = self.gateway.report_to(self.endpoint);
         let path = format!("{EXCHANGE_PATH}{}", wait.as_millis());
         let body = serde_json::to_vec(&report)?;
-        let answer = post(&mut connection, self.sidecar, &path, &[], body, STATUS_BYTES_MAX).await?;
+        let answer = post(
+            &mut connection,
+            self.sidecar,
+            &path,
+            &[],
+            body,
+            STATUS_BYTES_MAX,
+        )
+        .await?;
         if answer.status != 200 {
             return Err(format!("sidecar answered {}", answer.status).into());
         }
--- a/crates/radishpin-gateway/src/connection/server.rs
+++ b/crates/radishpin-gateway/src/connection/server.rs
@@ -26,14 +26,15 @@
     pub(crate) head_timeout: Duration,
 }
 
-/// Listens on an address.
+/// Listens on an address; returns the address that it got where the port was left open.
 ///
 /// # Errors
 /// The address cannot be had.
-pub(crate) async fn listen(address: SocketAddr) -> Result<TcpListener, GatewayError> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|cause| GatewayError::Listen(address, cause))
+pub(crate) async fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), GatewayError> {
+    let failed = |cause| GatewayError::Listen(address, cause);
+    let listener = TcpListener::bind(address).await.map_err(failed)?;
+    let address = listener.local_addr().map_err(failed)?;
+    Ok((listener, address))
 }
 
 /// Serves the connections of a listener until the shutdown closes.
--- a/crates/radishpin-gateway/src/lib.rs
+++ b/crates/radishpin-gateway/src/lib.rs
@@ -9,4 +9,6 @@
 mod request;
 mod version;
 
-pub use process::{GatewayError, read_settings, run_gateway, run_sidecar};
+pub use process::{
+    GatewayError, GatewayProcess, SidecarProcess, read_settings, run_gateway, run_sidecar,
+};
--- a/crates/radishpin-gateway/src/process/gateway.rs
+++ b/crates/radishpin-gateway/src/process/gateway.rs
@@ -15,7 +15,7 @@
 use parking_lot::Mutex;
 use radishpin_adapter::{READINESS_PATH, Settings};
 use radishpin_core::{
-    process::{Fleet, GatewayReport, Roster, RosterChange, Status},
+    process::{EndpointPhase, Fleet, GatewayReport, Roster, RosterChange, Status},
     request::RetryBudgets,
     version::Catalog,
 };
@@ -146,6 +146,7 @@
     fn accept_roster(self: &Arc<Self>, roster: &Roster, changes: &[RosterChange]) {
         self.fleet.lock().list(roster.entries(), changes);
         self.endpoints_known.store(true, Ordering::Relaxed);
+        self.count_endpoints(roster);
         if !changes.is_empty() {
             self.renew_links();
             self.pool.prune(|id| roster.entries().contains_key(id));
@@ -153,6 +154,18 @@
         }
     }
 
+    fn count_endpoints(&self, roster: &Roster) {
+        let entries = roster.entries().values();
+        let ready = entries
+            .filter(|entry| entry.phase == EndpointPhase::Ready)
+            .count();
+        let draining = roster.entries().len() - ready;
+        for (state, count) in [("ready", ready), ("draining", draining)] {
+            let gauge = self.metrics.endpoints.with_label_values(&[state]);
+            gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+        }
+    }
+
     /// Keeps one link to the sidecar of each engine.
     fn renew_links(self: &Arc<Self>) {
         let port = self.settings.lock().internal_port;
@@ -207,6 +220,86 @@
     }
 }
 
+/// A gateway that runs.
+#[derive(Debug)]
+pub struct GatewayProcess {
+    gateway: Arc<Gateway>,
+    callers: SocketAddr,
+    ready: SocketAddr,
+}
+
+impl GatewayProcess {
+    /// Starts a gateway: listens, and follows the platform's store.
+    ///
+    /// # Errors
+    /// The settings lack an address, or an address cannot be had.
+    pub async fn start(runtime: Runtime, settings: Settings) -> Result<Self, GatewayError> {
+        let callers = settings
+            .callers_listen
+            .ok_or(GatewayError::MissingSetting("address for callers"))?;
+        let ready = settings
+            .ready_listen
+            .ok_or(GatewayError::MissingSetting("address for readiness probes"))?;
+        let metrics = SocketAddr::new(settings.ip_address, settings.metrics_port);
+        let store = settings.store;
+        let gateway = Arc::new(Gateway::new(runtime, settings)?);
+        let callers = serve_callers(&gateway, callers).await?;
+        let ready = serve_readiness(&gateway, ready).await?;
+        serve_metrics(&gateway, metrics).await?;
+        follow_store(&gateway, store);
+        let planner = Arc::clone(&gateway);
+        let plans = async move { planner.plan_always().await };
+        gateway.runtime.spawn_detached(plans);
+        let process = Self {
+            gateway,
+            callers,
+            ready,
+        };
+        process.log_start();
+        Ok(process)
+    }
+
+    fn log_start(&self) {
+        let settings = Arc::clone(&self.gateway.settings.lock());
+        log::info!(
+            event = "started", role = "gateway", host = settings.host, callers:% = self.callers,
+            store:% = settings.store, first_start = settings.first_start,
+            version = env!("CARGO_PKG_VERSION");
+            "gateway started"
+        );
+    }
+
+    /// Where callers connect.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Where the platform asks whether the gateway is ready.
+    pub fn ready(&self) -> SocketAddr {
+        self.ready
+    }
+
+    /// Stops in order: callers go elsewhere, and the requests that run get their answers.
+    pub async fn stop(&self) {
+        let shutdown = &self.gateway.shutdown;
+        let grace = self.gateway.settings.lock().bounds.stop_grace;
+        let connections = shutdown.connections();
+        log::info!(event = "stopping", connections = connections; "asked to stop; draining");
+        shutdown.drain();
+        let rotation = ROTATION_TIME.min(grace / 2);
+        Runtime::sleep(rotation).await;
+        shutdown.close();
+        let left = grace.saturating_sub(rotation + EXIT_MARGIN);
+        let ended = timeout(left, shutdown.connections_ended()).await;
+        let cut = if ended.is_some() {
+            0
+        } else {
+            shutdown.connections()
+        };
+        log::info!(event = "stopped", connections_cut = cut; "gateway stopped");
+    }
+}
+
 /// Runs a gateway until it is asked to stop.
 ///
 /// # Errors
@@ -214,35 +307,13 @@
 pub fn run_gateway(path: PathBuf) -> Result<(), GatewayError> {
     let settings = read_settings(&path)?;
     let runtime = Runtime::start(settings.cores)?;
-    let gateway = Arc::new(Gateway::new(runtime, settings)?);
-    smol::block_on(run(gateway, path))
-}
-
-async fn run(gateway: Arc<Gateway>, path: PathBuf) -> Result<(), GatewayError> {
-    let settings = Arc::clone(&gateway.settings.lock());
-    let callers = settings
-        .callers_listen
-        .ok_or(GatewayError::MissingSetting("address for callers"))?;
-    let ready = settings
-        .ready_listen
-        .ok_or(GatewayError::MissingSetting("address for readiness probes"))?;
-    serve_callers(&gateway, callers).await?;
-    serve_readiness(&gateway, ready).await?;
-    serve_metrics(&gateway, SocketAddr::new(settings.ip_address, settings.metrics_port)).await?;
-    follow_store(&gateway, settings.store);
-    let planner = Arc::clone(&gateway);
-    gateway
-        .runtime
-        .spawn_detached(async move { planner.plan_always().await });
-    spawn_settings_watch(&gateway, &path);
-    log::info!(
-        event = "started", role = "gateway", host = settings.host, callers:% = callers, store:% = settings.store,
-        version = env!("CARGO_PKG_VERSION"), first_start = settings.first_start;
-        "gateway started"
-    );
-    stop_asked().await?;
-    stop(&gateway, settings.bounds.stop_grace).await;
-    Ok(())
+    smol::block_on(async {
+        let process = GatewayProcess::start(runtime, settings).await?;
+        spawn_settings_watch(&process.gateway, &path);
+        stop_asked().await?;
+        process.stop().await;
+        Ok(())
+    })
 }
 
 fn spawn_settings_watch(gateway: &Arc<Gateway>, path: &Path) {
@@ -253,21 +324,11 @@
         .spawn_detached(async move { watch_settings(&path, &watcher.settings).await });
 }
 
-async fn stop(gateway: &Gateway, grace: Duration) {
-    let connections = gateway.shutdown.connections();
-    log::info!(event = "stopping", connections = connections; "asked to stop; draining");
-    gateway.shutdown.drain();
-    let rotation = ROTATION_TIME.min(grace / 2);
-    Runtime::sleep(rotation).await;
-    gateway.shutdown.close();
-    let left = grace.saturating_sub(rotation + EXIT_MARGIN);
-    let ended = timeout(left, gateway.shutdown.connections_ended()).await;
-    let cut = if ended.is_some() { 0 } else { gateway.shutdown.connections() };
-    log::info!(event = "stopped", connections_cut = cut; "gateway stopped");
-}
-
-async fn serve_callers(gateway: &Arc<Gateway>, address: SocketAddr) -> Result<(), GatewayError> {
-    let listener = listen(address).await?;
+async fn serve_callers(
+    gateway: &Arc<Gateway>,
+    address: SocketAddr,
+) -> Result<SocketAddr, GatewayError> {
+    let (listener, address) = listen(address).await?;
     let limits_of = Arc::clone(gateway);
     let handling = Arc::clone(gateway);
     gateway.runtime.spawn_detached(serve(
@@ -277,11 +338,14 @@
         Arc::clone(&gateway.shutdown),
         move |request| serve_request(Arc::clone(&handling), request),
     ));
-    Ok(())
+    Ok(address)
 }
 
-async fn serve_readiness(gateway: &Arc<Gateway>, address: SocketAddr) -> Result<(), GatewayError> {
-    let listener = listen(address).await?;
+async fn serve_readiness(
+    gateway: &Arc<Gateway>,
+    address: SocketAddr,
+) -> Result<SocketAddr, GatewayError> {
+    let (listener, address) = listen(address).await?;
     let asked = Arc::clone(gateway);
     gateway.runtime.spawn_detached(serve(
         gateway.runtime.clone(),
@@ -291,7 +355,7 @@
         Arc::default(),
         move |request| std::future::ready(readiness(&asked, &request)),
     ));
-    Ok(())
+    Ok(address)
 }
 
 fn readiness(gateway: &Gateway, request: &Request<Incoming>) -> Response<Full<Bytes>> {
@@ -305,7 +369,7 @@
 }
 
 async fn serve_metrics(gateway: &Arc<Gateway>, address: SocketAddr) -> Result<(), GatewayError> {
-    let listener = listen(address).await?;
+    let (listener, _) = listen(address).await?;
     let asked = Arc::clone(gateway);
     gateway.runtime.spawn_detached(serve(
         gateway.runtime.clone(),
--- a/crates/radishpin-gateway/src/process/metrics.rs
+++ b/crates/radishpin-gateway/src/process/metrics.rs
@@ -57,8 +57,16 @@
             registry.register(Box::new(histogram.clone()))?;
             Ok::<_, prometheus::Error>(histogram)
         };
-        let requests = counters("radishpin_requests_total", "Requests by outcome", &["outcome"])?;
-        let refusals = counters("radishpin_refusals_total", "Refusals by reason", &["reason"])?;
+        let requests = counters(
+            "radishpin_requests_total",
+            "Requests by outcome",
+            &["outcome"],
+        )?;
+        let refusals = counters(
+            "radishpin_refusals_total",
+            "Refusals by reason",
+            &["reason"],
+        )?;
         let retries = counters("radishpin_retries_total", "Retries by reason", &["reason"])?;
         let orders = counters(
             "radishpin_orders_total",
@@ -106,7 +114,9 @@
         }
         let mut response = Response::new(Full::from(text));
         let content_type = http::HeaderValue::from_static("text/plain; version=0.0.4");
-        response.headers_mut().insert(header::CONTENT_TYPE, content_type);
+        response
+            .headers_mut()
+            .insert(header::CONTENT_TYPE, content_type);
         response
     }
 }
--- a/crates/radishpin-gateway/src/process/sidecar.rs
+++ b/crates/radishpin-gateway/src/process/sidecar.rs
@@ -23,11 +23,7 @@
 };
 use radishpin_protocol::prelude::*;
 use radishpin_runtime::{Runtime, timeout};
-use std::{
-    net::SocketAddr,
-    path::PathBuf,
-    sync::Arc,
-};
+use std::{net::SocketAddr, path::PathBuf, sync::Arc};
 
 /// Time between two reports while an order or a demand is open.
 const REPORT_GAP_ACTIVE: Duration = Duration::from_millis(40);
@@ -62,57 +58,56 @@
     metrics: Metrics,
 }
 
+/// A sidecar that runs.
+pub struct SidecarProcess {
+    sidecar: Arc<Sidecar>,
+}
+
+impl SidecarProcess {
+    /// Starts a sidecar: listens for gateways, and follows its engine and the platform's store.
+    ///
+    /// # Errors
+    /// The settings name no engine, or an address cannot be had.
+    pub async fn start(runtime: Runtime, settings: Settings) -> Result<Self, GatewayError> {
+        let sidecar = Arc::new(Sidecar::new(runtime, settings)?);
+        let settings = Arc::clone(&sidecar.settings.lock());
+        serve_gateways(&sidecar, &settings).await?;
+        follow_catalog(&sidecar, &settings);
+        let worker = Arc::clone(&sidecar);
+        let work = async move { worker.work().await };
+        sidecar.runtime.spawn_detached(work);
+        log::info!(
+            event = "started", role = "sidecar", host = settings.host, engine:% = sidecar.engine,
+            store:% = settings.store, first_start = settings.first_start,
+            version = env!("CARGO_PKG_VERSION");
+            "sidecar started"
+        );
+        Ok(Self { sidecar })
+    }
+
+    /// Stops listening; an order that is on its way is settled by the next life.
+    pub fn stop(&self) {
+        self.sidecar.shutdown.close();
+        log::info!(event = "stopped"; "sidecar stopped");
+    }
+}
+
 /// Runs a sidecar until it is asked to stop.
 ///
 /// # Errors
-/// The settings lack the engine, an address cannot be had, or the process cannot be set up.
+/// The settings name no engine, an address cannot be had, or the process cannot be set up.
 pub fn run_sidecar(path: PathBuf) -> Result<(), GatewayError> {
     let settings = read_settings(&path)?;
     let runtime = Runtime::start(settings.cores)?;
-    let engine = settings
-        .engine
-        .ok_or(GatewayError::MissingSetting("address of an engine"))?;
-    let clock = Clock::start();
-    let store_load_after = if settings.first_start {
-        Duration::ZERO
-    } else {
-        settings.bounds.load_window
-    };
-    let sidecar = Arc::new(Sidecar {
-        runtime,
-        clock,
-        engine,
-        residency: Mutex::new(Residency::new(rand::random(), store_load_after)),
-        settings: Mutex::new(Arc::new(settings)),
-        demand: Event::new(),
-        status_changed: Event::new(),
-        shutdown: Arc::default(),
-        metrics: Metrics::new().map_err(std::io::Error::other)?,
-    });
-    smol::block_on(run(sidecar, path))
-}
-
-async fn run(sidecar: Arc<Sidecar>, path: PathBuf) -> Result<(), GatewayError> {
-    let settings = Arc::clone(&sidecar.settings.lock());
-    serve_gateways(&sidecar, &settings).await?;
-    follow_catalog(&sidecar, &settings);
-    let worker = Arc::clone(&sidecar);
-    sidecar
-        .runtime
-        .spawn_detached(async move { worker.work().await });
-    let watcher = Arc::clone(&sidecar);
-    sidecar
-        .runtime
-        .spawn_detached(async move { watch_settings(&path, &watcher.settings).await });
-    log::info!(
-        event = "started", role = "sidecar", host = settings.host, engine:% = sidecar.engine, store:% = settings.store,
-        version = env!("CARGO_PKG_VERSION"), first_start = settings.first_start;
-        "sidecar started"
-    );
-    stop_asked().await?;
-    sidecar.shutdown.close();
-    log::info!(event = "stopped"; "sidecar stopped");
-    Ok(())
+    smol::block_on(async {
+        let process = SidecarProcess::start(runtime.clone(), settings).await?;
+        let watched = Arc::clone(&process.sidecar);
+        let watch = async move { watch_settings(&path, &watched.settings).await };
+        runtime.spawn_detached(watch);
+        stop_asked().await?;
+        process.stop();
+        Ok(())
+    })
 }
 
 fn follow_catalog(sidecar: &Arc<Sidecar>, settings: &Settings) {
@@ -124,7 +119,9 @@
         let service = service.as_ref().and_then(|name| catalog.services.get(name));
         match service.and_then(|service| service.engine.clone()) {
             Some(engine) => accepting.residency.lock().configure(engine, window),
-            None => log::warn!(event = "service_unknown"; "the configuration holds no engine for this host"),
+            None => {
+                log::warn!(event = "service_unknown"; "the configuration holds no engine for this host")
+            }
         }
         accepting.demand.notify(1);
     };
@@ -135,7 +132,7 @@
 
 async fn serve_gateways(sidecar: &Arc<Sidecar>, settings: &Settings) -> Result<(), GatewayError> {
     let address = SocketAddr::new(settings.ip_address, settings.internal_port);
-    let listener = listen(address).await?;
+    let (listener, _) = listen(address).await?;
     let handling = Arc::clone(sidecar);
     sidecar.runtime.spawn_detached(serve(
         sidecar.runtime.clone(),
@@ -145,7 +142,7 @@
         move |request| answer_gateway(Arc::clone(&handling), request),
     ));
     let address = SocketAddr::new(settings.ip_address, settings.metrics_port);
-    let listener = listen(address).await?;
+    let (listener, _) = listen(address).await?;
     let asked = Arc::clone(sidecar);
     sidecar.runtime.spawn_detached(serve(
         sidecar.runtime.clone(),
@@ -163,7 +160,9 @@
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     let wait = exchange_wait(request.uri().query().unwrap_or_default());
-    let body = Limited::new(request.into_body(), REPORT_BYTES_MAX).collect().await;
+    let body = Limited::new(request.into_body(), REPORT_BYTES_MAX)
+        .collect()
+        .await;
     let report = body
         .ok()
         .and_then(|body| serde_json::from_slice::<GatewayReport>(&body.to_bytes()).ok());
@@ -199,6 +198,28 @@
 }
 
 impl Sidecar {
+    fn new(runtime: Runtime, settings: Settings) -> Result<Self, GatewayError> {
+        let engine = settings
+            .engine
+            .ok_or(GatewayError::MissingSetting("address of an engine"))?;
+        let store_load_after = if settings.first_start {
+            Duration::ZERO
+        } else {
+            settings.bounds.load_window
+        };
+        Ok(Self {
+            runtime,
+            clock: Clock::start(),
+            engine,
+            residency: Mutex::new(Residency::new(rand::random(), store_load_after)),
+            settings: Mutex::new(Arc::new(settings)),
+            demand: Event::new(),
+            status_changed: Event::new(),
+            shutdown: Arc::default(),
+            metrics: Metrics::new().map_err(std::io::Error::other)?,
+        })
+    }
+
     /// Waits for a status other than the one that was seen.
     async fn status_after(&self, seen: (Incarnation, u64)) {
         loop {
@@ -231,7 +252,11 @@
             if ordered {
                 continue;
             }
-            let gap = if active { REPORT_GAP_ACTIVE } else { REPORT_GAP_IDLE };
+            let gap = if active {
+                REPORT_GAP_ACTIVE
+            } else {
+                REPORT_GAP_IDLE
+            };
             future::or(listener, Runtime::sleep(gap)).await;
         }
     }
@@ -271,8 +296,8 @@
             _ => Connection::open(&self.runtime, self.engine).await?,
         };
         let answer = get(&mut connection, self.engine, REPORT_PATH, REPORT_BYTES_MAX).await?;
-        let report = decode_report(&answer.body)
-            .map_err(|cause| ExchangeError::Body(cause.to_string()))?;
+        let report =
+            decode_report(&answer.body).map_err(|cause| ExchangeError::Body(cause.to_string()))?;
         let now = self.clock.now();
         self.residency.lock().observe(report, now);
         connection.keep(answer.keep_alive, now);
@@ -296,13 +321,18 @@
         self.metrics.order_s.observe(took.as_secs_f64());
         let (kind, model, adapter) = parts(&action);
         let outcome = outcome_name(settled);
-        self.metrics.orders.with_label_values(&[kind, outcome]).inc();
+        self.metrics
+            .orders
+            .with_label_values(&[kind, outcome])
+            .inc();
         log::info!(
             event = "order_sent", kind = kind, model = model, adapter = adapter.unwrap_or("-"), endpoint = endpoint,
             sequence = sequence, outcome = outcome, took_ms = took.as_millis() as u64;
             "order settled"
         );
-        self.residency.lock().settle(&action, settled, self.clock.now());
+        self.residency
+            .lock()
+            .settle(&action, settled, self.clock.now());
         true
     }
 
--- a/crates/radishpin-gateway/src/request/answer.rs
+++ b/crates/radishpin-gateway/src/request/answer.rs
@@ -26,7 +26,9 @@
 
 /// A body that is whole.
 pub(crate) fn whole(bytes: Bytes) -> AnswerBody {
-    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
+    Full::new(bytes)
+        .map_err(|never| match never {})
+        .boxed_unsync()
 }
 
 /// An answer of the gateway's own, with a line of text.
--- a/crates/radishpin-gateway/src/request/attempt.rs
+++ b/crates/radishpin-gateway/src/request/attempt.rs
@@ -1,6 +1,9 @@
 //! One send of a request to one endpoint.
 
-use super::{call::{Call, text}, place::Place};
+use super::{
+    call::{Call, text},
+    place::Place,
+};
 use crate::{
     connection::{ExchangeError, PooledConnection, keep_alive},
     process::Gateway,
@@ -21,24 +24,15 @@
 #[derive(Debug)]
 pub(crate) enum Attempt {
     /// A whole answer of the endpoint.
-    Whole {
-        head: Parts,
-        body: Bytes,
-    },
+    Whole { head: Parts, body: Bytes },
     /// The head of a stream.
     Stream(Box<OpenStream>),
     /// The endpoint did not run the request.
-    NotRun {
-        status: StatusCode,
-    },
+    NotRun { status: StatusCode },
     /// No byte of it reached an endpoint.
-    NotSent {
-        cause: String,
-    },
+    NotSent { cause: String },
     /// It may have run, or still run.
-    Unknown {
-        cause: String,
-    },
+    Unknown { cause: String },
     /// The time for it is over; it may have run, or still run.
     TimedOut,
 }
@@ -76,16 +70,23 @@
     let limit = gateway.fleet.lock().connection_share(&call.service);
     // A kept connection may have ended unnoticed; what was not written is sent on another one.
     loop {
-        let taken = gateway.pool.take(&place.endpoint, place.address, limit).await;
+        let taken = gateway
+            .pool
+            .take(&place.endpoint, place.address, limit)
+            .await;
         let mut pooled = match taken {
             Ok(Some(pooled)) => pooled,
             Ok(None) => {
                 place.end(Outcome::Refused);
-                return Attempt::NotSent { cause: "no connection left".to_owned() };
+                return Attempt::NotSent {
+                    cause: "no connection left".to_owned(),
+                };
             }
             Err(cause) => {
                 place.end(Outcome::Unreachable);
-                return Attempt::NotSent { cause: cause.to_string() };
+                return Attempt::NotSent {
+                    cause: cause.to_string(),
+                };
             }
         };
         let request = call.request_to(&place.endpoint, last_event_id, gateway.clock.now());
@@ -93,7 +94,9 @@
             Ok(request) => request,
             Err(cause) => {
                 place.end(Outcome::Canceled);
-                return Attempt::NotSent { cause: cause.to_string() };
+                return Attempt::NotSent {
+                    cause: cause.to_string(),
+                };
             }
         };
         match pooled.connection.send(request).await {
@@ -104,11 +107,15 @@
             Err(ExchangeError::NotSent) if pooled.reused => {}
             Err(ExchangeError::NotSent) => {
                 place.end(Outcome::Unreachable);
-                return Attempt::NotSent { cause: "connection ended at once".to_owned() };
+                return Attempt::NotSent {
+                    cause: "connection ended at once".to_owned(),
+                };
             }
             Err(cause) => {
                 place.end(Outcome::Failed);
-                return Attempt::Unknown { cause: cause.to_string() };
+                return Attempt::Unknown {
+                    cause: cause.to_string(),
+                };
             }
         }
     }
@@ -130,17 +137,27 @@
     if !answers_this && !call.id.is_empty() {
         // A late second answer to an earlier request; the one to this request can't be told from it.
         place.end(Outcome::Failed);
-        return Attempt::Unknown { cause: "answer to another request".to_owned() };
+        return Attempt::Unknown {
+            cause: "answer to another request".to_owned(),
+        };
     }
     let not_run = head.headers.contains_key(wire::NOT_RUN);
     let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
     if head.status.is_success() && !head.headers.contains_key(wire::SIGNATURE) {
         place.end(Outcome::Failed);
-        return Attempt::Unknown { cause: "answer without a signature".to_owned() };
+        return Attempt::Unknown {
+            cause: "answer without a signature".to_owned(),
+        };
     }
     let keep_alive = keep_alive(&head.headers);
     if head.status.is_success() && call.route.repetition.is_stream() {
-        return Attempt::Stream(Box::new(OpenStream { head, body, place, pooled, keep_alive }));
+        return Attempt::Stream(Box::new(OpenStream {
+            head,
+            body,
+            place,
+            pooled,
+            keep_alive,
+        }));
     }
     let body = match Limited::new(body, WHOLE_BYTES_MAX).collect().await {
         Ok(body) => body.to_bytes(),
@@ -148,7 +165,9 @@
         Err(_) if not_run || misdirected => Bytes::new(),
         Err(cause) => {
             place.end(Outcome::Failed);
-            return Attempt::Unknown { cause: cause.to_string() };
+            return Attempt::Unknown {
+                cause: cause.to_string(),
+            };
         }
     };
     gateway.pool.give_back(&place.endpoint, pooled, keep_alive);
@@ -160,7 +179,9 @@
     };
     place.end(outcome);
     if not_run || misdirected {
-        return Attempt::NotRun { status: head.status };
+        return Attempt::NotRun {
+            status: head.status,
+        };
     }
     Attempt::Whole { head, body }
 }
--- a/crates/radishpin-gateway/src/request/call.rs
+++ b/crates/radishpin-gateway/src/request/call.rs
@@ -63,13 +63,16 @@
         let Some(service) = route.service(random).cloned() else {
             return Err(Box::new(refusal("route without a service", STARTING_RETRY)));
         };
-        let patience = caller_patience(&parts.headers).map_or(route.timeout, |p| p.min(route.timeout));
+        let patience =
+            caller_patience(&parts.headers).map_or(route.timeout, |p| p.min(route.timeout));
         let deadline = received_at + patience;
         let body = read_body(body, catalog.limits.body_bytes, patience).await?;
         let known = catalog.services.get(&service);
         let is_engine = known.is_some_and(|service| service.engine.is_some());
         Ok(Self {
-            id: text(&parts.headers, wire::ATTEMPT_ID).unwrap_or_default().to_owned(),
+            id: text(&parts.headers, wire::ATTEMPT_ID)
+                .unwrap_or_default()
+                .to_owned(),
             target: text(&parts.headers, wire::MODEL)
                 .filter(|_| is_engine)
                 .map(wire::parse_model),
@@ -110,7 +113,10 @@
             .body(Full::new(self.body.clone()))?;
         let headers = request.headers_mut();
         *headers = self.headers.clone();
-        headers.insert(wire::DEADLINE_MS, HeaderValue::from(remaining.as_millis() as u64));
+        headers.insert(
+            wire::DEADLINE_MS,
+            HeaderValue::from(remaining.as_millis() as u64),
+        );
         headers.insert(wire::EXPECTED_ENDPOINT, HeaderValue::from_str(endpoint)?);
         if self.is_engine {
             headers.insert(wire::URGENCY, HeaderValue::from(self.urgency()));
@@ -162,7 +168,12 @@
     bytes_max: usize,
     patience: Duration,
 ) -> Result<Bytes, Box<Response<AnswerBody>>> {
-    let too_large = || Box::new(own_answer(StatusCode::PAYLOAD_TOO_LARGE, "body is too large"));
+    let too_large = || {
+        Box::new(own_answer(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "body is too large",
+        ))
+    };
     let least = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
     if least > bytes_max {
         return Err(too_large());
@@ -170,7 +181,10 @@
     match timeout(patience, Limited::new(body, bytes_max).collect()).await {
         Some(Ok(body)) => Ok(body.to_bytes()),
         Some(Err(cause)) if cause.is::<LengthLimitError>() => Err(too_large()),
-        Some(Err(_)) => Err(Box::new(own_answer(StatusCode::BAD_REQUEST, "body broke off"))),
+        Some(Err(_)) => Err(Box::new(own_answer(
+            StatusCode::BAD_REQUEST,
+            "body broke off",
+        ))),
         None => Err(Box::new(own_answer(
             StatusCode::REQUEST_TIMEOUT,
             "body did not come in time",
--- a/crates/radishpin-gateway/src/request/forward.rs
+++ b/crates/radishpin-gateway/src/request/forward.rs
@@ -33,7 +33,11 @@
         Err(response) => {
             let status = response.status().as_str().to_owned();
             let outcome = format!("own_{status}");
-            gateway.metrics.requests.with_label_values(&[&outcome]).inc();
+            gateway
+                .metrics
+                .requests
+                .with_label_values(&[&outcome])
+                .inc();
             *response
         }
     };
@@ -126,7 +130,10 @@
                 }
                 Err(refusal) => {
                     let cause = format!("no other endpoint: {}", refusal.reason.name());
-                    return Forwarded::Failed { cause, timed_out: false };
+                    return Forwarded::Failed {
+                        cause,
+                        timed_out: false,
+                    };
                 }
             };
             let now = self.gateway.clock.now();
@@ -208,7 +215,11 @@
             && self.ran < self.call.route.max_attempts
             && self.gateway.budgets.lock().try_take(&self.call.service);
         if again {
-            self.gateway.metrics.retries.with_label_values(&[reason]).inc();
+            self.gateway
+                .metrics
+                .retries
+                .with_label_values(&[reason])
+                .inc();
         }
         again
     }
@@ -223,13 +234,20 @@
             && (!arrived || self.gateway.budgets.lock().try_take(&self.call.service));
         if again {
             let reason = if arrived { "refused" } else { "not_sent" };
-            self.gateway.metrics.retries.with_label_values(&[reason]).inc();
+            self.gateway
+                .metrics
+                .retries
+                .with_label_values(&[reason])
+                .inc();
             return None;
         }
         Some(if self.ran == 0 {
             Forwarded::Refused(Refused::ByEndpoints)
         } else {
-            Forwarded::Failed { cause: "refused after a failure".to_owned(), timed_out: false }
+            Forwarded::Failed {
+                cause: "refused after a failure".to_owned(),
+                timed_out: false,
+            }
         })
     }
 
@@ -237,7 +255,10 @@
         if self.ran == 0 {
             Forwarded::Refused(Refused::TimedOut)
         } else {
-            Forwarded::Failed { cause: "out of time".to_owned(), timed_out: true }
+            Forwarded::Failed {
+                cause: "out of time".to_owned(),
+                timed_out: true,
+            }
         }
     }
 
@@ -247,19 +268,33 @@
             Refused::ByEndpoints => ("refused_by_endpoints", REFUSED_RETRY),
             Refused::TimedOut => ("out_of_time", REFUSED_RETRY),
         };
-        self.gateway.metrics.refusals.with_label_values(&[reason]).inc();
+        self.gateway
+            .metrics
+            .refusals
+            .with_label_values(&[reason])
+            .inc();
         self.finish("refused", StatusCode::SERVICE_UNAVAILABLE, reason);
         refusal(reason, retry_after)
     }
 
     fn fail(&self, cause: &str, status: StatusCode) -> Response<AnswerBody> {
         self.finish("failed", status, cause);
-        own_answer(status, "the endpoint gave no answer; the request may have run")
+        own_answer(
+            status,
+            "the endpoint gave no answer; the request may have run",
+        )
     }
 
     fn observe_first_byte(&self) {
-        let took = self.gateway.clock.now().saturating_sub(self.call.received_at);
-        self.gateway.metrics.first_byte_s.observe(took.as_secs_f64());
+        let took = self
+            .gateway
+            .clock
+            .now()
+            .saturating_sub(self.call.received_at);
+        self.gateway
+            .metrics
+            .first_byte_s
+            .observe(took.as_secs_f64());
     }
 
     fn log_attempt(&self, endpoint: &str, outcome: &str, cause: &str, took: Duration) {
@@ -272,9 +307,17 @@
 
     /// Records the end of the request.
     pub(crate) fn finish(&self, outcome: &str, status: StatusCode, reason: &str) {
-        let took = self.gateway.clock.now().saturating_sub(self.call.received_at);
+        let took = self
+            .gateway
+            .clock
+            .now()
+            .saturating_sub(self.call.received_at);
         self.gateway.metrics.answer_s.observe(took.as_secs_f64());
-        self.gateway.metrics.requests.with_label_values(&[outcome]).inc();
+        self.gateway
+            .metrics
+            .requests
+            .with_label_values(&[outcome])
+            .inc();
         let model = self.call.target.as_ref().map_or("-", |(model, _)| model);
         log::info!(
             event = "request_ended", request = self.call.id, route = self.call.route.name, model = model,
--- a/crates/radishpin-gateway/src/request/place.rs
+++ b/crates/radishpin-gateway/src/request/place.rs
@@ -94,7 +94,10 @@
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
         let waited = self.gateway.clock.now().saturating_sub(self.since);
-        self.gateway.metrics.load_wait_s.observe(waited.as_secs_f64());
+        self.gateway
+            .metrics
+            .load_wait_s
+            .observe(waited.as_secs_f64());
         if let Some((model, adapter)) = self.call.target() {
             self.gateway.fleet.lock().end_wait(model, adapter);
         }
@@ -119,13 +122,19 @@
             target: call.target(),
             priority: call.route.priority,
             remaining: call.remaining(now),
-            waited: waiting.as_ref().map_or(Duration::ZERO, |w| now.saturating_sub(w.since)),
+            waited: waiting
+                .as_ref()
+                .map_or(Duration::ZERO, |w| now.saturating_sub(w.since)),
             tried,
             random: call.random,
         };
         let pick = gateway.fleet.lock().pick(&query, now);
         let wait = match pick {
-            Pick::Send { endpoint, address, load } => {
+            Pick::Send {
+                endpoint,
+                address,
+                load,
+            } => {
                 log::info!(
                     event = "request_sent", request = call.id, route = call.route.name, endpoint = endpoint,
                     load = load, configuration = call.catalog_version, tried = tried.len(),
--- a/crates/radishpin-gateway/src/request/stream.rs
+++ b/crates/radishpin-gateway/src/request/stream.rs
@@ -91,7 +91,12 @@
     fn end(&mut self) -> Option<Result<Bytes, AnswerError>> {
         self.ended = true;
         if let Some(open) = self.open.take() {
-            let OpenStream { place, pooled, keep_alive, .. } = open;
+            let OpenStream {
+                place,
+                pooled,
+                keep_alive,
+                ..
+            } = open;
             let pool = &self.forward.gateway.pool;
             pool.give_back(&place.endpoint, pooled, keep_alive);
             let served = place.served();
@@ -143,7 +148,8 @@
 impl Drop for Streaming {
     fn drop(&mut self) {
         if !self.ended {
-            self.forward.finish("canceled", StatusCode::OK, "caller_left");
+            self.forward
+                .finish("canceled", StatusCode::OK, "caller_left");
         }
     }
 }
--- a/crates/radishpin-gateway/src/version/roster_watch.rs
+++ b/crates/radishpin-gateway/src/version/roster_watch.rs
@@ -44,7 +44,10 @@
 }
 
 /// Reads the rows; those that cannot be read name no endpoint and are logged once.
-fn decode(rows: Vec<Row>, unreadable: &mut BTreeSet<String>) -> BTreeMap<EndpointId, EndpointEntry> {
+fn decode(
+    rows: Vec<Row>,
+    unreadable: &mut BTreeSet<String>,
+) -> BTreeMap<EndpointId, EndpointEntry> {
     let mut listed = BTreeMap::new();
     let mut skipped = BTreeSet::new();
     for row in rows {
--- /dev/null
+++ b/crates/radishpin-gateway/tests/serving/caller.rs
@@ -0,0 +1,149 @@
+//! A caller that speaks plain HTTP/1.1, one request a connection.
+
+use smol::{io::AsyncReadExt, io::AsyncWriteExt, net::TcpStream};
+use std::{fmt, net::SocketAddr, time::Duration};
+
+/// What a caller asks for.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    pub path: String,
+    pub id: String,
+    pub headers: Vec<(String, String)>,
+    pub body: String,
+    pub deadline_ms: u64,
+}
+
+impl Ask {
+    pub fn new(path: &str, id: &str) -> Self {
+        Self {
+            path: path.to_owned(),
+            id: id.to_owned(),
+            headers: Vec::new(),
+            body: "question".to_owned(),
+            deadline_ms: 4_000,
+        }
+    }
+
+    pub fn model(mut self, model: &str) -> Self {
+        self.headers
+            .push(("Radishpin-Model".to_owned(), model.to_owned()));
+        self
+    }
+
+    pub fn header(mut self, name: &str, value: &str) -> Self {
+        self.headers.push((name.to_owned(), value.to_owned()));
+        self
+    }
+
+    pub fn deadline_ms(mut self, deadline_ms: u64) -> Self {
+        self.deadline_ms = deadline_ms;
+        self
+    }
+
+    pub fn text(&self) -> String {
+        let mut text = format!(
+            "POST {} HTTP/1.1\r\nHost: shop.example\r\nRadishpin-Attempt-Id: {}\r\n\
+             Radishpin-Deadline-Milliseconds: {}\r\nContent-Length: {}\r\nConnection: close\r\n",
+            self.path,
+            self.id,
+            self.deadline_ms,
+            self.body.len()
+        );
+        for (name, value) in &self.headers {
+            text.push_str(&format!("{name}: {value}\r\n"));
+        }
+        text.push_str("\r\n");
+        text.push_str(&self.body);
+        text
+    }
+}
+
+/// What came back.
+pub struct Got {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+    /// Whether the answer came to its end.
+    pub whole: bool,
+}
+
+impl Got {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut lines = self.head.lines().filter_map(|line| line.split_once(':'));
+        lines.find_map(|(key, value)| key.eq_ignore_ascii_case(name).then(|| value.trim()))
+    }
+}
+
+impl fmt::Display for Got {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let end = if self.whole { "whole" } else { "broken off" };
+        let signature = self.header("radishpin-response-signature").unwrap_or("-");
+        write!(
+            f,
+            "{} {signature} {end}: {}",
+            self.status,
+            self.body.trim_end()
+        )
+    }
+}
+
+/// Asks and reads the answer to its end.
+pub async fn ask(address: SocketAddr, ask: &Ask) -> Got {
+    let mut stream = TcpStream::connect(address).await.expect("gateway listens");
+    stream
+        .write_all(ask.text().as_bytes())
+        .await
+        .expect("request is sent");
+    let mut bytes = Vec::new();
+    let limit = Duration::from_secs(20);
+    let read = radishpin_runtime::timeout(limit, stream.read_to_end(&mut bytes)).await;
+    assert!(read.is_some(), "no answer within {limit:?}");
+    parse(&String::from_utf8_lossy(&bytes))
+}
+
+fn parse(text: &str) -> Got {
+    let Some((head, rest)) = text.split_once("\r\n\r\n") else {
+        return Got {
+            status: 0,
+            head: String::new(),
+            body: text.to_owned(),
+            whole: false,
+        };
+    };
+    let status = head
+        .split(' ')
+        .nth(1)
+        .and_then(|status| status.parse().ok());
+    let chunked = head
+        .to_ascii_lowercase()
+        .contains("transfer-encoding: chunked");
+    let (body, whole) = if chunked {
+        dechunk(rest)
+    } else {
+        (rest.to_owned(), true)
+    };
+    Got {
+        status: status.unwrap_or(0),
+        head: head.to_owned(),
+        body,
+        whole,
+    }
+}
+
+fn dechunk(mut rest: &str) -> (String, bool) {
+    let mut body = String::new();
+    loop {
+        let Some((size, after)) = rest.split_once("\r\n") else {
+            return (body, false);
+        };
+        let size = usize::from_str_radix(size, 16).unwrap_or(0);
+        if size == 0 {
+            return (body, true);
+        }
+        let Some(chunk) = after.get(..size) else {
+            return (body, false);
+        };
+        body.push_str(chunk);
+        rest = after.get(size + 2..).unwrap_or_default();
+    }
+}
--- /dev/null
+++ b/crates/radishpin-gateway/tests/serving/endpoint.rs
@@ -0,0 +1,340 @@
+//! A stand-in of an endpoint: a plain service, and a model engine where it is asked for models.
+
+use bytes::Bytes;
+use futures_lite::{StreamExt, stream};
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::{BodyExt, StreamBody, combinators::UnsyncBoxBody};
+use hyper::body::{Frame, Incoming};
+use parking_lot::Mutex;
+use radishpin_runtime::Runtime;
+use serde_json::{Value, json};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+/// What an endpoint does with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Deed {
+    /// A whole answer.
+    Answer,
+    /// Says that it is full and did not run it.
+    Full,
+    /// Runs it and closes the connection without an answer.
+    Close,
+    /// Runs it and answers with a failure.
+    Fail,
+    /// Answers with the id of another request.
+    Cross,
+    /// Answers without its signature.
+    Unsigned,
+    /// Runs it and never answers.
+    Hang,
+    /// Streams so many events and breaks off in the middle of the next one.
+    BreakAfter(u32),
+}
+
+/// Events of a stream.
+pub const EVENTS: u32 = 6;
+
+#[derive(Debug)]
+pub struct Seen {
+    pub id: String,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    deeds: Vec<Deed>,
+    seen: Vec<Seen>,
+    models: BTreeMap<String, BTreeSet<String>>,
+    on_disk: BTreeSet<String>,
+    sequence: u64,
+    loading: Option<(String, Instant)>,
+    orders: Vec<String>,
+    silent_orders: u32,
+    started_unix_ms: u64,
+}
+
+#[derive(Debug)]
+pub struct Endpoint {
+    pub id: String,
+    pub address: SocketAddr,
+    state: Mutex<State>,
+    load_time: Duration,
+}
+
+type Body = UnsyncBoxBody<Bytes, io::Error>;
+
+impl Endpoint {
+    pub fn start(runtime: &Runtime, id: &str, ip: &str, models: &[&str]) -> Arc<Self> {
+        let state = State {
+            models: models
+                .iter()
+                .map(|model| ((*model).to_owned(), BTreeSet::new()))
+                .collect(),
+            started_unix_ms: 1_000,
+            ..State::default()
+        };
+        let shared: Arc<Mutex<Option<Arc<Self>>>> = Arc::default();
+        let answering = Arc::clone(&shared);
+        let address = super::world::serve(runtime, &format!("{ip}:0"), move |request| {
+            let endpoint = answering.lock().clone().expect("endpoint is set");
+            async move { endpoint.answer(request).await }
+        });
+        let endpoint = Arc::new(Self {
+            id: id.to_owned(),
+            address,
+            state: Mutex::new(state),
+            load_time: Duration::from_millis(120),
+        });
+        *shared.lock() = Some(Arc::clone(&endpoint));
+        endpoint
+    }
+
+    /// What it does with the next requests, in order; then it answers.
+    pub fn will(&self, deeds: &[Deed]) {
+        self.state.lock().deeds = deeds.to_vec();
+    }
+
+    /// Leaves so many orders without an answer and does not carry them out.
+    pub fn will_ignore_orders(&self, count: u32) {
+        self.state.lock().silent_orders = count;
+    }
+
+    /// Ids of the requests that it got.
+    pub fn seen_ids(&self) -> Vec<String> {
+        self.state
+            .lock()
+            .seen
+            .iter()
+            .map(|seen| seen.id.clone())
+            .collect()
+    }
+
+    pub fn with_seen<T>(&self, look: impl FnOnce(&[Seen]) -> T) -> T {
+        look(&self.state.lock().seen)
+    }
+
+    /// The orders that it got, as `operation target @expected sequence`.
+    pub fn orders(&self) -> Vec<String> {
+        self.state.lock().orders.clone()
+    }
+
+    pub fn models(&self) -> Vec<String> {
+        self.state.lock().models.keys().cloned().collect()
+    }
+
+    /// Starts anew under the same id: it holds nothing and counts orders anew.
+    pub fn restart(&self) {
+        let mut state = self.state.lock();
+        state.models.clear();
+        state.sequence = 0;
+        state.loading = None;
+        state.started_unix_ms += 5_000;
+    }
+
+    pub fn entry(&self, service: &str, phase: &str) -> Value {
+        let state = self.state.lock();
+        json!({
+            "service": service, "address": self.address.to_string(), "zone": "north",
+            "version": "v1", "slots": 8, "state": phase, "cold_remaining_ms": 0, "sequence": 1,
+            "born": state.started_unix_ms, "models": held(&state.models),
+        })
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> io::Result<Response<Body>> {
+        let (parts, body) = request.into_parts();
+        let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+        match parts.uri.path() {
+            "/report" => return Ok(json_answer(StatusCode::OK, self.report())),
+            "/order" => return Ok(self.order(&body).await),
+            _ => {}
+        }
+        let header = |name: &str| {
+            let value = parts.headers.get(name);
+            value
+                .and_then(|value| value.to_str().ok())
+                .unwrap_or_default()
+                .to_owned()
+        };
+        let id = header("radishpin-attempt-id");
+        if header("radishpin-expected-instance") != self.id {
+            return Ok(refused(&id, StatusCode::MISDIRECTED_REQUEST));
+        }
+        let model = header("radishpin-model");
+        if !model.is_empty() && !self.holds(&model) {
+            return Ok(refused(&id, StatusCode::MISDIRECTED_REQUEST));
+        }
+        let deed = {
+            let mut state = self.state.lock();
+            state.seen.push(Seen {
+                id: id.clone(),
+                headers: parts.headers.clone(),
+                body,
+            });
+            if state.deeds.is_empty() {
+                Deed::Answer
+            } else {
+                state.deeds.remove(0)
+            }
+        };
+        let resumed = header("last-event-id").parse::<u32>().unwrap_or(0);
+        let is_stream = !model.is_empty();
+        let whole = |id: &str, signed: bool, status: u16| {
+            let mut response = Response::builder()
+                .status(status)
+                .header("radishpin-attempt-id", id);
+            if signed {
+                response =
+                    response.header("radishpin-response-signature", format!("sig-{}", self.id));
+            }
+            response
+                .body(full(format!("answer of {}", self.id)))
+                .expect("answer is valid")
+        };
+        match deed {
+            Deed::Answer if is_stream => Ok(self.stream(&id, resumed, None)),
+            Deed::BreakAfter(events) => Ok(self.stream(&id, resumed, Some(events))),
+            Deed::Answer => Ok(whole(&id, true, 200)),
+            Deed::Full => Ok(refused(&id, StatusCode::SERVICE_UNAVAILABLE)),
+            Deed::Close => Err(io::ErrorKind::ConnectionAborted.into()),
+            Deed::Fail => Ok(whole(&id, true, 500)),
+            Deed::Cross => Ok(whole("another", true, 200)),
+            Deed::Unsigned => Ok(whole(&id, false, 200)),
+            Deed::Hang => std::future::pending().await,
+        }
+    }
+
+    fn stream(&self, id: &str, after: u32, broken_after: Option<u32>) -> Response<Body> {
+        let last = broken_after.unwrap_or(EVENTS);
+        let events = (after + 1..=last).map(|n| Ok(format!("id: {n}\ndata: t{n}\n\n")));
+        let cut: Vec<io::Result<String>> = match broken_after {
+            Some(events) => vec![
+                Ok(format!("id: {}\nda", events + 1)),
+                Err(io::ErrorKind::ConnectionReset.into()),
+            ],
+            None => Vec::new(),
+        };
+        let frames = stream::iter(events.chain(cut)).then(|part| async {
+            smol::Timer::after(Duration::from_millis(5)).await;
+            part.map(|text| Frame::data(Bytes::from(text)))
+        });
+        Response::builder()
+            .header("radishpin-attempt-id", id)
+            .header("radishpin-response-signature", format!("sig-{}", self.id))
+            .header("content-type", "text/event-stream")
+            .body(StreamBody::new(frames).boxed_unsync())
+            .expect("answer is valid")
+    }
+
+    fn holds(&self, target: &str) -> bool {
+        self.settle_load();
+        let state = self.state.lock();
+        match target.split_once('/') {
+            Some((model, adapter)) => {
+                let adapters = state.models.get(model);
+                adapters.is_some_and(|adapters| adapters.contains(adapter))
+            }
+            None => state.models.contains_key(target),
+        }
+    }
+
+    fn settle_load(&self) {
+        let mut state = self.state.lock();
+        if let Some((model, ready_at)) = state.loading.clone()
+            && Instant::now() >= ready_at
+        {
+            state.loading = None;
+            state.on_disk.insert(model.clone());
+            state.models.insert(model, BTreeSet::new());
+        }
+    }
+
+    fn report(&self) -> Value {
+        self.settle_load();
+        let state = self.state.lock();
+        json!({
+            "stage": "both", "models": held(&state.models), "busy": state.loading.is_some(),
+            "sequence": state.sequence, "waiting": 0, "running": 0, "born": state.started_unix_ms,
+            "at_hand": { "in_memory": [], "on_disk": state.on_disk },
+        })
+    }
+
+    async fn order(&self, body: &[u8]) -> Response<Body> {
+        self.settle_load();
+        let order: Value = serde_json::from_slice(body).expect("order is JSON");
+        let text = |field: &str| order[field].as_str().unwrap_or_default().to_owned();
+        let (operation, model, adapter) = (text("operation"), text("model"), text("adapter"));
+        let expected = order["expected"].as_u64();
+        let ignored = {
+            let mut state = self.state.lock();
+            let target = if adapter.is_empty() {
+                model.clone()
+            } else {
+                format!("{model}/{adapter}")
+            };
+            let line = format!("{operation} {target} @{}", expected.unwrap_or(0));
+            state.orders.push(line);
+            let ignored = state.silent_orders > 0;
+            state.silent_orders = state.silent_orders.saturating_sub(1);
+            ignored
+        };
+        if ignored {
+            std::future::pending::<()>().await;
+        }
+        let mut state = self.state.lock();
+        if state.loading.is_some() || expected != Some(state.sequence) {
+            return json_answer(StatusCode::CONFLICT, json!({}));
+        }
+        state.sequence += 1;
+        match (operation.as_str(), adapter.is_empty()) {
+            ("load", true) => state.loading = Some((model, Instant::now() + self.load_time)),
+            ("load", false) => {
+                state.models.entry(model).or_default().insert(adapter);
+            }
+            (_, true) => {
+                state.models.remove(&model);
+            }
+            (_, false) => {
+                if let Some(adapters) = state.models.get_mut(&model) {
+                    adapters.remove(&adapter);
+                }
+            }
+        }
+        json_answer(StatusCode::ACCEPTED, json!({}))
+    }
+}
+
+fn held(models: &BTreeMap<String, BTreeSet<String>>) -> Value {
+    let models = models
+        .iter()
+        .map(|(name, adapters)| json!({"name": name, "version": 1, "adapters": adapters}));
+    models.collect()
+}
+
+fn full(text: String) -> Body {
+    http_body_util::Full::from(text)
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+fn json_answer(status: StatusCode, value: Value) -> Response<Body> {
+    Response::builder()
+        .status(status)
+        .body(full(value.to_string()))
+        .expect("answer is valid")
+}
+
+fn refused(id: &str, status: StatusCode) -> Response<Body> {
+    Response::builder()
+        .status(status)
+        .header("radishpin-attempt-id", id)
+        .header("radishpin-not-executed", "1")
+        .body(full(String::new()))
+        .expect("answer is valid")
+}
--- /dev/null
+++ b/crates/radishpin-gateway/tests/serving/requests.rs
@@ -0,0 +1,136 @@
+//! Requests to plain services: at most once where that is asked for, and honest refusals.
+
+use super::{caller::Ask, endpoint::Deed, world::World};
+use insta::assert_snapshot;
+use std::collections::BTreeSet;
+
+fn plain_world(deeds: &[Deed]) -> (World, std::sync::Arc<super::endpoint::Endpoint>) {
+    let world = World::start();
+    let endpoint = world.plain("e1");
+    world.settle();
+    endpoint.will(deeds);
+    (world, endpoint)
+}
+
+#[test]
+fn an_answer_comes_back_whole_with_its_signature() {
+    let (world, endpoint) = plain_world(&[]);
+    let got = world.ask(&Ask::new("/order/2f", "a1"));
+    assert_snapshot!(got, @"200 sig-e1 whole: answer of e1");
+    endpoint.with_seen(|seen| {
+        assert_eq!(&seen[0].body[..], b"question");
+        let left: u64 = seen[0].headers["radishpin-deadline-milliseconds"]
+            .to_str()
+            .unwrap()
+            .parse()
+            .unwrap();
+        assert!(
+            (2_000..=3_000).contains(&left),
+            "route's timeout bounds the time left: {left}"
+        );
+        assert!(!seen[0].headers.contains_key("connection"));
+    });
+}
+
+#[test]
+fn headers_that_only_the_system_sets_are_dropped() {
+    let (world, endpoint) = plain_world(&[]);
+    let ask = Ask::new("/order/2f", "a1")
+        .header("Radishpin-Hold", "h1")
+        .header("Kv-From", "10.0.0.1:1/x")
+        .header("Radishpin-Pin-Milliseconds", "9");
+    world.ask(&ask);
+    let names: BTreeSet<String> = endpoint.with_seen(|seen| {
+        let names = seen[0].headers.keys().map(ToString::to_string);
+        names
+            .filter(|name| name.starts_with("radishpin") || name.starts_with("kv"))
+            .collect()
+    });
+    assert_snapshot!(format!("{names:?}"), @r#"{"radishpin-attempt-id", "radishpin-deadline-milliseconds", "radishpin-expected-instance"}"#);
+}
+
+#[test]
+fn a_request_that_may_have_run_is_not_refused_and_not_repeated() {
+    for deed in [Deed::Close, Deed::Cross, Deed::Unsigned] {
+        let (world, endpoint) = plain_world(&[deed]);
+        let got = world.ask(&Ask::new("/order/2f", "a1"));
+        assert_eq!(got.status, 502, "{deed:?}");
+        assert_eq!(got.header("radishpin-response-signature"), None);
+        assert_eq!(endpoint.seen_ids(), ["a1"], "{deed:?}");
+    }
+}
+
+#[test]
+fn a_silent_endpoint_ends_in_a_timeout_of_the_route() {
+    let (world, endpoint) = plain_world(&[Deed::Hang]);
+    let got = world.ask(&Ask::new("/order/2f", "a1").deadline_ms(600));
+    assert_eq!(got.status, 504);
+    assert_eq!(endpoint.seen_ids(), ["a1"]);
+}
+
+#[test]
+fn an_idempotent_request_is_tried_at_another_endpoint() {
+    for deed in [Deed::Close, Deed::Fail, Deed::Hang, Deed::Full] {
+        let world = World::start();
+        let endpoints = [world.plain("e1"), world.plain("e2")];
+        world.settle();
+        endpoints.iter().for_each(|endpoint| endpoint.will(&[deed]));
+        // The first endpoint does the deed; the other one would, too, if it was not spared.
+        let got = world.ask(&Ask::new("/lookup/2f", "a1"));
+        let sends: usize = endpoints
+            .iter()
+            .map(|endpoint| endpoint.seen_ids().len())
+            .sum();
+        assert_eq!(sends, 2, "{deed:?}");
+        let expected = match deed {
+            Deed::Fail => 500,
+            Deed::Full => 503,
+            Deed::Hang => 504,
+            _ => 502,
+        };
+        assert_eq!(got.status, expected, "{deed:?}");
+    }
+}
+
+#[test]
+fn a_failure_of_an_endpoint_keeps_its_status_and_signature() {
+    let (world, _endpoint) = plain_world(&[Deed::Fail]);
+    let got = world.ask(&Ask::new("/order/2f", "a1"));
+    assert_snapshot!(got, @"500 sig-e1 whole: answer of e1");
+}
+
+#[test]
+fn a_refusal_tells_when_to_come_back() {
+    let (world, _endpoint) = plain_world(&[Deed::Full, Deed::Full, Deed::Full]);
+    let got = world.ask(&Ask::new("/order/2f", "a1"));
+    assert_eq!(got.status, 503);
+    let retry_after: f64 = got.header("retry-after").unwrap().parse().unwrap();
+    assert!((0.1..3.0).contains(&retry_after), "{retry_after}");
+}
+
+#[test]
+fn a_path_without_a_route_is_not_found() {
+    let (world, endpoint) = plain_world(&[]);
+    assert_eq!(world.ask(&Ask::new("/nowhere/2f", "a1")).status, 404);
+    assert!(endpoint.seen_ids().is_empty());
+}
+
+#[test]
+fn without_a_configuration_nothing_is_found_missing() {
+    let world = World::start_bare();
+    assert_eq!(world.readiness(), 503);
+    let got = world.ask(&Ask::new("/order/2f", "a1"));
+    assert_eq!(got.status, 503);
+    assert!(got.header("retry-after").is_some());
+}
+
+#[test]
+fn heads_of_16_kib_pass_and_larger_bodies_than_allowed_do_not() {
+    let (world, endpoint) = plain_world(&[]);
+    let ask = Ask::new("/order/2f", "a1").header("x-large", &"v".repeat(15_500));
+    assert_eq!(world.ask(&ask).status, 200);
+    let mut ask = Ask::new("/order/2f", "a2");
+    ask.body = "b".repeat(100_001);
+    assert_eq!(world.ask(&ask).status, 413);
+    assert_eq!(endpoint.seen_ids(), ["a1"]);
+}
