Give busy models replicas by the requests that one engine decodes steadily

Adapter orders were refused while an engine was busy with a model, and kept replicas crowded some engines, where no model could make room.

--- a/crates/radishpin-core/src/process/fleet/endpoint.rs
+++ b/crates/radishpin-core/src/process/fleet/endpoint.rs
@@ -205,6 +205,11 @@
             && self.status.as_ref().is_some_and(|status| status.engine_up)
     }
 
+    /// Whether it carries out an order on a model, and so takes none on adapters.
+    pub(super) fn is_busy(&self) -> bool {
+        self.status.as_ref().is_some_and(|status| status.busy)
+    }
+
     /// Models that it holds, by the newest word.
     pub(super) fn held_models(&self) -> impl Iterator<Item = &ModelId> {
         let told = self.status.as_ref().filter(|_| self.status_is_current());
--- a/crates/radishpin-core/src/process/fleet/pick.rs
+++ b/crates/radishpin-core/src/process/fleet/pick.rs
@@ -1,11 +1,7 @@
 //! Where a request goes: to an endpoint, to wait for a load, or back to its caller.
 
 use super::{Fleet, WaitEntry, endpoint::Endpoint};
-use crate::{
-    process::residency::MAKE_ROOM,
-    request::Tier,
-    version::{EngineSpec, ModelSpec},
-};
+use crate::{request::Tier, version::ModelSpec};
 use radishpin_protocol::{engine::stable_hash, prelude::*};
 use std::net::SocketAddr;
 
@@ -15,19 +11,21 @@
 const OTHER_ZONE_COST: f32 = 0.02;
 /// Cost of an endpoint without the request's adapter.
 const NO_ADAPTER_COST: f32 = 0.3;
+/// Cost of an endpoint that can't load the adapter before its order on a model is done.
+const ADAPTER_LATER_COST: f32 = 1.0;
 /// Cost of an endpoint all of whose recent requests failed.
 const FAILING_COST: f32 = 2.0;
 /// Places of an endpoint that its load may reach, in shares, by whether a request is urgent.
 const LOAD_MAX_URGENT: f32 = 1.5;
 const LOAD_MAX: f32 = 1.1;
 /// Longest time that a request waits for an adapter.
-const ADAPTER_WAIT_MAX: Duration = Duration::from_millis(1_500);
+const ADAPTER_WAIT_MAX: Duration = Duration::from_millis(2_500);
 /// From the end of a load to the first token.
 const FIRST_TOKEN: Duration = Duration::from_millis(100);
 /// Step in which estimates are compared, so that gateways with nearly the same view agree.
 const ESTIMATE_STEP_MS: u128 = 100;
-/// Added to the estimate of an endpoint where no model can make room.
-const NO_ROOM: Duration = Duration::from_secs(10);
+/// Added to the estimate for each busy model that an endpoint serves: its adapters wait meanwhile.
+const KEPT_COST: Duration = Duration::from_millis(200);
 /// Time in which places of a loaded endpoint come free.
 const BUSY_RETRY: Duration = Duration::from_millis(700);
 /// Time in which an endpoint comes back, or another one is found.
@@ -195,6 +193,9 @@
                 // The same endpoint for each request of an adapter, where loads are alike.
                 let spread = rendezvous(adapter, id) as f32 / u64::MAX as f32;
                 total += NO_ADAPTER_COST * (1.0 + spread);
+                if endpoint.is_busy() {
+                    total += ADAPTER_LATER_COST;
+                }
             }
         }
         Cost {
@@ -212,17 +213,23 @@
         endpoint: EndpointId,
         now: Duration,
     ) -> Pick {
-        let linked = |fleet: &Self, id: &str| {
+        let loads_now = |fleet: &Self, id: &str| {
             let endpoint = fleet.endpoints.get(id);
-            endpoint.is_some_and(|e| e.takes_loads() && e.serves(model) && e.is_open(now))
+            endpoint.is_some_and(|e| {
+                e.takes_loads() && e.serves(model) && e.is_open(now) && !e.is_busy()
+            })
         };
         let target = (model.to_owned(), Some(adapter.to_owned()));
         let assigned = self.waits.get(&target).map(|wait| wait.endpoint.clone());
         let endpoint = match assigned {
-            Some(assigned) if linked(self, &assigned) => assigned,
+            Some(assigned) if loads_now(self, &assigned) => assigned,
             _ => endpoint,
         };
-        if query.waited >= ADAPTER_WAIT_MAX || !linked(self, &endpoint) {
+        let can_load = self
+            .endpoints
+            .get(&endpoint)
+            .is_some_and(Endpoint::takes_loads);
+        if query.waited >= ADAPTER_WAIT_MAX || !can_load {
             let reason = RefusalReason::NoLoader;
             return Pick::Refuse(Refusal::new(reason, ABSENT_RETRY, query.random));
         }
@@ -248,10 +255,10 @@
         let target = (model.to_owned(), adapter.map(str::to_owned));
         let assigned = self.waits.get(&target).map(|wait| wait.endpoint.clone());
         let kept = assigned.and_then(|id| {
-            let estimate = self.load_estimate(&id, query.service, model, spec, engine, now)?;
+            let estimate = self.load_estimate(&id, query.service, model, spec, now)?;
             Some((id, estimate))
         });
-        let best = kept.or_else(|| self.best_loader(query.service, model, spec, engine, &[], now));
+        let best = kept.or_else(|| self.best_loader(query.service, model, spec, &[], now));
         let Some((endpoint, estimate)) = best else {
             return refuse(RefusalReason::NoLoader, ABSENT_RETRY);
         };
@@ -298,13 +305,12 @@
         service: &str,
         model: &str,
         spec: &ModelSpec,
-        engine: &EngineSpec,
         passed_over: &[EndpointId],
         now: Duration,
     ) -> Option<(EndpointId, Duration)> {
         let candidates = self.endpoints.keys().filter(|id| !passed_over.contains(id));
         let estimates = candidates.filter_map(|id| {
-            let estimate = self.load_estimate(id, service, model, spec, engine, now)?;
+            let estimate = self.load_estimate(id, service, model, spec, now)?;
             let step = estimate.as_millis() / ESTIMATE_STEP_MS;
             Some((step, rendezvous(model, id), id, estimate))
         });
@@ -319,7 +325,6 @@
         service: &str,
         model: &str,
         spec: &ModelSpec,
-        engine: &EngineSpec,
         now: Duration,
     ) -> Option<Duration> {
         let endpoint = self.endpoints.get(id)?;
@@ -340,7 +345,9 @@
         }
         let tier = status.tier(model);
         let load = spec.load_time(tier).mul_f64(self.store_pressure(tier));
-        Some(queue + load + self.room_time(id, endpoint, spec, engine, now))
+        let room = Duration::from_millis(status.room_ms);
+        let kept = KEPT_COST * u32::try_from(self.kept_at(id)).unwrap_or(u32::MAX);
+        Some(queue + load + room + kept)
     }
 
     /// How much longer one more load takes under the present use of the weight store.
@@ -359,31 +366,6 @@
         let count = loads.filter(|loading| loading.tier == Tier::Remote).count();
         u32::try_from(count).unwrap_or(u32::MAX)
     }
-
-    /// Time to make room, with the requests that miss the model that goes counted in.
-    fn room_time(
-        &self,
-        id: &str,
-        endpoint: &Endpoint,
-        spec: &ModelSpec,
-        engine: &EngineSpec,
-        now: Duration,
-    ) -> Duration {
-        let weights = |model: &ModelId| engine.models.get(model).map_or(0, |m| m.weights_mb);
-        let used: SizeMb = endpoint.held_models().map(weights).sum();
-        if engine.memory_mb.saturating_sub(used) >= spec.weights_mb {
-            return Duration::ZERO;
-        }
-        let losses = endpoint.held_models().filter_map(|model| {
-            let kept = self.kept.contains(&(id.to_owned(), model.clone()));
-            let per_s = self.rates.get(model).map_or(0.0, |rate| rate.per_s(now));
-            (!kept).then(|| self.loss_per_s(model, per_s))
-        });
-        match losses.min_by(f32::total_cmp) {
-            Some(loss_per_s) => MAKE_ROOM + Duration::from_secs_f32(loss_per_s),
-            None => NO_ROOM,
-        }
-    }
 }
 
 #[derive(Clone, Copy, Debug)]
--- a/crates/radishpin-core/src/process/fleet/plan.rs
+++ b/crates/radishpin-core/src/process/fleet/plan.rs
@@ -15,11 +15,26 @@
 const BUSY_PER_S: f32 = 0.5;
 /// Share of an endpoint's places that one busy model is meant to take.
 const PLACES_PER_MODEL: f32 = 0.5;
+/// Requests of one busy model at one replica, at most: an engine reads the prompts of new requests
+/// between the tokens of others, whose gaps grow with the number of requests.
+const REQUESTS_PER_REPLICA: f32 = 14.0;
 /// Replicas of a busy model beyond those that its load needs: one endpoint may be lost.
 const SPARE_REPLICAS: usize = 1;
 /// Weight of a replica among others: the loss of one of several is no loss at once.
 const REDUNDANT_WEIGHT: f32 = 0.1;
 
+/// A model whose load needs replicas that stay.
+#[derive(Clone, Debug)]
+struct BusyModel {
+    model: ModelId,
+    /// Replicas that its load needs.
+    replicas: usize,
+    /// Endpoints that hold it and have not been told to keep it.
+    holders: Vec<EndpointId>,
+    /// Loads of it in progress.
+    coming: usize,
+}
+
 impl Fleet {
     /// Renews which replicas are kept, and what sidecars are asked to load ahead of callers.
     pub fn plan(&mut self, now: Duration) {
@@ -34,11 +49,13 @@
     }
 
     fn plan_service(&mut self, service: &str, engine: &EngineSpec, now: Duration) {
-        for (model, per_s) in self.demand(service, now) {
-            if per_s >= BUSY_PER_S && engine.models.contains_key(&model) {
-                self.plan_replicas(service, engine, &model, per_s, now);
-            }
-        }
+        let demand = self.demand(service, now);
+        let busy = demand
+            .into_iter()
+            .filter(|(model, per_s)| *per_s >= BUSY_PER_S && engine.models.contains_key(model))
+            .map(|(model, per_s)| self.busy_model(service, engine, model, per_s))
+            .collect();
+        self.plan_replicas(service, engine, busy, now);
         self.plan_prefetch(service, engine);
     }
 
@@ -69,57 +86,96 @@
         })
     }
 
-    fn plan_replicas(
-        &mut self,
+    fn busy_model(
+        &self,
         service: &str,
         engine: &EngineSpec,
-        model: &ModelId,
+        model: ModelId,
         per_s: f32,
-        now: Duration,
-    ) {
+    ) -> BusyModel {
         let duration_s = self
             .rates
-            .get(model)
+            .get(&model)
             .copied()
             .unwrap_or_default()
             .duration_s();
         let places = (engine.slots.max(1) as f32) * PLACES_PER_MODEL;
+        let places = places.min(REQUESTS_PER_REPLICA);
         let by_load = (per_s * duration_s / places).ceil().max(1.0) as usize;
-        let needed = by_load + SPARE_REPLICAS;
         let mut holders = Vec::new();
         let mut coming = 0;
         for (id, status) in self.statuses(service) {
-            if status.models.get(model).is_some_and(|held| !held.leaving) {
+            if status.models.get(&model).is_some_and(|held| !held.leaving) {
                 holders.push(id.clone());
             } else if status
                 .loading
                 .as_ref()
-                .is_some_and(|load| &load.model == model)
+                .is_some_and(|load| load.model == model)
             {
                 coming += 1;
             }
         }
-        holders.sort_by_key(|id| rendezvous(model, id));
-        for id in holders.iter().take(needed) {
-            self.kept.insert((id.clone(), model.clone()));
+        BusyModel {
+            model,
+            replicas: by_load + SPARE_REPLICAS,
+            holders,
+            coming,
         }
-        if holders.len() + coming < needed {
-            self.plan_replica(service, engine, model, &holders, now);
+    }
+
+    /// Gives each busy model its first replica before any gets its second, and so on. Kept
+    /// replicas are spread, and leave each engine a place that other models can take.
+    fn plan_replicas(
+        &mut self,
+        service: &str,
+        engine: &EngineSpec,
+        mut busy: Vec<BusyModel>,
+        now: Duration,
+    ) {
+        let kept_max = kept_replicas_max(engine);
+        let rounds = busy.iter().map(|busy| busy.replicas).max().unwrap_or(0);
+        for round in 0..rounds {
+            for busy in busy.iter_mut().filter(|busy| round < busy.replicas) {
+                if let Some(id) = self.next_kept(busy, kept_max) {
+                    busy.holders.retain(|holder| *holder != id);
+                    self.kept.insert((id, busy.model.clone()));
+                } else if busy.coming > 0 {
+                    busy.coming -= 1;
+                } else {
+                    self.plan_replica(service, engine, &busy.model, kept_max, now);
+                    busy.replicas = 0;
+                }
+            }
         }
     }
 
+    /// The holder that keeps its replica next.
+    fn next_kept(&self, busy: &BusyModel, kept_max: usize) -> Option<EndpointId> {
+        let open = busy.holders.iter().filter(|id| self.kept_at(id) < kept_max);
+        let spread = |id: &&EndpointId| (self.kept_at(id), rendezvous(&busy.model, id));
+        open.min_by_key(spread).cloned()
+    }
+
     fn plan_replica(
         &mut self,
         service: &str,
         engine: &EngineSpec,
         model: &ModelId,
-        holders: &[EndpointId],
+        kept_max: usize,
         now: Duration,
     ) {
         let Some(spec) = engine.models.get(model) else {
             return;
         };
-        let best = self.best_loader(service, model, spec, engine, holders, now);
+        let has_or_full = |id: &EndpointId, status: &Status| {
+            status.models.contains_key(model) || self.kept_at(id) >= kept_max
+        };
+        let passed_over: Vec<EndpointId> = self
+            .statuses(service)
+            .filter(|(id, status)| has_or_full(id, status))
+            .map(|(id, _)| id.clone())
+            .collect();
+        let best = self.best_loader(service, model, spec, &passed_over, now);
         let Some((endpoint, _)) = best else {
             return;
         };
@@ -131,6 +187,11 @@
         });
     }
 
+    /// Busy models' replicas that an endpoint is to keep.
+    pub(super) fn kept_at(&self, endpoint: &str) -> usize {
+        self.kept.iter().filter(|(id, _)| id == endpoint).count()
+    }
+
     /// Has idle endpoints copy weights that no endpoint has at hand, within what the weight store
     /// serves at full speed. All gateways come to the same list.
     fn plan_prefetch(&mut self, service: &str, engine: &EngineSpec) {
@@ -180,3 +241,10 @@
         }
     }
 }
+
+/// Replicas that one engine keeps for busy models at most.
+fn kept_replicas_max(engine: &EngineSpec) -> usize {
+    let largest_mb = engine.models.values().map(|model| model.weights_mb).max();
+    let places = engine.memory_mb / largest_mb.unwrap_or(1).max(1);
+    (places as usize).saturating_sub(1).max(1)
+}
--- a/crates/radishpin-core/src/process/residency.rs
+++ b/crates/radishpin-core/src/process/residency.rs
@@ -14,7 +14,6 @@
     Demand, DemandReason, GatewayReport, LoadStatus, ModelStatus, ModelUsage, Status,
 };
 
-pub(crate) use queue::MAKE_ROOM;
 pub use store_share::StoreLoadShare;
 
 use crate::{process::HeldModel, request::Tier, version::EngineSpec};
@@ -124,7 +123,6 @@
     late: Vec<LateOrder>,
     unknown: Option<(Action, u64)>,
     paused_until: Duration,
-    adapters_paused_until: Duration,
     store_window: Duration,
     /// When loads from the weight store began, newest last.
     store_loads: VecDeque<Duration>,
@@ -149,7 +147,6 @@
             late: Vec::new(),
             unknown: None,
             paused_until: Duration::ZERO,
-            adapters_paused_until: Duration::ZERO,
             store_window: Duration::ZERO,
             store_loads: VecDeque::new(),
             store_load_after,
@@ -299,14 +296,13 @@
         self.expire(now);
         let spec = Arc::clone(self.spec.as_ref()?);
         let sequence = self.report.as_ref()?.sequence;
-        if now >= self.adapters_paused_until
-            && let Some(action) = self.adapter_action(&spec)
-        {
-            return Some((action, sequence));
-        }
+        // An engine refuses all orders while it carries out one on a model.
         if now < self.paused_until || self.report.as_ref()?.busy {
             return None;
         }
+        if let Some(action) = self.adapter_action(&spec) {
+            return Some((action, sequence));
+        }
         let action = self.model_action(&spec, now)?;
         Some((action, sequence))
     }
@@ -389,11 +385,9 @@
 
     /// Records what came of an order that [`Self::decide`] returned.
     pub fn settle(&mut self, action: &Action, settled: Settled, now: Duration) {
-        let is_adapter = matches!(action, Action::LoadAdapter(..) | Action::UnloadAdapter(..));
         match settled {
             Settled::Accepted => self.begin(action, now),
             Settled::Unneeded => {}
-            Settled::Refused if is_adapter => self.adapters_paused_until = now + REFUSED_PAUSE,
             Settled::Refused => self.paused_until = now + REFUSED_PAUSE,
             Settled::Unknown => self.remember_late(action, now),
         }
@@ -486,6 +480,7 @@
             waiting: report.waiting,
             models: models.collect(),
             queue_ms: millis(self.queue_time(&queue, now)),
+            room_ms: millis(self.room_time(now)),
             queue,
             loading,
             busy: report.busy,
--- a/crates/radishpin-core/src/process/residency/exchange.rs
+++ b/crates/radishpin-core/src/process/residency/exchange.rs
@@ -120,6 +120,8 @@
     pub queue: Vec<ModelId>,
     /// Time until one more load could begin, by estimate, in milliseconds.
     pub queue_ms: u64,
+    /// Time to make room for one more model, by estimate, in milliseconds.
+    pub room_ms: u64,
     /// Models whose weights lie in the host's memory.
     pub in_memory: BTreeSet<ModelId>,
     /// Models whose weights lie on the host's disk.
--- a/crates/radishpin-core/src/process/residency/victim.rs
+++ b/crates/radishpin-core/src/process/residency/victim.rs
@@ -1,6 +1,9 @@
 //! Which model makes room for another one.
 
-use super::{DemandReason, Residency, queue::Wanted};
+use super::{
+    DemandReason, Residency,
+    queue::{MAKE_ROOM, Wanted},
+};
 use crate::request::Tier;
 use radishpin_protocol::prelude::*;
 
@@ -11,6 +14,11 @@
 /// Requests a second from which a model doesn't make room for a prefetch.
 const PREFETCH_LOSS_MAX_PER_S: f32 = 0.5;
 
+/// Time until the requests at a model have ended, by estimate.
+const REQUESTS_END: Duration = Duration::from_millis(1_500);
+/// Time until a model can make room at an engine that needs all it holds.
+const NEEDED_STAY: Duration = Duration::from_secs(5);
+
 /// Order of preference; the smallest goes first.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 struct Rank {
@@ -43,6 +51,34 @@
         Some(model.clone())
     }
 
+    /// Time to make room for one more model; what would be missed counts in, a second for each
+    /// request a second.
+    pub(super) fn room_time(&self, now: Duration) -> Duration {
+        let (Some(spec), Some(report)) = (&self.spec, &self.report) else {
+            return NEEDED_STAY;
+        };
+        let largest_mb = spec.models.values().map(|model| model.weights_mb).max();
+        if self.free_mb(spec) >= largest_mb.unwrap_or(0) {
+            return Duration::ZERO;
+        }
+        let times = report.models.keys().map(|model| {
+            if self.is_needed(model) {
+                return NEEDED_STAY;
+            }
+            let since = self.held_since.get(model).copied().unwrap_or(now);
+            let stay = (since + STAY_MIN).saturating_sub(now);
+            let rank = self.rank(model);
+            let end = if rank.in_use {
+                REQUESTS_END
+            } else {
+                Duration::ZERO
+            };
+            let loss = Duration::from_secs_f32(rank.loss_per_s.min(NEEDED_STAY.as_secs_f32()));
+            MAKE_ROOM + stay.max(end) + loss
+        });
+        times.min().unwrap_or(Duration::ZERO)
+    }
+
     /// Whether a gateway needs this replica for the load, or its callers wait for it.
     fn is_needed(&self, model: &str) -> bool {
         let kept = self.usages(model).any(|usage| usage.keep);
--- a/crates/radishpin-gateway/src/request/stream.rs
+++ b/crates/radishpin-gateway/src/request/stream.rs
@@ -12,6 +12,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use radishpin_core::{process::Outcome, version::Repetition};
+use radishpin_protocol::prelude::*;
 use radishpin_runtime::timeout;
 
 /// A stream on its way to the caller.
@@ -20,9 +21,29 @@
     open: Option<OpenStream>,
     /// Cuts the stream into events where another endpoint may go on with it.
     events: Option<EventBuffer>,
+    pace: Pace,
     ended: bool,
 }
 
+/// When the parts of a stream came.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pace {
+    first_at: Option<Duration>,
+    last_at: Option<Duration>,
+    longest_gap: Duration,
+}
+
+impl Pace {
+    fn record(&mut self, now: Duration) {
+        let gap = self
+            .last_at
+            .map_or(Duration::ZERO, |last| now.saturating_sub(last));
+        self.longest_gap = self.longest_gap.max(gap);
+        self.first_at.get_or_insert(now);
+        self.last_at = Some(now);
+    }
+}
+
 /// The answer that passes a stream on.
 pub(crate) fn stream_answer(forward: Forward, open: OpenStream) -> Response<AnswerBody> {
     let mut head = open.head.clone();
@@ -32,6 +53,7 @@
         forward,
         open: Some(open),
         events: resumable.then(EventBuffer::default),
+        pace: Pace::default(),
         ended: false,
     };
     let frames = unfold(streaming, |mut streaming| async move {
@@ -61,6 +83,7 @@
                 None => part,
             };
             if !whole.is_empty() {
+                self.pace.record(self.forward.gateway.clock.now());
                 return Some(Ok(whole));
             }
         }
@@ -90,6 +113,7 @@
 
     fn end(&mut self) -> Option<Result<Bytes, AnswerError>> {
         self.ended = true;
+        self.log_pace();
         if let Some(open) = self.open.take() {
             let OpenStream {
                 place,
@@ -107,6 +131,22 @@
         rest.filter(|rest| !rest.is_empty()).map(Ok)
     }
 
+    fn log_pace(&self) {
+        let received_at = self.forward.call.received_at;
+        let first = self
+            .pace
+            .first_at
+            .unwrap_or_default()
+            .saturating_sub(received_at);
+        let endpoint = self.open.as_ref().map_or("-", |open| &open.place.endpoint);
+        log::info!(
+            event = "stream_passed", request = self.forward.call.id, endpoint = endpoint,
+            first_event_ms = first.as_millis() as u64,
+            longest_gap_ms = self.pace.longest_gap.as_millis() as u64;
+            "stream passed on whole"
+        );
+    }
+
     fn cut(&mut self, reason: &str) -> AnswerError {
         self.ended = true;
         self.end_place();
--- a/crates/radishpin-gateway/tests/serving/world.rs
+++ b/crates/radishpin-gateway/tests/serving/world.rs
@@ -63,7 +63,7 @@
         while let Ok((stream, _)) = listener.accept().await {
             let handler = handler.clone();
             connections.spawn_detached(async move {
-                let service = service_fn(move |request| handler(request));
+                let service = service_fn(handler);
                 let connection =
                     http1::Builder::new().serve_connection(FuturesIo::new(stream), service);
                 let _ = connection.await;
--- a/tests/help.rs
+++ b/tests/help.rs
@@ -24,7 +24,7 @@
             let outcome = evaluate(&example_input(example));
             let fits = match outcome {
                 Outcome::Run(parsed, _) => parsed == command,
-                Outcome::Checked(_) => command == Command::Check,
+                Outcome::Checked(..) => command == Command::Check,
                 Outcome::Print(_) | Outcome::Bad(_) => false,
             };
             assert!(fits, "{example}: {outcome:?}");
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -85,7 +85,7 @@
     let checked = format!("check {NODE} --threads 0");
     let started = format!("{NODE} --threads 0");
     assert_eq!(faults(&checked, &TOKENS), faults(&started, &TOKENS));
-    let Outcome::Checked(Command::Node) = evaluate(&input(&format!("check {NODE}"), &TOKENS))
+    let Outcome::Checked(Command::Node, _) = evaluate(&input(&format!("check {NODE}"), &TOKENS))
     else {
         panic!("sound settings must pass");
     };
