--- a/crates/radishpin-core/src/process/fleet/endpoint.rs
+++ b/crates/radishpin-core/src/process/fleet/endpoint.rs
@@ -10,6 +10,9 @@
 /// Weight of the newest outcome in the share of failures.
 const FAILURE_WEIGHT: f32 = 0.25;
 
+/// Prompt tokens that an engine reads in a millisecond, roughly: it serves to compare endpoints.
+const TOKENS_READ_PER_MS: u32 = 40;
+
 /// How a request at an endpoint ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -58,6 +61,8 @@
     failure_share: f32,
     unreachable: u32,
     suspected_until: Duration,
+    /// When the prompts of this gateway's requests will have been read.
+    reading_until: Duration,
     /// Models that it refused as missing since its last status.
     missing: BTreeSet<ModelId>,
 }
@@ -75,6 +80,7 @@
             failure_share: 0.0,
             unreachable: 0,
             suspected_until: Duration::ZERO,
+            reading_until: Duration::ZERO,
             missing: BTreeSet::new(),
         }
     }
@@ -129,6 +135,16 @@
         }
     }
 
+    pub(super) fn begin_reading(&mut self, prompt_tokens: u32, now: Duration) {
+        let time = Duration::from_millis((prompt_tokens / TOKENS_READ_PER_MS).into());
+        self.reading_until = self.reading_until.max(now) + time;
+    }
+
+    /// Time until it has read the prompts that this gateway sent.
+    pub(super) fn reading_time(&self, now: Duration) -> Duration {
+        self.reading_until.saturating_sub(now)
+    }
+
     pub(super) fn end_request(
         &mut self,
         target: Option<(&str, Option<&str>)>,
--- a/crates/radishpin-core/src/process/fleet/pick.rs
+++ b/crates/radishpin-core/src/process/fleet/pick.rs
@@ -25,7 +25,11 @@
 /// Step in which estimates are compared, so that gateways with nearly the same view agree.
 const ESTIMATE_STEP_MS: u128 = 100;
 /// Added to the estimate for each busy model that an endpoint serves: its adapters wait meanwhile.
-const KEPT_COST: Duration = Duration::from_millis(200);
+const KEPT_COST: Duration = Duration::from_millis(500);
+/// Time that a move of a wait has to gain.
+const MOVE_GAIN_MIN: Duration = Duration::from_millis(600);
+/// Prompts that wait to be read for this long cost as much as all places of an endpoint.
+const READING_COST: Duration = Duration::from_millis(250);
 /// Time in which places of a loaded endpoint come free.
 const BUSY_RETRY: Duration = Duration::from_millis(700);
 /// Time in which an endpoint comes back, or another one is found.
@@ -44,6 +48,10 @@
     pub remaining: Duration,
     /// Time for which it has waited.
     pub waited: Duration,
+    /// Whether a wait may move to another endpoint that would serve it sooner.
+    pub reconsider: bool,
+    /// Tokens of its prompt; 0 where it has none or doesn't tell.
+    pub prompt_tokens: u32,
     /// Endpoints that it was sent to before.
     pub tried: &'a BTreeSet<EndpointId>,
     /// Random word that spreads callers that are told to come back.
@@ -147,10 +155,10 @@
         {
             return self.pick_adapter(query, model, adapter, endpoint, now);
         }
-        self.send(endpoint, query)
+        self.send(endpoint, query, now)
     }
 
-    fn send(&mut self, id: EndpointId, query: &PickQuery<'_>) -> Pick {
+    fn send(&mut self, id: EndpointId, query: &PickQuery<'_>, now: Duration) -> Pick {
         let Some(endpoint) = self.endpoints.get_mut(&id) else {
             return Pick::Refuse(Refusal::new(
                 RefusalReason::NoEndpoint,
@@ -160,6 +168,7 @@
         };
         let load = endpoint.load();
         endpoint.begin_request(query.target);
+        endpoint.begin_reading(query.prompt_tokens, now);
         Pick::Send {
             endpoint: id,
             address: endpoint.entry.address,
@@ -174,15 +183,16 @@
                 && !query.tried.contains(*id)
                 && query.target.is_none_or(|(model, _)| endpoint.serves(model))
         });
-        let costs = open.map(|(id, endpoint)| (id, self.cost(id, endpoint, query)));
+        let costs = open.map(|(id, endpoint)| (id, self.cost(id, endpoint, query, now)));
         let best = costs.min_by(|(_, a), (_, b)| a.total.total_cmp(&b.total))?;
         Some((best.0.clone(), best.1))
     }
 
-    fn cost(&self, id: &str, endpoint: &Endpoint, query: &PickQuery<'_>) -> Cost {
+    fn cost(&self, id: &str, endpoint: &Endpoint, query: &PickQuery<'_>, now: Duration) -> Cost {
         let places = endpoint.entry.slots.max(1) as f32;
         let load_share = endpoint.load() as f32 / places;
-        let mut total = load_share + endpoint.failure_share() * FAILING_COST;
+        let reading = endpoint.reading_time(now).as_secs_f32() / READING_COST.as_secs_f32();
+        let mut total = load_share + reading + endpoint.failure_share() * FAILING_COST;
         if endpoint.entry.zone != self.availability_zone {
             total += OTHER_ZONE_COST;
         }
@@ -243,11 +253,11 @@
     fn pick_without_holder(&mut self, query: &PickQuery<'_>, now: Duration) -> Pick {
         let refuse = |reason, base| Pick::Refuse(Refusal::new(reason, base, query.random));
         let Some((model, adapter)) = query.target else {
-            return self.pick_suspected(query);
+            return self.pick_suspected(query, now);
         };
         let service = self.catalog.services.get(query.service);
         let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
-            return self.pick_suspected(query);
+            return self.pick_suspected(query, now);
         };
         let Some(spec) = engine.models.get(model) else {
             return refuse(RefusalReason::UnknownModel, ABSENT_RETRY);
@@ -258,7 +268,13 @@
             let estimate = self.load_estimate(&id, query.service, model, spec, now)?;
             Some((id, estimate))
         });
-        let best = kept.or_else(|| self.best_loader(query.service, model, spec, &[], now));
+        let best = match kept {
+            Some(kept) if !query.reconsider => Some(kept),
+            kept => {
+                let best = self.best_loader(query.service, model, spec, &[], now);
+                sooner(kept, best)
+            }
+        };
         let Some((endpoint, estimate)) = best else {
             return refuse(RefusalReason::NoLoader, ABSENT_RETRY);
         };
@@ -281,16 +297,16 @@
     }
 
     /// A plain service none of whose endpoints is open: one that is only suspected is better than none.
-    fn pick_suspected(&mut self, query: &PickQuery<'_>) -> Pick {
+    fn pick_suspected(&mut self, query: &PickQuery<'_>, now: Duration) -> Pick {
         let listed = self.endpoints.iter().filter(|(id, endpoint)| {
             endpoint.entry.service == query.service
                 && endpoint.entry.phase == crate::process::EndpointPhase::Ready
                 && !query.tried.contains(*id)
         });
-        let costs = listed.map(|(id, endpoint)| (id, self.cost(id, endpoint, query).total));
+        let costs = listed.map(|(id, endpoint)| (id, self.cost(id, endpoint, query, now).total));
         let best = costs.min_by(|(_, a), (_, b)| a.total_cmp(b));
         match best.map(|(id, _)| id.clone()) {
-            Some(id) => self.send(id, query),
+            Some(id) => self.send(id, query, now),
             None => Pick::Refuse(Refusal::new(
                 RefusalReason::NoEndpoint,
                 ABSENT_RETRY,
@@ -368,6 +384,18 @@
     }
 }
 
+/// The endpoint where a request waits already, unless another one is worth the move.
+fn sooner(
+    kept: Option<(EndpointId, Duration)>,
+    best: Option<(EndpointId, Duration)>,
+) -> Option<(EndpointId, Duration)> {
+    match (kept, best) {
+        (Some(kept), Some(best)) if best.1 + MOVE_GAIN_MIN < kept.1 => Some(best),
+        (Some(kept), _) => Some(kept),
+        (None, best) => best,
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Cost {
     total: f32,
--- a/crates/radishpin-core/tests/fleet.rs
+++ b/crates/radishpin-core/tests/fleet.rs
@@ -126,6 +126,8 @@
         priority: 2,
         remaining: ms(3_000),
         waited: ms(0),
+        reconsider: true,
+        prompt_tokens: 0,
         tried: &NONE_TRIED,
         random: 0,
     }
@@ -394,3 +396,40 @@
     assert_eq!(wanted.len(), 2, "{wanted:?}");
     assert_eq!(distinct.len(), 2, "{wanted:?}");
 }
+
+/// Load pattern: long prompts come in clumps. Engines read prompts between the tokens of others'
+/// streams, whose gaps grow with what is read at once.
+#[test]
+fn long_prompts_that_come_together_are_spread() {
+    let mut world = World::new();
+    world.engine("i1", &["a"]);
+    world.engine("i2", &["a"]);
+    let long = PickQuery {
+        prompt_tokens: 6_000,
+        ..query("drafts", Some(("a", None)))
+    };
+    let first = world.pick(&long);
+    let short = query("drafts", Some(("a", None)));
+    let others: BTreeSet<String> = (0..3).map(|_| world.pick(&short)).collect();
+    assert_snapshot!(format!("{first}; {others:?}"), @r#"i1 with 0; {"i2 with 0", "i2 with 1", "i2 with 2"}"#);
+}
+
+/// Load pattern: an engine that looked soon turns out slow; callers that wait there move on.
+#[test]
+fn a_wait_moves_where_it_is_served_much_sooner() {
+    let mut world = World::new();
+    let mut status = world.engine("i1", &["a"]);
+    assert_snapshot!(world.pick(&query("drafts", Some(("b", None)))), @"wait for i1 1450 ms");
+    world.fleet.begin_wait("b", None, "i1");
+    world.engine("i2", &["a"]);
+    assert_snapshot!(world.pick(&query("drafts", Some(("b", None)))), @"wait for i1 1450 ms");
+    status.version = 2;
+    status.room_ms = 1_500;
+    world.fleet.heard("i1", status, ms(500));
+    let still = PickQuery {
+        reconsider: false,
+        ..query("drafts", Some(("b", None)))
+    };
+    assert_snapshot!(world.pick(&still), @"wait for i1 2800 ms");
+    assert_snapshot!(world.pick(&query("drafts", Some(("b", None)))), @"wait for i2 1450 ms");
+}
--- a/crates/radishpin-gateway/src/request/call.rs
+++ b/crates/radishpin-gateway/src/request/call.rs
@@ -27,6 +27,8 @@
     /// Whether the service runs models.
     pub(crate) is_engine: bool,
     pub(crate) target: Option<(ModelId, Option<AdapterId>)>,
+    /// Tokens of the prompt; 0 where the caller doesn't tell.
+    pub(crate) prompt_tokens: u32,
     /// Version of the configuration that routed it.
     pub(crate) catalog_version: u64,
     pub(crate) received_at: Duration,
@@ -76,6 +78,9 @@
             target: text(&parts.headers, wire::MODEL)
                 .filter(|_| is_engine)
                 .map(wire::parse_model),
+            prompt_tokens: text(&parts.headers, wire::TOKEN_COUNTS)
+                .and_then(wire::parse_prompt_size)
+                .map_or(0, |size| size.prompt_tokens),
             route,
             service,
             is_engine,
--- a/crates/radishpin-gateway/src/request/place.rs
+++ b/crates/radishpin-gateway/src/request/place.rs
@@ -114,6 +114,7 @@
     tried: &BTreeSet<EndpointId>,
 ) -> Result<Place, Refusal> {
     let mut waiting: Option<Waiting<'_>> = None;
+    let mut considered_at = Duration::ZERO;
     loop {
         let listener = gateway.fleet_changed.listen();
         let now = gateway.clock.now();
@@ -125,9 +126,14 @@
             waited: waiting
                 .as_ref()
                 .map_or(Duration::ZERO, |w| now.saturating_sub(w.since)),
+            reconsider: now.saturating_sub(considered_at) >= LOOK_GAP,
+            prompt_tokens: call.prompt_tokens,
             tried,
             random: call.random,
         };
+        if query.reconsider {
+            considered_at = now;
+        }
         let pick = gateway.fleet.lock().pick(&query, now);
         let wait = match pick {
             Pick::Send {
