Size replicas by the last seconds; follow an engine to its new id

Cause: after a loss of power or a shift of demand the rate of a busy model rose over ten seconds, so its replicas came late; orders were refused for a second because the platform still listed the engines' earlier ids. Change: one rate over two seconds sizes replicas, one over ten ranks rare models; a sidecar takes its engine's id from the refusal of an order.

--- a/crates/radishpin-core/src/process/fleet.rs
+++ b/crates/radishpin-core/src/process/fleet.rs
@@ -214,11 +214,11 @@
         let held = endpoint.held_models();
         let models: BTreeSet<&ModelId> = held.chain(endpoint.active.keys()).collect();
         let usage = models.into_iter().map(|model| {
-            let per_s = self.rates.get(model).map_or(0.0, |rate| rate.per_s(now));
+            let rate = self.rates.get(model).copied().unwrap_or_default();
             let active = endpoint.active.get(model);
             let usage = ModelUsage {
-                per_s,
-                loss_per_s: self.loss_per_s(model, per_s),
+                per_s: rate.recent_per_s(now),
+                loss_per_s: self.loss_per_s(model, rate.per_s(now)),
                 active: active.map_or(0, |active| active.requests),
                 keep: self.kept.contains(&(id.to_owned(), model.clone())),
                 adapters: active.map(endpoint::Active::adapters).unwrap_or_default(),
--- a/crates/radishpin-core/src/process/fleet/plan.rs
+++ b/crates/radishpin-core/src/process/fleet/plan.rs
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 
 /// Requests a second from which a model is kept loaded on as many endpoints as its load needs.
-const BUSY_PER_S: f32 = 0.5;
+const BUSY_PER_S: f32 = 1.0;
 /// Share of an endpoint's places that one busy model is meant to take.
 const PLACES_PER_MODEL: f32 = 0.5;
 /// Requests of one busy model at one replica, at most: an engine reads the prompts of new requests
@@ -64,7 +64,7 @@
         let own = self
             .rates
             .iter()
-            .map(|(model, rate)| (model.clone(), rate.per_s(now)));
+            .map(|(model, rate)| (model.clone(), rate.recent_per_s(now)));
         let mut demand: BTreeMap<ModelId, f32> = own.collect();
         for (_, status) in self.statuses(service) {
             for (model, held) in &status.models {
--- a/crates/radishpin-core/src/process/residency.rs
+++ b/crates/radishpin-core/src/process/residency.rs
@@ -74,6 +74,8 @@
     Unneeded,
     /// The engine refused it; it has no effect.
     Refused,
+    /// Another endpoint has the engine's address; the order has no effect.
+    Misdirected,
     /// No answer: it may have been accepted, or may take effect later.
     Unknown,
 }
@@ -387,7 +389,7 @@
     pub fn settle(&mut self, action: &Action, settled: Settled, now: Duration) {
         match settled {
             Settled::Accepted => self.begin(action, now),
-            Settled::Unneeded => {}
+            Settled::Unneeded | Settled::Misdirected => {}
             Settled::Refused => self.paused_until = now + REFUSED_PAUSE,
             Settled::Unknown => self.remember_late(action, now),
         }
--- a/crates/radishpin-core/src/process/residency/exchange.rs
+++ b/crates/radishpin-core/src/process/residency/exchange.rs
@@ -34,7 +34,7 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct ModelUsage {
-    /// Requests a second for the model at this gateway, wherever they went.
+    /// Requests a second for the model at this gateway over the last seconds, wherever they went.
     pub per_s: f32,
     /// Requests a second that would find no replica if this one was unloaded.
     pub loss_per_s: f32,
--- a/crates/radishpin-gateway/src/connection/client.rs
+++ b/crates/radishpin-gateway/src/connection/client.rs
@@ -147,6 +147,7 @@
 #[derive(Debug)]
 pub(crate) struct WholeAnswer {
     pub(crate) status: u16,
+    pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) keep_alive: Option<Duration>,
 }
@@ -193,6 +194,7 @@
     Ok(WholeAnswer {
         status: head.status.as_u16(),
         keep_alive: keep_alive(&head.headers),
+        headers: head.headers,
         body: body.to_bytes(),
     })
 }
--- a/crates/radishpin-gateway/src/process/sidecar.rs
+++ b/crates/radishpin-gateway/src/process/sidecar.rs
@@ -10,7 +10,7 @@
 };
 use event_listener::Event;
 use futures_lite::future;
-use http::{Request, Response, StatusCode};
+use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
 use parking_lot::Mutex;
@@ -49,6 +49,8 @@
     clock: Clock,
     settings: Mutex<Arc<Settings>>,
     engine: SocketAddr,
+    /// Who answers there, where the engine has said so; the platform's list lags behind a restart.
+    engine_id: Mutex<Option<EndpointId>>,
     residency: Mutex<Residency>,
     /// Notified when the engine should be looked at before the next round.
     demand: Event,
@@ -211,6 +213,7 @@
             runtime,
             clock: Clock::start(),
             engine,
+            engine_id: Mutex::default(),
             residency: Mutex::new(Residency::new(rand::random(), store_load_after)),
             settings: Mutex::new(Arc::new(settings)),
             demand: Event::new(),
@@ -312,6 +315,7 @@
             let mut residency = self.residency.lock();
             (residency.decide(now), residency.endpoint().cloned())
         };
+        let endpoint = self.engine_id.lock().clone().or(endpoint);
         let (Some((action, sequence)), Some(endpoint)) = (decided, endpoint) else {
             return false;
         };
@@ -365,6 +369,7 @@
         match answer.await {
             Ok(answer) => match answer.status {
                 202 => Settled::Accepted,
+                421 => self.learn_engine_id(&answer.headers, endpoint),
                 200 => Settled::Unneeded,
                 400..=499 => Settled::Refused,
                 _ => Settled::Unknown,
@@ -375,6 +380,26 @@
     }
 }
 
+impl Sidecar {
+    /// Takes the engine's id from its refusal of an order for another one.
+    fn learn_engine_id(&self, headers: &HeaderMap, expected: &str) -> Settled {
+        let told = headers
+            .get(header::ENDPOINT)
+            .and_then(|id| id.to_str().ok());
+        match told {
+            Some(id) if id != expected => {
+                log::info!(event = "engine_replaced", expected = expected, endpoint = id; "engine has a new id");
+                *self.engine_id.lock() = Some(id.to_owned());
+                Settled::Misdirected
+            }
+            _ => {
+                *self.engine_id.lock() = None;
+                Settled::Refused
+            }
+        }
+    }
+}
+
 fn parts(action: &Action) -> (&'static str, &str, Option<&str>) {
     match action {
         Action::Load(model) => ("load", model, None),
@@ -389,6 +414,7 @@
         Settled::Accepted => "accepted",
         Settled::Unneeded => "unneeded",
         Settled::Refused => "refused",
+        Settled::Misdirected => "misdirected",
         Settled::Unknown => "unknown",
     }
 }
--- a/crates/radishpin-gateway/tests/serving/endpoint.rs
+++ b/crates/radishpin-gateway/tests/serving/endpoint.rs
@@ -58,10 +58,13 @@
     orders: Vec<String>,
     silent_orders: u32,
     started_unix_ms: u64,
+    /// The id that it has now.
+    id: String,
 }
 
 #[derive(Debug)]
 pub struct Endpoint {
+    /// The id that it started with.
     pub id: String,
     pub address: SocketAddr,
     state: Mutex<State>,
@@ -78,6 +81,7 @@
                 .map(|model| ((*model).to_owned(), BTreeSet::new()))
                 .collect(),
             started_unix_ms: 1_000,
+            id: id.to_owned(),
             ..State::default()
         };
         let shared: Arc<Mutex<Option<Arc<Self>>>> = Arc::default();
@@ -138,6 +142,12 @@
         state.started_unix_ms += 5_000;
     }
 
+    /// Starts anew under another id.
+    pub fn restart_as(&self, id: &str) {
+        self.restart();
+        self.state.lock().id = id.to_owned();
+    }
+
     pub fn entry(&self, service: &str, phase: &str) -> Value {
         let state = self.state.lock();
         json!({
@@ -152,7 +162,13 @@
         let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
         match parts.uri.path() {
             "/report" => return Ok(json_answer(StatusCode::OK, self.report())),
-            "/order" => return Ok(self.order(&body).await),
+            "/order" => {
+                let expected = parts.headers.get("radishpin-expected-instance");
+                if expected.is_none_or(|id| id.as_bytes() != self.state.lock().id.as_bytes()) {
+                    return Ok(misdirected(&self.state.lock().id));
+                }
+                return Ok(self.order(&body).await);
+            }
             _ => {}
         }
         let header = |name: &str| {
@@ -163,7 +179,7 @@
                 .to_owned()
         };
         let id = header("radishpin-attempt-id");
-        if header("radishpin-expected-instance") != self.id {
+        if header("radishpin-expected-instance") != self.state.lock().id {
             return Ok(refused(&id, StatusCode::MISDIRECTED_REQUEST));
         }
         let model = header("radishpin-model");
@@ -338,3 +354,11 @@
         .body(full(String::new()))
         .expect("answer is valid")
 }
+
+fn misdirected(id: &str) -> Response<Body> {
+    Response::builder()
+        .status(StatusCode::MISDIRECTED_REQUEST)
+        .header("radishpin-instance-id", id)
+        .body(full(String::new()))
+        .expect("answer is valid")
+}
--- a/crates/radishpin-gateway/tests/serving/loads.rs
+++ b/crates/radishpin-gateway/tests/serving/loads.rs
@@ -99,6 +99,23 @@
     assert!(engine.models().contains(&"m0".to_owned()));
 }
 
+/// Found after a loss of power: engines came back under new ids, and for a second their orders
+/// were meant for the old ones.
+#[test]
+fn orders_follow_an_engine_to_its_new_id() {
+    let world = World::start();
+    let (engine, _sidecar) = world.engine("i1", &["m0"]);
+    world.settle();
+    engine.restart_as("i9");
+    // The platform still lists the old life; the load begins all the same.
+    thread::scope(|scope| {
+        scope.spawn(|| ask_model(&world, "s1", "m0"));
+        world.wait_until("m0 is loaded under the new id", || {
+            engine.models().contains(&"m0".to_owned())
+        });
+    });
+}
+
 #[test]
 fn a_model_that_no_service_offers_is_refused_at_once() {
     let world = World::start();
