--- a/crates/radishpin-core/src/process/fleet/endpoint.rs
+++ b/crates/radishpin-core/src/process/fleet/endpoint.rs
@@ -50,6 +50,8 @@
 pub(super) struct Endpoint {
     pub(super) entry: EndpointEntry,
     pub(super) status: Option<Status>,
+    /// Whether another engine is in its place, which the platform does not list yet.
+    pub(super) replaced: bool,
     status_at: Duration,
     /// Requests of this gateway.
     outstanding: u32,
@@ -72,6 +74,7 @@
         Self {
             entry,
             status: None,
+            replaced: false,
             status_at: Duration::ZERO,
             outstanding: 0,
             told_in_use: 0,
@@ -239,7 +242,7 @@
 
     /// Whether it serves a model.
     pub(super) fn serves(&self, model: &str) -> bool {
-        if self.missing.contains(model) {
+        if self.replaced || self.missing.contains(model) {
             return false;
         }
         match &self.status {
--- a/crates/radishpin-core/src/process/fleet/pick.rs
+++ b/crates/radishpin-core/src/process/fleet/pick.rs
@@ -26,6 +26,8 @@
 const ESTIMATE_STEP_MS: u128 = 100;
 /// Added to the estimate for each busy model that an endpoint serves: its adapters wait meanwhile.
 const KEPT_COST: Duration = Duration::from_millis(500);
+/// Time until the platform lists an engine that took another one's place.
+const LISTING_LAG: Duration = Duration::from_millis(800);
 /// Time that a move of a wait has to gain.
 const MOVE_GAIN_MIN: Duration = Duration::from_millis(600);
 /// Prompts that wait to be read for this long cost as much as all places of an endpoint.
@@ -355,6 +357,9 @@
         {
             return Some(Duration::from_millis(loading.remaining_ms));
         }
+        if endpoint.replaced && status.models.contains_key(model) {
+            return Some(LISTING_LAG);
+        }
         let queue = Duration::from_millis(status.queue_ms);
         if status.queue.iter().any(|queued| queued == model) {
             return Some(queue);
--- a/crates/radishpin-core/src/process/residency.rs
+++ b/crates/radishpin-core/src/process/residency.rs
@@ -117,6 +117,7 @@
     spec: Option<Arc<EngineSpec>>,
     report: Option<EndpointReport>,
     gateways: BTreeMap<NodeId, Heard>,
+    engine_id: Option<EndpointId>,
     wanted_since: BTreeMap<ModelId, Duration>,
     held_since: BTreeMap<ModelId, Duration>,
     adapter_used: BTreeMap<(ModelId, AdapterId), Duration>,
@@ -141,6 +142,7 @@
             spec: None,
             report: None,
             gateways: BTreeMap::new(),
+            engine_id: None,
             wanted_since: BTreeMap::new(),
             held_since: BTreeMap::new(),
             adapter_used: BTreeMap::new(),
@@ -164,10 +166,20 @@
         self.store_window = store_window;
     }
 
-    /// The endpoint that gateways take the engine for, by the newest word.
+    /// The endpoint that orders are meant for: by the engine's own word, or else by the newest
+    /// word of a gateway.
     pub fn endpoint(&self) -> Option<&EndpointId> {
-        let newest = self.gateways.values().max_by_key(|heard| heard.at)?;
-        Some(&newest.report.endpoint)
+        let newest = self.gateways.values().max_by_key(|heard| heard.at);
+        let told = newest.map(|heard| &heard.report.endpoint);
+        self.engine_id.as_ref().or(told)
+    }
+
+    /// Takes in the id that the engine has told, or that what it told no longer holds.
+    pub fn engine_told_id(&mut self, id: Option<EndpointId>) {
+        if self.engine_id != id {
+            self.engine_id = id;
+            self.status_version += 1;
+        }
     }
 
     fn store_share(&self) -> StoreLoadShare {
@@ -477,6 +489,7 @@
             incarnation: self.incarnation,
             version: self.status_version,
             engine_up: true,
+            engine_id: self.engine_id.clone(),
             engine_started_unix_ms: report.started_unix_ms,
             running: report.running,
             waiting: report.waiting,
--- a/crates/radishpin-core/src/process/residency/exchange.rs
+++ b/crates/radishpin-core/src/process/residency/exchange.rs
@@ -104,6 +104,8 @@
     pub version: u64,
     /// Whether the engine answers.
     pub engine_up: bool,
+    /// The engine's id, where it has told it; the platform's list may still hold an earlier one.
+    pub engine_id: Option<EndpointId>,
     /// Unix time of the engine's start in milliseconds.
     pub engine_started_unix_ms: UnixMs,
     /// Requests that run.
--- a/crates/radishpin-core/tests/fleet.rs
+++ b/crates/radishpin-core/tests/fleet.rs
@@ -68,7 +68,7 @@
     fn list(&mut self, id: &str, service: &str, zone: &str, slots: u32) {
         let entry = EndpointEntry {
             service: service.into(),
-            address: "10.0.0.1:80".parse().unwrap(),
+            address: "10.0.0.1:80".parse().expect("address is valid"),
             zone: zone.into(),
             slots,
             phase: EndpointPhase::Ready,
@@ -433,3 +433,19 @@
     assert_snapshot!(world.pick(&still), @"wait for i1 2800 ms");
     assert_snapshot!(world.pick(&query("drafts", Some(("b", None)))), @"wait for i2 1450 ms");
 }
+
+/// Found after a loss of power: engines had loaded under new ids that the platform did not list
+/// yet; requests under the old ids were refused one after the other.
+#[test]
+fn requests_wait_for_an_engine_that_the_platform_does_not_list_yet() {
+    let mut world = World::new();
+    let mut status = world.engine("i1", &["a"]);
+    status.version = 2;
+    status.engine_id = Some("i9".into());
+    world.fleet.heard("i1", status.clone(), ms(500));
+    assert_snapshot!(world.pick(&query("drafts", Some(("a", None)))), @"wait for i1 800 ms");
+    world.entries.clear();
+    world.list("i9", "drafts", "north", 10);
+    world.fleet.heard("i9", status, ms(900));
+    assert_snapshot!(world.pick(&query("drafts", Some(("a", None)))), @"i9 with 0");
+}
--- a/crates/radishpin-core/tests/roster.rs
+++ b/crates/radishpin-core/tests/roster.rs
@@ -11,7 +11,7 @@
 fn entry(phase: EndpointPhase, started_unix_ms: u64) -> EndpointEntry {
     EndpointEntry {
         service: "shop".into(),
-        address: "10.0.0.1:80".parse().unwrap(),
+        address: "10.0.0.1:80".parse().expect("address is valid"),
         zone: "north".into(),
         slots: 8,
         phase,
--- a/crates/radishpin-gateway/src/process/sidecar.rs
+++ b/crates/radishpin-gateway/src/process/sidecar.rs
@@ -49,8 +49,6 @@
     clock: Clock,
     settings: Mutex<Arc<Settings>>,
     engine: SocketAddr,
-    /// Who answers there, where the engine has said so; the platform's list lags behind a restart.
-    engine_id: Mutex<Option<EndpointId>>,
     residency: Mutex<Residency>,
     /// Notified when the engine should be looked at before the next round.
     demand: Event,
@@ -213,7 +211,6 @@
             runtime,
             clock: Clock::start(),
             engine,
-            engine_id: Mutex::default(),
             residency: Mutex::new(Residency::new(rand::random(), store_load_after)),
             settings: Mutex::new(Arc::new(settings)),
             demand: Event::new(),
@@ -315,7 +312,6 @@
             let mut residency = self.residency.lock();
             (residency.decide(now), residency.endpoint().cloned())
         };
-        let endpoint = self.engine_id.lock().clone().or(endpoint);
         let (Some((action, sequence)), Some(endpoint)) = (decided, endpoint) else {
             return false;
         };
@@ -389,11 +385,12 @@
         match told {
             Some(id) if id != expected => {
                 log::info!(event = "engine_replaced", expected = expected, endpoint = id; "engine has a new id");
-                *self.engine_id.lock() = Some(id.to_owned());
+                let id = Some(id.to_owned());
+                self.residency.lock().engine_told_id(id);
                 Settled::Misdirected
             }
             _ => {
-                *self.engine_id.lock() = None;
+                self.residency.lock().engine_told_id(None);
                 Settled::Refused
             }
         }
--- a/crates/radishpin-gateway/tests/serving/faults.rs
+++ b/crates/radishpin-gateway/tests/serving/faults.rs
@@ -12,8 +12,13 @@
 
 fn send_and_leave(world: &World, ask: &Ask, stay: Duration) {
     smol::block_on(async {
-        let mut stream = TcpStream::connect(world.gateway.callers()).await.unwrap();
-        stream.write_all(ask.text().as_bytes()).await.unwrap();
+        let mut stream = TcpStream::connect(world.gateway.callers())
+            .await
+            .expect("gateway listens");
+        stream
+            .write_all(ask.text().as_bytes())
+            .await
+            .expect("request is sent");
         smol::Timer::after(stay).await;
     });
 }
--- a/crates/radishpin-gateway/tests/serving/main.rs
+++ b/crates/radishpin-gateway/tests/serving/main.rs
@@ -1,7 +1,5 @@
 //! Gateways and sidecars over loopback sockets, against stand-ins of the store and the endpoints.
 
-#![allow(clippy::unwrap_used)]
-
 mod caller;
 mod endpoint;
 mod faults;
--- a/src/command/gateway.rs
+++ b/src/command/gateway.rs
@@ -16,7 +16,7 @@
     settings: &[&BOOT, &ROLE_LOG_LEVEL],
     examples: &[
         "radishpin gateway --boot /etc/radishpin/boot.json",
-        "radishpin check gateway --boot /etc/radishpin/boot.json",
+        "radishpin gateway --boot /etc/radishpin/boot.json --log-level warn",
     ],
     notes: "",
     check: no_operands,
--- a/src/command/sidecar.rs
+++ b/src/command/sidecar.rs
@@ -16,7 +16,7 @@
     settings: &[&BOOT, &ROLE_LOG_LEVEL],
     examples: &[
         "radishpin sidecar --boot /etc/radishpin/boot.json",
-        "radishpin check sidecar --boot /etc/radishpin/boot.json",
+        "radishpin sidecar --boot /etc/radishpin/boot.json --log-level warn",
     ],
     notes: "",
     check: no_operands,
--- a/tests/logging.rs
+++ b/tests/logging.rs
@@ -1,8 +1,11 @@
 //! Log lines: key=value pairs that can be told apart.
 
 use log::{Level, Record};
-use radishpin_cli::format_record;
-use std::time::{Duration, UNIX_EPOCH};
+use radishpin_cli::{QueuedLines, format_record};
+use std::{
+    io::Write,
+    time::{Duration, UNIX_EPOCH},
+};
 
 #[test]
 fn a_record_is_one_line_of_pairs() {
@@ -25,3 +28,41 @@
         @r#"time=1970-01-01T00:00:01.500Z level=warn target=radishpin_server::node msg="request refused" request_id=r-1 reason="queue \"full\"\nnow""#
     );
 }
+
+/// A writer that takes nothing until it is released, like a full pipe.
+struct Stuck(
+    std::sync::mpsc::Receiver<()>,
+    std::sync::mpsc::Sender<Vec<u8>>,
+);
+
+impl Write for Stuck {
+    fn write(&mut self, line: &[u8]) -> std::io::Result<usize> {
+        let _ = self.0.recv();
+        let _ = self.1.send(line.to_vec());
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn a_full_output_holds_up_nobody_and_what_is_left_out_is_counted() {
+    let (release, stuck) = std::sync::mpsc::channel();
+    let (written, lines) = std::sync::mpsc::channel();
+    let mut logs = QueuedLines::start(Stuck(stuck, written), 4);
+    // One line may be with the thread, four wait; none of these calls blocks.
+    for n in 0..20 {
+        logs.write_all(format!("line {n}\n").as_bytes()).unwrap();
+    }
+    drop(release);
+    drop(logs);
+    let text: Vec<u8> = lines.into_iter().flatten().collect();
+    let text = String::from_utf8(text).unwrap();
+    assert!(text.starts_with("line 0\n"), "{text}");
+    let kept = text.lines().filter(|line| line.starts_with("line")).count();
+    assert!((4..=5).contains(&kept), "{text}");
+    let left_out = format!("event=lines_left_out count={}", 20 - kept);
+    assert!(text.contains(&left_out), "{text}");
+}
