Split the fleet's and the residency's decisions; overdue loads are not about to end

A load that was overdue counted as ending at once, so callers waited past their time. Change: loader and rendezvous, ledger and status on their own; one way to start a server; the adapter reads order answers; an overdue load takes a quarter of its time so far.

--- a/crates/radishpin-core/src/process/fleet.rs
+++ b/crates/radishpin-core/src/process/fleet.rs
@@ -1,9 +1,11 @@
 //! A gateway's view of the endpoints, and the requests that it has at them.
 
 mod endpoint;
+mod loader;
 mod pick;
 mod plan;
 mod rate;
+mod rendezvous;
 
 pub use endpoint::Outcome;
 pub use pick::{Pick, PickQuery, Refusal, RefusalReason, Wait};
--- a/crates/radishpin-core/src/process/fleet/pick.rs
+++ b/crates/radishpin-core/src/process/fleet/pick.rs
@@ -1,12 +1,9 @@
 //! Where a request goes: to an endpoint, to wait for a load, or back to its caller.
 
-use super::{Fleet, WaitEntry, endpoint::Endpoint};
-use crate::{request::Tier, version::ModelSpec};
-use radishpin_protocol::{engine::stable_hash, prelude::*};
+use super::{Fleet, WaitEntry, endpoint::Endpoint, rendezvous::rendezvous};
+use radishpin_protocol::prelude::*;
 use std::net::SocketAddr;
 
-/// Loads that the weight store serves at full speed; beyond, each takes longer in proportion.
-pub(super) const FULL_SPEED_LOADS: u32 = 4;
 /// Cost of an endpoint in another availability zone, in shares of its places.
 const OTHER_ZONE_COST: f32 = 0.02;
 /// Cost of an endpoint without the request's adapter.
@@ -22,12 +19,6 @@
 const ADAPTER_WAIT_MAX: Duration = Duration::from_millis(2_500);
 /// From the end of a load to the first token.
 const FIRST_TOKEN: Duration = Duration::from_millis(100);
-/// Step in which estimates are compared, so that gateways with nearly the same view agree.
-const ESTIMATE_STEP_MS: u128 = 100;
-/// Added to the estimate for each busy model that an endpoint serves: its adapters wait meanwhile.
-const KEPT_COST: Duration = Duration::from_millis(500);
-/// Time until the platform lists an engine that took another one's place.
-const LISTING_LAG: Duration = Duration::from_millis(800);
 /// Time that a move of a wait has to gain.
 const MOVE_GAIN_MIN: Duration = Duration::from_millis(600);
 /// Prompts that wait to be read for this long cost as much as all places of an endpoint.
@@ -316,77 +307,6 @@
             )),
         }
     }
-
-    /// The endpoint that would serve a model soonest, but for those in `passed_over`.
-    pub(super) fn best_loader(
-        &self,
-        service: &str,
-        model: &str,
-        spec: &ModelSpec,
-        passed_over: &[EndpointId],
-        now: Duration,
-    ) -> Option<(EndpointId, Duration)> {
-        let candidates = self.endpoints.keys().filter(|id| !passed_over.contains(id));
-        let estimates = candidates.filter_map(|id| {
-            let estimate = self.load_estimate(id, service, model, spec, now)?;
-            let step = estimate.as_millis() / ESTIMATE_STEP_MS;
-            Some((step, rendezvous(model, id), id, estimate))
-        });
-        let (_, _, id, estimate) = estimates.min()?;
-        Some((id.clone(), estimate))
-    }
-
-    /// Time until an endpoint would serve a model that it lacks; `None` where it can't load.
-    fn load_estimate(
-        &self,
-        id: &str,
-        service: &str,
-        model: &str,
-        spec: &ModelSpec,
-        now: Duration,
-    ) -> Option<Duration> {
-        let endpoint = self.endpoints.get(id)?;
-        let can_load =
-            endpoint.takes_loads() && endpoint.is_open(now) && endpoint.entry.service == service;
-        if !can_load {
-            return None;
-        }
-        let status = endpoint.status.as_ref()?;
-        if let Some(loading) = &status.loading
-            && loading.model == model
-        {
-            return Some(Duration::from_millis(loading.remaining_ms));
-        }
-        if endpoint.replaced && status.models.contains_key(model) {
-            return Some(LISTING_LAG);
-        }
-        let queue = Duration::from_millis(status.queue_ms);
-        if status.queue.iter().any(|queued| queued == model) {
-            return Some(queue);
-        }
-        let tier = status.tier(model);
-        let load = spec.load_time(tier).mul_f64(self.store_pressure(tier));
-        let room = Duration::from_millis(status.room_ms);
-        let kept = KEPT_COST * u32::try_from(self.kept_at(id)).unwrap_or(u32::MAX);
-        Some(queue + load + room + kept)
-    }
-
-    /// How much longer one more load takes under the present use of the weight store.
-    fn store_pressure(&self, tier: Tier) -> f64 {
-        if tier != Tier::Remote {
-            return 1.0;
-        }
-        let loads = self.store_loads() + 1;
-        (f64::from(loads) / f64::from(FULL_SPEED_LOADS)).max(1.0)
-    }
-
-    /// Loads from the weight store in progress.
-    pub(super) fn store_loads(&self) -> u32 {
-        let statuses = self.endpoints.values().filter_map(|e| e.status.as_ref());
-        let loads = statuses.filter_map(|status| status.loading.as_ref());
-        let count = loads.filter(|loading| loading.tier == Tier::Remote).count();
-        u32::try_from(count).unwrap_or(u32::MAX)
-    }
 }
 
 /// The endpoint where a request waits already, unless another one is worth the move.
@@ -407,16 +327,3 @@
     load_share: f32,
     has_adapter: bool,
 }
-
-/// A weight that all gateways compute alike, to spread targets over endpoints.
-pub(super) fn rendezvous(target: &str, endpoint: &str) -> u64 {
-    let mut bytes = Vec::with_capacity(target.len() + endpoint.len() + 1);
-    bytes.extend_from_slice(target.as_bytes());
-    bytes.push(0);
-    bytes.extend_from_slice(endpoint.as_bytes());
-    // FNV leaves the high bits of short texts alike; this spreads them.
-    let hash = stable_hash(&bytes);
-    let hash = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
-    let hash = (hash ^ (hash >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
-    hash ^ (hash >> 33)
-}
--- a/crates/radishpin-core/src/process/fleet/plan.rs
+++ b/crates/radishpin-core/src/process/fleet/plan.rs
@@ -1,9 +1,6 @@
 //! Which replicas the load needs, and which weights are copied ahead of demand.
 
-use super::{
-    Fleet,
-    pick::{FULL_SPEED_LOADS, rendezvous},
-};
+use super::{Fleet, loader::FULL_SPEED_LOADS, rendezvous::rendezvous};
 use crate::{
     process::{Demand, DemandReason, Status},
     version::EngineSpec,
--- a/crates/radishpin-core/src/process/residency.rs
+++ b/crates/radishpin-core/src/process/residency.rs
@@ -6,7 +6,9 @@
 //! count at most one takes effect, however late the other one arrives.
 
 mod exchange;
+mod ledger;
 mod queue;
+mod status;
 mod store_share;
 mod victim;
 
@@ -17,6 +19,7 @@
 pub use store_share::StoreLoadShare;
 
 use crate::{process::HeldModel, request::Tier, version::EngineSpec};
+use ledger::LateOrder;
 use radishpin_protocol::{UnixMs, prelude::*};
 use std::{collections::VecDeque, sync::Arc};
 
@@ -24,11 +27,6 @@
 pub const GATEWAY_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Longest wait for the calls of a model before its unload is ordered all the same.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(3);
-/// How long an order without an answer may still take effect.
-const LATE_ORDER_LIFE: Duration = Duration::from_secs(13);
-/// Pause after an order was refused, so that the cause can pass.
-const REFUSED_PAUSE: Duration = Duration::from_millis(100);
-
 /// What an engine reports of itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EndpointReport {
@@ -85,9 +83,22 @@
 struct Loading {
     model: ModelId,
     tier: Tier,
+    began: Duration,
     expected_end: Duration,
 }
 
+impl Loading {
+    /// Time until the model serves; a load that is overdue takes in proportion to its time so far.
+    fn remaining(&self, now: Duration) -> Duration {
+        /// Share of its time so far that an overdue load still takes, as a divisor.
+        const OVERDUE_DIVISOR: u32 = 4;
+        if now < self.expected_end {
+            return self.expected_end - now;
+        }
+        now.saturating_sub(self.began) / OVERDUE_DIVISOR
+    }
+}
+
 /// A model that is about to be unloaded: gateways send it no more requests.
 #[derive(Clone, Debug)]
 struct Leaving {
@@ -96,15 +107,6 @@
     status_version: u64,
 }
 
-/// An order without an answer, for an engine that may have restarted since.
-#[derive(Clone, Debug)]
-struct LateOrder {
-    weights_mb: SizeMb,
-    adapters: usize,
-    engine_started_unix_ms: UnixMs,
-    until: Duration,
-}
-
 #[derive(Clone, Debug)]
 struct Heard {
     report: GatewayReport,
@@ -364,90 +366,6 @@
         })
     }
 
-    /// Memory that is free, with what an unanswered order may still take at a restarted engine.
-    fn free_mb(&self, spec: &EngineSpec) -> SizeMb {
-        let Some(report) = &self.report else {
-            return 0;
-        };
-        let mut used: SizeMb = 0;
-        for (model, held) in &report.models {
-            let Some(model) = spec.models.get(model) else {
-                continue;
-            };
-            let adapters = SizeMb::try_from(held.adapters.len()).unwrap_or(SizeMb::MAX);
-            let adapters_mb = model.adapter_mb.saturating_mul(adapters);
-            used = used.saturating_add(model.weights_mb.saturating_add(adapters_mb));
-        }
-        for (model, _) in &report.arriving_adapters {
-            let adapter_mb = spec.models.get(model).map_or(0, |model| model.adapter_mb);
-            used = used.saturating_add(adapter_mb);
-        }
-        let late = self.late_orders(report);
-        used = late.fold(used, |used, order| used.saturating_add(order.weights_mb));
-        spec.memory_mb.saturating_sub(used)
-    }
-
-    fn late_orders<'a>(
-        &'a self,
-        report: &'a EndpointReport,
-    ) -> impl Iterator<Item = &'a LateOrder> {
-        // At the engine that got it, a late order loses against any order with its count.
-        self.late
-            .iter()
-            .filter(|order| order.engine_started_unix_ms != report.started_unix_ms)
-    }
-
-    /// Records what came of an order that [`Self::decide`] returned.
-    pub fn settle(&mut self, action: &Action, settled: Settled, now: Duration) {
-        match settled {
-            Settled::Accepted => self.begin(action, now),
-            Settled::Unneeded | Settled::Misdirected => {}
-            Settled::Refused => self.paused_until = now + REFUSED_PAUSE,
-            Settled::Unknown => self.remember_late(action, now),
-        }
-    }
-
-    fn begin(&mut self, action: &Action, now: Duration) {
-        let Action::Load(model) = action else {
-            return;
-        };
-        let tier = self.tier(model);
-        let spec = self.spec.as_ref().and_then(|spec| spec.models.get(model));
-        let expected = spec.map_or(Duration::ZERO, |spec| spec.load_time(tier));
-        if tier == Tier::Remote {
-            self.count_store_load(now);
-        }
-        self.loading = Some(Loading {
-            model: model.clone(),
-            tier,
-            expected_end: now + expected,
-        });
-        self.status_version += 1;
-    }
-
-    fn remember_late(&mut self, action: &Action, now: Duration) {
-        let (weights_mb, adapters) = match action {
-            Action::Load(model) => (self.model_mb(model), 0),
-            Action::LoadAdapter(..) => (0, 1),
-            Action::Unload(_) | Action::UnloadAdapter(..) => return,
-        };
-        if let Action::Load(model) = action
-            && self.tier(model) == Tier::Remote
-        {
-            self.count_store_load(now);
-        }
-        let Some(report) = &self.report else {
-            return;
-        };
-        self.unknown = Some((action.clone(), report.sequence));
-        self.late.push(LateOrder {
-            weights_mb,
-            adapters,
-            engine_started_unix_ms: report.started_unix_ms,
-            until: now + LATE_ORDER_LIFE,
-        });
-    }
-
     fn model_mb(&self, model: &str) -> SizeMb {
         let spec = self.spec.as_ref().and_then(|spec| spec.models.get(model));
         spec.map_or(0, |spec| spec.weights_mb)
@@ -462,65 +380,6 @@
         }
     }
 
-    /// What gateways learn.
-    pub fn status(&self, now: Duration) -> Status {
-        let Some(report) = &self.report else {
-            return Status {
-                incarnation: self.incarnation,
-                version: self.status_version,
-                ..Status::default()
-            };
-        };
-        let models = report.models.iter().map(|(model, held)| {
-            let status = ModelStatus {
-                adapters: held.adapters.clone(),
-                leaving: self.is_leaving(model),
-                per_s: self.demand_per_s(model),
-            };
-            (model.clone(), status)
-        });
-        let loading = self.loading.as_ref().map(|loading| LoadStatus {
-            model: loading.model.clone(),
-            tier: loading.tier,
-            remaining_ms: millis(loading.expected_end.saturating_sub(now)),
-        });
-        let queue = self.queued(now);
-        Status {
-            incarnation: self.incarnation,
-            version: self.status_version,
-            engine_up: true,
-            engine_id: self.engine_id.clone(),
-            engine_started_unix_ms: report.started_unix_ms,
-            running: report.running,
-            waiting: report.waiting,
-            models: models.collect(),
-            queue_ms: millis(self.queue_time(&queue, now)),
-            room_ms: millis(self.room_time(now)),
-            queue,
-            loading,
-            busy: report.busy,
-            in_memory: report.in_memory.clone(),
-            on_disk: report.on_disk.clone(),
-            gateways: u32::try_from(self.gateways.len()).unwrap_or(u32::MAX),
-        }
-    }
-
-    /// Whether an order or a demand is open, so that the engine is worth looking at soon.
-    pub fn is_active(&self) -> bool {
-        let busy = self.report.as_ref().is_some_and(|report| report.busy);
-        busy || self.leaving.is_some() || !self.wanted_since.is_empty()
-    }
-
-    /// Version of [`Self::status`]; grows whenever gateways should hear at once.
-    pub fn status_version(&self) -> u64 {
-        self.status_version
-    }
-
-    fn is_leaving(&self, model: &str) -> bool {
-        let leaving = self.leaving.as_ref();
-        leaving.is_some_and(|leaving| leaving.model == model)
-    }
-
     fn usages<'a>(&'a self, model: &'a str) -> impl Iterator<Item = &'a ModelUsage> {
         self.gateways
             .values()
@@ -531,7 +390,3 @@
         self.usages(model).map(|usage| usage.per_s).sum()
     }
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/radishpin-core/src/process/residency/queue.rs
+++ b/crates/radishpin-core/src/process/residency/queue.rs
@@ -90,9 +90,7 @@
     /// Time until one more load could begin.
     pub(super) fn queue_time(&self, queue: &[ModelId], now: Duration) -> Duration {
         let loading = self.loading.as_ref();
-        let mut time = loading.map_or(Duration::ZERO, |loading| {
-            loading.expected_end.saturating_sub(now)
-        });
+        let mut time = loading.map_or(Duration::ZERO, |loading| loading.remaining(now));
         let Some(spec) = &self.spec else {
             return time;
         };
--- a/crates/radishpin-core/tests/residency.rs
+++ b/crates/radishpin-core/tests/residency.rs
@@ -333,6 +333,29 @@
     assert_snapshot!(format!("{} {}", loading.model, loading.remaining_ms), @"c 1300");
 }
 
+/// Load pattern: the weight store slows down. Callers that wait must hear in time that a load comes
+/// too late, so a load that is overdue is not taken to end at once.
+#[test]
+fn an_overdue_load_is_not_about_to_end() {
+    let mut world = World::holding(&["a"]);
+    world.hear(1_000, &[], &[waiting("c", 1)]);
+    world
+        .residency
+        .settle(&Action::Load("c".into()), Settled::Accepted, ms(1_000));
+    world.report.busy = true;
+    world.report.sequence = 1;
+    world.observe(1_050);
+    let remaining = |world: &World, at| {
+        world
+            .residency
+            .status(ms(at))
+            .loading
+            .map(|load| load.remaining_ms)
+    };
+    assert_eq!(remaining(&world, 2_000), Some(300));
+    assert_eq!(remaining(&world, 9_000), Some(2_000));
+}
+
 #[test]
 fn demands_of_a_silent_gateway_lapse() {
     let mut world = World::holding(&["a", "b"]);
--- a/crates/radishpin-gateway/src/connection.rs
+++ b/crates/radishpin-gateway/src/connection.rs
@@ -8,4 +8,4 @@
 pub(crate) use client::{Connection, ExchangeError, get, keep_alive, post};
 pub(crate) use link::run_link;
 pub(crate) use pool::{Pool, PooledConnection};
-pub(crate) use server::{ServerLimits, listen, serve};
+pub(crate) use server::{ServerLimits, serve};
--- a/crates/radishpin-gateway/src/connection/server.rs
+++ b/crates/radishpin-gateway/src/connection/server.rs
@@ -26,19 +26,36 @@
     pub(crate) head_timeout: Duration,
 }
 
-/// Listens on an address; returns the address that it got where the port was left open.
+/// Listens on an address and serves it until the shutdown closes; returns the address, with its
+/// port where that was left open.
 ///
 /// # Errors
 /// The address cannot be had.
-pub(crate) async fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), GatewayError> {
+pub(crate) async fn serve<B, H, F>(
+    runtime: &Runtime,
+    address: SocketAddr,
+    limits: impl Fn() -> ServerLimits + Send + 'static,
+    shutdown: &Arc<Shutdown>,
+    handler: H,
+) -> Result<SocketAddr, GatewayError>
+where
+    B: Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+{
     let failed = |cause| GatewayError::Listen(address, cause);
     let listener = TcpListener::bind(address).await.map_err(failed)?;
     let address = listener.local_addr().map_err(failed)?;
-    Ok((listener, address))
+    let shutdown = Arc::clone(shutdown);
+    let accepting = accept(runtime.clone(), listener, limits, shutdown, handler);
+    runtime.spawn_detached(accepting);
+    Ok(address)
 }
 
 /// Serves the connections of a listener until the shutdown closes.
-pub(crate) async fn serve<B, H, F>(
+async fn accept<B, H, F>(
     runtime: Runtime,
     listener: TcpListener,
     limits: impl Fn() -> ServerLimits,
--- a/crates/radishpin-gateway/src/process/gateway.rs
+++ b/crates/radishpin-gateway/src/process/gateway.rs
@@ -4,7 +4,7 @@
     Clock, GatewayError, Metrics, Shutdown, StoreClient, read_settings, stop_asked, watch_settings,
 };
 use crate::{
-    connection::{Pool, ServerLimits, listen, run_link, serve},
+    connection::{Pool, ServerLimits, run_link, serve},
     request::serve_request,
     version::{watch_catalog, watch_roster},
 };
@@ -328,34 +328,29 @@
     gateway: &Arc<Gateway>,
     address: SocketAddr,
 ) -> Result<SocketAddr, GatewayError> {
-    let (listener, address) = listen(address).await?;
     let limits_of = Arc::clone(gateway);
+    let limits = move || limits_of.caller_limits();
     let handling = Arc::clone(gateway);
-    gateway.runtime.spawn_detached(serve(
-        gateway.runtime.clone(),
-        listener,
-        move || limits_of.caller_limits(),
-        Arc::clone(&gateway.shutdown),
-        move |request| serve_request(Arc::clone(&handling), request),
-    ));
-    Ok(address)
+    let handler = move |request| serve_request(Arc::clone(&handling), request);
+    serve(
+        &gateway.runtime,
+        address,
+        limits,
+        &gateway.shutdown,
+        handler,
+    )
+    .await
 }
 
 async fn serve_readiness(
     gateway: &Arc<Gateway>,
     address: SocketAddr,
 ) -> Result<SocketAddr, GatewayError> {
-    let (listener, address) = listen(address).await?;
     let asked = Arc::clone(gateway);
-    gateway.runtime.spawn_detached(serve(
-        gateway.runtime.clone(),
-        listener,
-        internal_limits,
-        // Probes are answered to the end.
-        Arc::default(),
-        move |request| std::future::ready(readiness(&asked, &request)),
-    ));
-    Ok(address)
+    let handler = move |request| std::future::ready(readiness(&asked, &request));
+    // Probes are answered to the end.
+    let never = Arc::default();
+    serve(&gateway.runtime, address, internal_limits, &never, handler).await
 }
 
 fn readiness(gateway: &Gateway, request: &Request<Incoming>) -> Response<Full<Bytes>> {
@@ -368,17 +363,14 @@
     response
 }
 
-async fn serve_metrics(gateway: &Arc<Gateway>, address: SocketAddr) -> Result<(), GatewayError> {
-    let (listener, _) = listen(address).await?;
+async fn serve_metrics(
+    gateway: &Arc<Gateway>,
+    address: SocketAddr,
+) -> Result<SocketAddr, GatewayError> {
     let asked = Arc::clone(gateway);
-    gateway.runtime.spawn_detached(serve(
-        gateway.runtime.clone(),
-        listener,
-        internal_limits,
-        Arc::default(),
-        move |_| std::future::ready(asked.metrics.answer()),
-    ));
-    Ok(())
+    let handler = move |_| std::future::ready(asked.metrics.answer());
+    let never = Arc::default();
+    serve(&gateway.runtime, address, internal_limits, &never, handler).await
 }
 
 fn follow_store(gateway: &Arc<Gateway>, address: SocketAddr) {
--- a/crates/radishpin-gateway/src/process/sidecar.rs
+++ b/crates/radishpin-gateway/src/process/sidecar.rs
@@ -5,7 +5,7 @@
     stop_asked, watch_settings,
 };
 use crate::{
-    connection::{Connection, ExchangeError, get, listen, post, serve},
+    connection::{Connection, ExchangeError, get, post, serve},
     version::watch_catalog,
 };
 use event_listener::Event;
@@ -15,7 +15,8 @@
 use hyper::body::{Bytes, Incoming};
 use parking_lot::Mutex;
 use radishpin_adapter::{
-    EndpointOrder, ORDER_PATH, REPORT_PATH, Settings, decode_report, encode_order, header,
+    EndpointOrder, ORDER_PATH, REPORT_PATH, Settings, decode_order_answer, decode_report,
+    encode_order, header,
 };
 use radishpin_core::{
     process::{Action, GatewayReport, Residency, Settled},
@@ -131,26 +132,16 @@
 }
 
 async fn serve_gateways(sidecar: &Arc<Sidecar>, settings: &Settings) -> Result<(), GatewayError> {
+    let runtime = &sidecar.runtime;
+    let shutdown = &sidecar.shutdown;
     let address = SocketAddr::new(settings.ip_address, settings.internal_port);
-    let (listener, _) = listen(address).await?;
     let handling = Arc::clone(sidecar);
-    sidecar.runtime.spawn_detached(serve(
-        sidecar.runtime.clone(),
-        listener,
-        internal_limits,
-        Arc::clone(&sidecar.shutdown),
-        move |request| answer_gateway(Arc::clone(&handling), request),
-    ));
+    let handler = move |request| answer_gateway(Arc::clone(&handling), request);
+    serve(runtime, address, internal_limits, shutdown, handler).await?;
     let address = SocketAddr::new(settings.ip_address, settings.metrics_port);
-    let (listener, _) = listen(address).await?;
     let asked = Arc::clone(sidecar);
-    sidecar.runtime.spawn_detached(serve(
-        sidecar.runtime.clone(),
-        listener,
-        internal_limits,
-        Arc::clone(&sidecar.shutdown),
-        move |_| std::future::ready(asked.metrics.answer()),
-    ));
+    let handler = move |_| std::future::ready(asked.metrics.answer());
+    serve(runtime, address, internal_limits, shutdown, handler).await?;
     Ok(())
 }
 
@@ -363,12 +354,9 @@
             REPORT_BYTES_MAX,
         );
         match answer.await {
-            Ok(answer) => match answer.status {
-                202 => Settled::Accepted,
-                421 => self.learn_engine_id(&answer.headers, endpoint),
-                200 => Settled::Unneeded,
-                400..=499 => Settled::Refused,
-                _ => Settled::Unknown,
+            Ok(answer) => match decode_order_answer(answer.status) {
+                Settled::Misdirected => self.learn_engine_id(&answer.headers, endpoint),
+                settled => settled,
             },
             Err(ExchangeError::NotSent | ExchangeError::Connect(_)) => Settled::Refused,
             Err(_) => Settled::Unknown,
