Deliver an endpoint's failure where no other one does better; pass on no false promise

Cause: read as a newcomer would: a repeated request whose second send was refused answered 502 in place of the first endpoint's own failure; a 503 of an endpoint without its word that it did not run would have been passed on as a promise. Change: both, each with a test; the settling of attempts in short functions.

--- a/crates/radishpin-gateway/src/request/attempt.rs
+++ b/crates/radishpin-gateway/src/request/attempt.rs
@@ -141,8 +141,14 @@
             cause: "answer to another request".to_owned(),
         };
     }
-    let not_run = head.headers.contains_key(wire::NOT_RUN);
     let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+    let not_run = head.headers.contains_key(wire::NOT_RUN);
+    if promises_not_run(head.status) && !not_run {
+        place.end(Outcome::Failed);
+        return Attempt::Unknown {
+            cause: format!("status {} without word that it did not run", head.status),
+        };
+    }
     if head.status.is_success() && !head.headers.contains_key(wire::SIGNATURE) {
         place.end(Outcome::Failed);
         return Attempt::Unknown {
@@ -185,3 +191,14 @@
     }
     Attempt::Whole { head, body }
 }
+
+/// Statuses that tell callers that a request has not run; without the endpoint's own word they must
+/// not be passed on.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
--- a/crates/radishpin-gateway/src/request/forward.rs
+++ b/crates/radishpin-gateway/src/request/forward.rs
@@ -8,7 +8,8 @@
     stream::stream_answer,
 };
 use crate::process::Gateway;
-use http::{HeaderValue, Request, Response, StatusCode, header};
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode, header, response::Parts};
 use hyper::body::Incoming;
 use radishpin_core::{process::Refusal, version::Repetition};
 use radishpin_protocol::prelude::*;
@@ -57,7 +58,8 @@
     ran: u32,
     /// Sends that have not run.
     refused: usize,
-    last_refusal: Option<StatusCode>,
+    /// A failure that an endpoint answered, in case no other endpoint does better.
+    failure: Option<Attempt>,
 }
 
 /// What the endpoints made of a request.
@@ -90,7 +92,7 @@
             tried: BTreeSet::new(),
             ran: 0,
             refused: 0,
-            last_refusal: None,
+            failure: None,
         }
     }
 
@@ -130,10 +132,7 @@
                 }
                 Err(refusal) => {
                     let cause = format!("no other endpoint: {}", refusal.reason.name());
-                    return Forwarded::Failed {
-                        cause,
-                        timed_out: false,
-                    };
+                    return self.failed(cause, false);
                 }
             };
             let now = self.gateway.clock.now();
@@ -165,42 +164,72 @@
     /// What an attempt means for the request; `None` where it is sent again.
     fn settle(&mut self, attempt: Attempt, endpoint: &str, sent_at: Duration) -> Option<Forwarded> {
         let took = self.gateway.clock.now().saturating_sub(sent_at);
-        let (reason, cause, timed_out) = match attempt {
-            Attempt::Stream(open) => return Some(Forwarded::Answered(Attempt::Stream(open))),
-            Attempt::Whole { head, body } => {
-                let failed = head.status.is_server_error();
-                let repeatable = failed && self.call.route.repetition == Repetition::Idempotent;
-                self.ran += 1;
-                if !repeatable || !self.may_run_again("endpoint_failed") {
-                    return Some(Forwarded::Answered(Attempt::Whole { head, body }));
-                }
-                ("endpoint_failed", head.status.to_string(), false)
-            }
+        match attempt {
+            Attempt::Stream(open) => Some(Forwarded::Answered(Attempt::Stream(open))),
+            Attempt::Whole { head, body } => self.settle_answer(head, body, endpoint, took),
             Attempt::NotRun { status } => {
-                self.refused += 1;
-                self.last_refusal = Some(status);
                 self.log_attempt(endpoint, "not_run", status.as_str(), took);
-                return self.after_refusal(true);
+                self.settle_refusal(true)
             }
             Attempt::NotSent { cause } => {
-                self.refused += 1;
                 self.log_attempt(endpoint, "not_sent", &cause, took);
-                return self.after_refusal(false);
+                self.settle_refusal(false)
             }
-            Attempt::Unknown { cause } => ("broken", cause, false),
-            Attempt::TimedOut => ("silent", "no answer in time".to_owned(), true),
-        };
-        self.log_attempt(endpoint, reason, &cause, took);
-        if reason != "endpoint_failed" {
-            self.ran += 1;
-            let repeatable = self.call.route.repetition.may_repeat();
-            if !repeatable || !self.may_run_again(reason) {
-                return Some(Forwarded::Failed { cause, timed_out });
+            Attempt::Unknown { cause } => {
+                self.log_attempt(endpoint, "broken", &cause, took);
+                self.settle_unknown("broken", cause, false)
+            }
+            Attempt::TimedOut => {
+                let cause = "no answer in time".to_owned();
+                self.log_attempt(endpoint, "silent", &cause, took);
+                self.settle_unknown("silent", cause, true)
             }
         }
+    }
+
+    /// An endpoint's failure may be another endpoint's success, where a request may run twice.
+    fn settle_answer(
+        &mut self,
+        head: Parts,
+        body: Bytes,
+        endpoint: &str,
+        took: Duration,
+    ) -> Option<Forwarded> {
+        self.ran += 1;
+        let failed = head.status.is_server_error();
+        let repeatable = failed && self.call.route.repetition == Repetition::Idempotent;
+        let status = head.status;
+        let answer = Attempt::Whole { head, body };
+        if !repeatable || !self.may_run_again("endpoint_failed") {
+            return Some(Forwarded::Answered(answer));
+        }
+        self.log_attempt(endpoint, "endpoint_failed", status.as_str(), took);
+        self.failure = Some(answer);
         None
     }
 
+    fn settle_unknown(
+        &mut self,
+        reason: &str,
+        cause: String,
+        timed_out: bool,
+    ) -> Option<Forwarded> {
+        self.ran += 1;
+        let repeatable = self.call.route.repetition.may_repeat();
+        if repeatable && self.may_run_again(reason) {
+            return None;
+        }
+        Some(self.failed(cause, timed_out))
+    }
+
+    /// The end of a request that has run without success: an endpoint's own failure goes first.
+    fn failed(&mut self, cause: String, timed_out: bool) -> Forwarded {
+        match self.failure.take() {
+            Some(answer) => Forwarded::Answered(answer),
+            None => Forwarded::Failed { cause, timed_out },
+        }
+    }
+
     /// Counts a stream that broke off; returns whether another endpoint may go on with it.
     pub(crate) fn may_resume(&mut self) -> bool {
         self.ran += 1;
@@ -215,16 +244,14 @@
             && self.ran < self.call.route.max_attempts
             && self.gateway.budgets.lock().try_take(&self.call.service);
         if again {
-            self.gateway
-                .metrics
-                .retries
-                .with_label_values(&[reason])
-                .inc();
+            self.count_retry(reason);
         }
         again
     }
 
-    fn after_refusal(&self, arrived: bool) -> Option<Forwarded> {
+    /// A send that did not run; `arrived` tells whether an endpoint saw it.
+    fn settle_refusal(&mut self, arrived: bool) -> Option<Forwarded> {
+        self.refused += 1;
         let now = self.gateway.clock.now();
         if self.call.remaining(now).is_zero() {
             return Some(self.out_of_time());
@@ -233,33 +260,25 @@
         let again = self.refused < REFUSED_SENDS_MAX
             && (!arrived || self.gateway.budgets.lock().try_take(&self.call.service));
         if again {
-            let reason = if arrived { "refused" } else { "not_sent" };
-            self.gateway
-                .metrics
-                .retries
-                .with_label_values(&[reason])
-                .inc();
+            self.count_retry(if arrived { "refused" } else { "not_sent" });
             return None;
         }
-        Some(if self.ran == 0 {
-            Forwarded::Refused(Refused::ByEndpoints)
-        } else {
-            Forwarded::Failed {
-                cause: "refused after a failure".to_owned(),
-                timed_out: false,
-            }
-        })
+        if self.ran == 0 {
+            return Some(Forwarded::Refused(Refused::ByEndpoints));
+        }
+        Some(self.failed("refused after a failure".to_owned(), false))
     }
 
-    fn out_of_time(&self) -> Forwarded {
+    fn out_of_time(&mut self) -> Forwarded {
         if self.ran == 0 {
-            Forwarded::Refused(Refused::TimedOut)
-        } else {
-            Forwarded::Failed {
-                cause: "out of time".to_owned(),
-                timed_out: true,
-            }
+            return Forwarded::Refused(Refused::TimedOut);
         }
+        self.failed("out of time".to_owned(), true)
+    }
+
+    fn count_retry(&self, reason: &str) {
+        let retries = &self.gateway.metrics.retries;
+        retries.with_label_values(&[reason]).inc();
     }
 
     fn refuse(&self, refused: &Refused) -> Response<AnswerBody> {
--- a/crates/radishpin-gateway/tests/serving/endpoint.rs
+++ b/crates/radishpin-gateway/tests/serving/endpoint.rs
@@ -23,6 +23,8 @@
     Answer,
     /// Says that it is full and did not run it.
     Full,
+    /// Runs it and answers 503, without the word that it did not run.
+    FalselyFull,
     /// Runs it and closes the connection without an answer.
     Close,
     /// Runs it and answers with a failure.
@@ -218,6 +220,7 @@
             Deed::BreakAfter(events) => Ok(self.stream(&id, resumed, Some(events))),
             Deed::Answer => Ok(whole(&id, true, 200)),
             Deed::Full => Ok(refused(&id, StatusCode::SERVICE_UNAVAILABLE)),
+            Deed::FalselyFull => Ok(whole(&id, true, 503)),
             Deed::Close => Err(io::ErrorKind::ConnectionAborted.into()),
             Deed::Fail => Ok(whole(&id, true, 500)),
             Deed::Cross => Ok(whole("another", true, 200)),
--- a/crates/radishpin-gateway/tests/serving/requests.rs
+++ b/crates/radishpin-gateway/tests/serving/requests.rs
@@ -51,7 +51,7 @@
 
 #[test]
 fn a_request_that_may_have_run_is_not_refused_and_not_repeated() {
-    for deed in [Deed::Close, Deed::Cross, Deed::Unsigned] {
+    for deed in [Deed::Close, Deed::Cross, Deed::Unsigned, Deed::FalselyFull] {
         let (world, endpoint) = plain_world(&[deed]);
         let got = world.ask(&Ask::new("/order/2f", "a1"));
         assert_eq!(got.status, 502, "{deed:?}");
@@ -92,6 +92,23 @@
     }
 }
 
+#[test]
+fn a_failure_is_delivered_where_no_other_endpoint_does_better() {
+    let world = World::start();
+    let endpoints = [world.plain("e1"), world.plain("e2")];
+    world.settle();
+    endpoints[0].will(&[Deed::Fail]);
+    endpoints[1].will(&[Deed::Fail]);
+    let got = world.ask(&Ask::new("/lookup/2f", "a1"));
+    assert_eq!(got.status, 500);
+    // One fails, the other one is full: the failure is what there is to tell.
+    endpoints[0].will(&[Deed::Fail, Deed::Full, Deed::Full]);
+    endpoints[1].will(&[Deed::Full, Deed::Fail, Deed::Full]);
+    let got = world.ask(&Ask::new("/lookup/2f", "a2"));
+    assert_eq!(got.status, 500, "{got}");
+    assert!(got.header("radishpin-response-signature").is_some());
+}
+
 #[test]
 fn a_failure_of_an_endpoint_keeps_its_status_and_signature() {
     let (world, _endpoint) = plain_world(&[Deed::Fail]);
