Pass over replaced entries; prefer engines whose sidecar answers

An engine that restarts under a new id leaves its old entry listed until it lapses; gateways took the old entry for a holder and were refused under the old id. And an engine whose host stood still cost nothing in the choice, though its sidecar had been silent for seconds.

Change: of entries with one address only the one listed last is in force, or the one with the later start where both are read first together. A sidecar that fell silent (not one whose connection broke) costs its engine as much as failing all its requests; the only holder is reached all the same.

--- a/crates/radishpin-core/src/process/fleet.rs
+++ b/crates/radishpin-core/src/process/fleet.rs
@@ -7,7 +7,7 @@
 mod rate;
 mod rendezvous;
 
-pub use endpoint::Outcome;
+pub use endpoint::{LinkLoss, Outcome};
 pub use pick::{Pick, PickQuery, Refusal, RefusalReason, Wait};
 
 use super::{Demand, DemandReason, EndpointEntry, GatewayReport, ModelUsage, RosterChange, Status};
@@ -111,10 +111,10 @@
         endpoint.heard(status, now)
     }
 
-    /// Records that a sidecar fell silent.
-    pub fn link_lost(&mut self, endpoint: &str) -> bool {
+    /// Records that a sidecar was lost; returns whether that is news.
+    pub fn link_lost(&mut self, endpoint: &str, loss: LinkLoss) -> bool {
         let endpoint = self.endpoints.get_mut(endpoint);
-        endpoint.is_some_and(|endpoint| endpoint.status.take().is_some())
+        endpoint.is_some_and(|endpoint| endpoint.link_lost(loss))
     }
 
     /// Gateways that sidecars hear from, at least this one.
--- a/crates/radishpin-core/src/process/fleet/endpoint.rs
+++ b/crates/radishpin-core/src/process/fleet/endpoint.rs
@@ -33,6 +33,15 @@
     Canceled,
 }
 
+/// How a gateway lost a sidecar.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkLoss {
+    /// The connection ended or was refused: the host lives, the process may not.
+    Broken,
+    /// No answer came: the host may stand still or be cut off, with its engine.
+    Silent,
+}
+
 /// Requests of this gateway for one model at one endpoint.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Active {
@@ -52,6 +61,8 @@
     pub(super) status: Option<Status>,
     /// Whether another engine is in its place, which the platform does not list yet.
     pub(super) replaced: bool,
+    /// Whether its sidecar stopped answering without a word: its host may stand still.
+    pub(super) silent: bool,
     status_at: Duration,
     /// Requests of this gateway.
     outstanding: u32,
@@ -75,6 +86,7 @@
             entry,
             status: None,
             replaced: false,
+            silent: false,
             status_at: Duration::ZERO,
             outstanding: 0,
             told_in_use: 0,
@@ -88,7 +100,14 @@
         }
     }
 
+    /// Records that its sidecar was lost; returns whether that is news.
+    pub(super) fn link_lost(&mut self, loss: LinkLoss) -> bool {
+        self.silent = loss == LinkLoss::Silent;
+        self.status.take().is_some()
+    }
+
     pub(super) fn heard(&mut self, status: Status, now: Duration) -> bool {
+        self.silent = false;
         let newer = self.status.as_ref().is_none_or(|known| {
             known.incarnation != status.incarnation || known.version <= status.version
         });
--- a/crates/radishpin-core/src/process/fleet/pick.rs
+++ b/crates/radishpin-core/src/process/fleet/pick.rs
@@ -12,6 +12,8 @@
 const ADAPTER_LATER_COST: f32 = 1.0;
 /// Cost of an endpoint all of whose recent requests failed.
 const FAILING_COST: f32 = 2.0;
+/// Cost of an endpoint whose host may stand still.
+const SILENT_COST: f32 = 2.0;
 /// Places of an endpoint that its load may reach, in shares, by whether a request is urgent.
 const LOAD_MAX_URGENT: f32 = 1.5;
 const LOAD_MAX: f32 = 1.1;
@@ -189,6 +191,9 @@
         if endpoint.entry.zone != self.availability_zone {
             total += OTHER_ZONE_COST;
         }
+        if endpoint.silent {
+            total += SILENT_COST;
+        }
         let mut has_adapter = true;
         if let Some((model, Some(adapter))) = query.target {
             has_adapter = endpoint.has_adapter(model, adapter);
--- a/crates/radishpin-core/src/process/roster.rs
+++ b/crates/radishpin-core/src/process/roster.rs
@@ -58,6 +58,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
     entries: BTreeMap<EndpointId, EndpointEntry>,
+    /// When each entry was listed first; also those that another one has taken the place of.
+    first_listed: BTreeMap<EndpointId, Duration>,
     failed: bool,
     returned_at: Option<Duration>,
 }
@@ -76,7 +78,9 @@
     /// Takes in a whole list read from the store at `now`.
     ///
     /// Entries that lapsed during an outage are kept until [`RETURN_GRACE`] after its end: a live
-    /// endpoint writes its entry again within that time.
+    /// endpoint writes its entry again within that time. Of entries with one address only the
+    /// newest is in force: an endpoint that restarts under a new id leaves its old entry behind
+    /// until that one lapses.
     pub fn read(
         &mut self,
         listed: BTreeMap<EndpointId, EndpointEntry>,
@@ -94,6 +98,7 @@
             changes.extend(gone.cloned().map(RosterChange::Gone));
             self.entries.retain(|id, _| listed.contains_key(id));
         }
+        let listed = self.drop_replaced(listed, now, &mut changes);
         for (id, entry) in listed {
             let known = self.entries.get(&id);
             if known.is_some_and(|known| entry.started_unix_ms < known.started_unix_ms) {
@@ -106,6 +111,40 @@
         changes
     }
 
+    /// Passes over entries whose address a newer one has, and takes them out of force.
+    fn drop_replaced(
+        &mut self,
+        mut listed: BTreeMap<EndpointId, EndpointEntry>,
+        now: Duration,
+        changes: &mut Vec<RosterChange>,
+    ) -> BTreeMap<EndpointId, EndpointEntry> {
+        let Self {
+            entries,
+            first_listed,
+            ..
+        } = self;
+        first_listed.retain(|id, _| listed.contains_key(id) || entries.contains_key(id));
+        for id in listed.keys() {
+            first_listed.entry(id.clone()).or_insert(now);
+        }
+        let mut newest: BTreeMap<SocketAddr, (Duration, UnixMs, EndpointId)> = BTreeMap::new();
+        for (id, entry) in entries.iter().chain(&listed) {
+            let first = first_listed.get(id).copied().unwrap_or_default();
+            let newest = newest.entry(entry.address).or_default();
+            let candidate = (first, entry.started_unix_ms, id.clone());
+            *newest = candidate.max(std::mem::take(newest));
+        }
+        let is_newest = |id: &EndpointId, entry: &EndpointEntry| {
+            let newest = newest.get(&entry.address);
+            newest.is_none_or(|(_, _, newest)| newest == id)
+        };
+        let replaced = entries.iter().filter(|(id, entry)| !is_newest(id, entry));
+        changes.extend(replaced.map(|(id, _)| RosterChange::Gone(id.clone())));
+        entries.retain(|id, entry| is_newest(id, entry));
+        listed.retain(|id, entry| is_newest(id, entry));
+        listed
+    }
+
     fn change(
         id: &EndpointId,
         before: Option<&EndpointEntry>,
--- a/crates/radishpin-core/tests/fleet.rs
+++ b/crates/radishpin-core/tests/fleet.rs
@@ -3,8 +3,8 @@
 use insta::assert_snapshot;
 use radishpin_core::{
     process::{
-        EndpointEntry, EndpointPhase, Fleet, HeldModel, LoadStatus, ModelStatus, Outcome, Pick,
-        PickQuery, RosterChange, Status,
+        EndpointEntry, EndpointPhase, Fleet, HeldModel, LinkLoss, LoadStatus, ModelStatus, Outcome,
+        Pick, PickQuery, RosterChange, Status,
     },
     request::Tier,
     version::{Catalog, EngineSpec, ModelSpec, Service},
@@ -183,6 +183,34 @@
     assert_snapshot!(world.pick(&retry), @"e1 with 0");
 }
 
+/// Load pattern: a host stands still with its engine; until the platform notices, its entry still
+/// lists the models. An engine whose sidecar process died only serves on.
+#[test]
+fn an_engine_whose_sidecar_fell_silent_is_the_last_choice() {
+    let mut world = World::new();
+    world.engine("i1", &["a"]);
+    world.engine("i2", &["a"]);
+    for entry in world.entries.values_mut() {
+        entry.models = [("a".to_owned(), HeldModel::default())].into();
+    }
+    world.fleet.list(&world.entries.clone(), &[]);
+    let draft = query("drafts", Some(("a", None)));
+    assert!(world.fleet.link_lost("i1", LinkLoss::Silent));
+    for _ in 0..4 {
+        assert!(world.pick(&draft).starts_with("i2"));
+    }
+    // The only holder is reached all the same.
+    let tried = BTreeSet::from(["i2".to_owned()]);
+    let retry = PickQuery {
+        tried: &tried,
+        ..draft.clone()
+    };
+    assert!(world.pick(&retry).starts_with("i1"));
+    // A sidecar that died alone costs its engine nothing.
+    assert!(!world.fleet.link_lost("i1", LinkLoss::Broken));
+    assert!(world.pick(&draft).starts_with("i1"));
+}
+
 /// Load pattern: more requests than places. What cannot be served soon is refused at once; urgent
 /// requests may queue at the engine when others no longer may.
 #[test]
--- a/crates/radishpin-core/tests/roster.rs
+++ b/crates/radishpin-core/tests/roster.rs
@@ -9,9 +9,13 @@
 }
 
 fn entry(phase: EndpointPhase, started_unix_ms: u64) -> EndpointEntry {
+    entry_at("10.0.0.1:80", phase, started_unix_ms)
+}
+
+fn entry_at(address: &str, phase: EndpointPhase, started_unix_ms: u64) -> EndpointEntry {
     EndpointEntry {
         service: "shop".into(),
-        address: "10.0.0.1:80".parse().expect("address is valid"),
+        address: address.parse().expect("address is valid"),
         zone: "north".into(),
         slots: 8,
         phase,
@@ -21,9 +25,24 @@
 }
 
 fn list(ids: &[&str]) -> BTreeMap<EndpointId, EndpointEntry> {
-    let entries = ids
-        .iter()
-        .map(|id| ((*id).to_owned(), entry(EndpointPhase::Ready, 1)));
+    let entries = ids.iter().enumerate().map(|(index, id)| {
+        let address = format!("10.0.0.{index}:80");
+        (
+            (*id).to_owned(),
+            entry_at(&address, EndpointPhase::Ready, 1),
+        )
+    });
+    entries.collect()
+}
+
+/// Endpoints at one address, by id and start.
+fn list_at_one_address(starts: &[(&str, u64)]) -> BTreeMap<EndpointId, EndpointEntry> {
+    let entries = starts.iter().map(|(id, started_unix_ms)| {
+        (
+            (*id).to_owned(),
+            entry(EndpointPhase::Ready, *started_unix_ms),
+        )
+    });
     entries.collect()
 }
 
@@ -93,3 +112,57 @@
     assert_eq!(roster.read(draining(), ms(500)).len(), 1);
     assert!(roster.read(draining(), ms(1_000)).is_empty());
 }
+
+/// Load pattern: all hosts lose power; engines come back under new ids while their old entries are
+/// still listed, and requests that are sent by these are refused.
+#[test]
+fn of_two_entries_with_one_address_the_newer_one_is_in_force() {
+    let mut roster = Roster::default();
+    roster.read(list_at_one_address(&[("old", 100)]), ms(0));
+    let changes = roster.read(list_at_one_address(&[("new", 200), ("old", 100)]), ms(500));
+    assert_debug_snapshot!(changes, @r#"
+    [
+        Gone(
+            "old",
+        ),
+        Joined(
+            "new",
+        ),
+    ]
+    "#);
+    // It stays out of force for as long as it is listed.
+    let changes = roster.read(
+        list_at_one_address(&[("new", 200), ("old", 100)]),
+        ms(1_000),
+    );
+    assert!(changes.is_empty());
+    assert!(!roster.entries().contains_key("old"));
+}
+
+#[test]
+fn the_entry_that_came_later_is_the_newer_one_whatever_the_clock_said() {
+    let mut roster = Roster::default();
+    roster.read(list_at_one_address(&[("old", 9_000)]), ms(0));
+    roster.read(
+        list_at_one_address(&[("new", 200), ("old", 9_000)]),
+        ms(500),
+    );
+    assert!(roster.entries().contains_key("new"));
+    assert!(!roster.entries().contains_key("old"));
+}
+
+#[test]
+fn of_two_entries_read_first_together_the_start_decides() {
+    let mut roster = Roster::default();
+    roster.read(list_at_one_address(&[("a", 200), ("b", 100)]), ms(0));
+    assert!(roster.entries().keys().eq(["a"]));
+}
+
+#[test]
+fn an_entry_kept_through_an_outage_gives_way_to_a_new_one_at_its_address() {
+    let mut roster = Roster::default();
+    roster.read(list_at_one_address(&[("old", 100)]), ms(0));
+    roster.read_failed();
+    roster.read(list_at_one_address(&[("new", 200)]), ms(5_000));
+    assert!(roster.entries().keys().eq(["new"]));
+}
--- a/crates/radishpin-gateway/src/connection/link.rs
+++ b/crates/radishpin-gateway/src/connection/link.rs
@@ -7,7 +7,7 @@
 use crate::process::Gateway;
 use event_listener::Event;
 use futures_lite::future;
-use radishpin_core::process::Status;
+use radishpin_core::process::{LinkLoss, Status};
 use radishpin_protocol::prelude::*;
 use radishpin_runtime::{Runtime, timeout};
 use std::{net::SocketAddr, sync::Arc};
@@ -50,12 +50,14 @@
         let mut connection = None;
         let mut pause = RETRY_PAUSE;
         loop {
-            if self.exchange(&mut connection, EXCHANGE_WAIT).await {
-                pause = RETRY_PAUSE;
-                Runtime::sleep(EXCHANGE_GAP).await;
-                continue;
+            match self.exchange(&mut connection, EXCHANGE_WAIT).await {
+                Ok(()) => {
+                    pause = RETRY_PAUSE;
+                    Runtime::sleep(EXCHANGE_GAP).await;
+                    continue;
+                }
+                Err(loss) => self.gateway.link_lost(self.endpoint, loss),
             }
-            self.gateway.link_lost(self.endpoint);
             Runtime::sleep(pause).await;
             pause = (pause * 2).min(RETRY_PAUSE_MAX);
         }
@@ -67,27 +69,31 @@
         loop {
             urgent.listen().await;
             // The other loop retries and reports a sidecar that is lost.
-            self.exchange(&mut connection, Duration::ZERO).await;
+            let _ = self.exchange(&mut connection, Duration::ZERO).await;
         }
     }
 
-    /// Makes one exchange; returns whether it brought a status.
-    async fn exchange(&self, connection: &mut Option<Connection>, wait: Duration) -> bool {
+    /// Makes one exchange, which brings a status.
+    async fn exchange(
+        &self,
+        connection: &mut Option<Connection>,
+        wait: Duration,
+    ) -> Result<(), LinkLoss> {
         let limit = wait + EXCHANGE_TIMEOUT;
         let status = match timeout(limit, self.call(connection, wait)).await {
             Some(Ok(status)) => status,
             Some(Err(cause)) => {
                 log::debug!(event = "exchange_failed", endpoint = self.endpoint, cause:% = cause; "no status");
                 *connection = None;
-                return false;
+                return Err(LinkLoss::Broken);
             }
             None => {
                 *connection = None;
-                return false;
+                return Err(LinkLoss::Silent);
             }
         };
         self.gateway.heard(self.endpoint, status);
-        true
+        Ok(())
     }
 
     async fn call(
--- a/crates/radishpin-gateway/src/process/gateway.rs
+++ b/crates/radishpin-gateway/src/process/gateway.rs
@@ -15,7 +15,7 @@
 use parking_lot::Mutex;
 use radishpin_adapter::{READINESS_PATH, Settings};
 use radishpin_core::{
-    process::{EndpointPhase, Fleet, GatewayReport, Roster, RosterChange, Status},
+    process::{EndpointPhase, Fleet, GatewayReport, LinkLoss, Roster, RosterChange, Status},
     request::RetryBudgets,
     version::Catalog,
 };
@@ -127,9 +127,10 @@
         }
     }
 
-    pub(crate) fn link_lost(&self, endpoint: &str) {
-        if self.fleet.lock().link_lost(endpoint) {
-            log::warn!(event = "sidecar_lost", endpoint = endpoint; "sidecar fell silent");
+    pub(crate) fn link_lost(&self, endpoint: &str, loss: LinkLoss) {
+        if self.fleet.lock().link_lost(endpoint, loss) {
+            let silent = loss == LinkLoss::Silent;
+            log::warn!(event = "sidecar_lost", endpoint = endpoint, silent = silent; "sidecar is lost");
             self.fleet_changed.notify(usize::MAX);
         }
     }
