Refuse loads that end after the caller has left, and go on loading

Cause: callers of a stream leave when no event comes for two seconds, four times the target latency or eight times the target gap, long before their deadline.

Change: the adapter reads that patience into the route; a wait must end within it. A caller that is refused for a load is told when it is done, and counts as waiting at that endpoint until it should be back.

--- a/crates/radishpin-core/src/process/fleet.rs
+++ b/crates/radishpin-core/src/process/fleet.rs
@@ -5,6 +5,7 @@
 mod pick;
 mod plan;
 mod rate;
+mod recall;
 mod rendezvous;
 
 pub use endpoint::{LinkLoss, Outcome};
@@ -15,6 +16,7 @@
 use endpoint::Endpoint;
 use radishpin_protocol::prelude::*;
 use rate::Rate;
+use recall::Recalls;
 use std::sync::Arc;
 
 /// Waits of this gateway's callers for one model or adapter.
@@ -36,6 +38,7 @@
     catalog: Arc<Catalog>,
     endpoints: BTreeMap<EndpointId, Endpoint>,
     waits: BTreeMap<Target, WaitEntry>,
+    recalls: Recalls,
     rates: BTreeMap<ModelId, Rate>,
     planned: BTreeMap<EndpointId, Vec<Demand>>,
     kept: BTreeSet<(EndpointId, ModelId)>,
@@ -56,6 +59,7 @@
             catalog: Arc::new(Catalog::default()),
             endpoints: BTreeMap::new(),
             waits: BTreeMap::new(),
+            recalls: Recalls::default(),
             rates: BTreeMap::new(),
             planned: BTreeMap::new(),
             kept: BTreeSet::new(),
@@ -205,7 +209,7 @@
             usage: endpoint
                 .map(|endpoint| self.usage(id, endpoint, now))
                 .unwrap_or_default(),
-            demands: self.demands(id),
+            demands: self.demands(id, now),
         }
     }
 
@@ -232,7 +236,7 @@
         usage.collect()
     }
 
-    fn demands(&self, endpoint: &str) -> Vec<Demand> {
+    fn demands(&self, endpoint: &str, now: Duration) -> Vec<Demand> {
         let waits = self
             .waits
             .iter()
@@ -243,7 +247,8 @@
             reason: DemandReason::Waiting,
             waiting: wait.callers,
         });
+        let recalled = self.recalls.demands(endpoint, now);
         let planned = self.planned.get(endpoint).into_iter().flatten().cloned();
-        waits.chain(planned).collect()
+        waits.chain(recalled).chain(planned).collect()
     }
 }
--- a/crates/radishpin-core/src/process/fleet/pick.rs
+++ b/crates/radishpin-core/src/process/fleet/pick.rs
@@ -39,8 +39,8 @@
     pub target: Option<(&'a str, Option<&'a str>)>,
     /// Rank; 0 is the most urgent.
     pub priority: u8,
-    /// Time left to its deadline.
-    pub remaining: Duration,
+    /// Time for which its caller still waits for the first of the answer.
+    pub patience: Duration,
     /// Time for which it has waited.
     pub waited: Duration,
     /// Whether a wait may move to another endpoint that would serve it sooner.
@@ -109,12 +109,14 @@
 }
 
 /// A refusal.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Refusal {
     /// Why.
     pub reason: RefusalReason,
     /// When the caller may come back.
     pub retry_after: Duration,
+    /// Endpoint that loads meanwhile what the request lacked.
+    pub loads_at: Option<EndpointId>,
 }
 
 impl Refusal {
@@ -126,6 +128,19 @@
         Self {
             reason,
             retry_after: base + Duration::from_millis(spread_ms),
+            loads_at: None,
+        }
+    }
+
+    /// A refusal whose caller comes back once an endpoint has loaded what it lacked. The model
+    /// serves all of them then, so that they are spread over a short time only.
+    fn until_loaded(endpoint: EndpointId, estimate: Duration, random: u64) -> Self {
+        /// Time over which callers that wait for one load are spread, in milliseconds.
+        const SPREAD_MS: u64 = 250;
+        Self {
+            reason: RefusalReason::LoadTooLate,
+            retry_after: estimate + FIRST_TOKEN + Duration::from_millis(random % SPREAD_MS),
+            loads_at: Some(endpoint),
         }
     }
 }
@@ -261,7 +276,8 @@
             return refuse(RefusalReason::UnknownModel, ABSENT_RETRY);
         };
         let target = (model.to_owned(), adapter.map(str::to_owned));
-        let assigned = self.waits.get(&target).map(|wait| wait.endpoint.clone());
+        let waits_at = self.waits.get(&target).map(|wait| wait.endpoint.clone());
+        let assigned = waits_at.or_else(|| self.recalls.endpoint(&target, now).cloned());
         let kept = assigned.and_then(|id| {
             let estimate = self.load_estimate(&id, query.service, model, spec, now)?;
             Some((id, estimate))
@@ -276,11 +292,13 @@
         let Some((endpoint, estimate)) = best else {
             return refuse(RefusalReason::NoLoader, ABSENT_RETRY);
         };
-        let needed = estimate + FIRST_TOKEN;
-        if needed > query.remaining {
-            return refuse(RefusalReason::LoadTooLate, estimate.min(ABSENT_RETRY * 3));
+        self.assign(target.clone(), &endpoint);
+        if estimate + FIRST_TOKEN > query.patience {
+            let refusal = Refusal::until_loaded(endpoint.clone(), estimate, query.random);
+            self.recalls
+                .add(target, &endpoint, refusal.retry_after, now);
+            return Pick::Refuse(refusal);
         }
-        self.assign(target, &endpoint);
         Pick::Wait(Wait { endpoint, estimate })
     }
 
--- a/crates/radishpin-core/src/version/catalog.rs
+++ b/crates/radishpin-core/src/version/catalog.rs
@@ -51,6 +51,9 @@
     pub timeout: Duration,
     /// Time within which an answer is on time; for streams, the first event.
     pub target_latency: Duration,
+    /// How long callers wait for the first of the answer, and then between its events, before they
+    /// leave.
+    pub event_patience: Duration,
     /// Rank; 0 is the most urgent.
     pub priority: u8,
     /// Endpoints to which one request may be sent.
--- a/crates/radishpin-gateway/src/request/call.rs
+++ b/crates/radishpin-gateway/src/request/call.rs
@@ -138,6 +138,12 @@
         u16::from(self.route.priority).saturating_mul(2).min(LAST)
     }
 
+    /// When the caller leaves unless it gets a part of the answer, whose last one came at
+    /// `last_part_at`.
+    pub(crate) fn leaves_at(&self, last_part_at: Duration) -> Duration {
+        self.deadline.min(last_part_at + self.route.event_patience)
+    }
+
     /// Time left at `now`.
     pub(crate) fn remaining(&self, now: Duration) -> Duration {
         self.deadline.saturating_sub(now)
--- a/crates/radishpin-gateway/src/request/forward.rs
+++ b/crates/radishpin-gateway/src/request/forward.rs
@@ -54,6 +54,8 @@
     pub(crate) gateway: Arc<Gateway>,
     pub(crate) call: Arc<Call>,
     tried: BTreeSet<EndpointId>,
+    /// When the caller got the last part of its answer; at first, when its request came.
+    last_part_at: Duration,
     /// Sends that may have run.
     ran: u32,
     /// Sends that have not run.
@@ -87,6 +89,7 @@
         }
         gateway.budgets.lock().record_request(&call.service);
         Self {
+            last_part_at: call.received_at,
             gateway,
             call,
             tried: BTreeSet::new(),
@@ -125,7 +128,8 @@
     pub(crate) async fn forward(&mut self, last_event_id: Option<&str>) -> Forwarded {
         loop {
             let call = Arc::clone(&self.call);
-            let place = match find_place(&self.gateway, &call, &self.tried).await {
+            let leaves_at = call.leaves_at(self.last_part_at);
+            let place = match find_place(&self.gateway, &call, &self.tried, leaves_at).await {
                 Ok(place) => place,
                 Err(refusal) if self.ran == 0 => {
                     return Forwarded::Refused(Refused::ByGateway(refusal));
@@ -230,8 +234,10 @@
         }
     }
 
-    /// Counts a stream that broke off; returns whether another endpoint may go on with it.
-    pub(crate) fn may_resume(&mut self) -> bool {
+    /// Counts a stream that broke off after a part at `last_part_at`; returns whether another
+    /// endpoint may go on with it.
+    pub(crate) fn may_resume(&mut self, last_part_at: Option<Duration>) -> bool {
+        self.last_part_at = last_part_at.unwrap_or(self.last_part_at);
         self.ran += 1;
         self.may_run_again("stream_broke_off")
     }
--- a/crates/radishpin-gateway/src/request/place.rs
+++ b/crates/radishpin-gateway/src/request/place.rs
@@ -104,7 +104,8 @@
     }
 }
 
-/// Finds an endpoint; waits for a load where that is in time.
+/// Finds an endpoint; waits for a load where that is in time for a caller that leaves at
+/// `leaves_at`.
 ///
 /// # Errors
 /// The request cannot be served in time; it has not run.
@@ -112,6 +113,7 @@
     gateway: &Arc<Gateway>,
     call: &Arc<Call>,
     tried: &BTreeSet<EndpointId>,
+    leaves_at: Duration,
 ) -> Result<Place, Refusal> {
     let mut waiting: Option<Waiting<'_>> = None;
     let mut considered_at = Duration::ZERO;
@@ -122,7 +124,7 @@
             service: &call.service,
             target: call.target(),
             priority: call.route.priority,
-            remaining: call.remaining(now),
+            patience: leaves_at.saturating_sub(now),
             waited: waiting
                 .as_ref()
                 .map_or(Duration::ZERO, |w| now.saturating_sub(w.since)),
@@ -144,7 +146,7 @@
                 log::info!(
                     event = "request_sent", request = call.id, route = call.route.name, endpoint = endpoint,
                     load = load, configuration = call.catalog_version, tried = tried.len(),
-                    waited_ms = query.waited.as_millis() as u64, left_ms = query.remaining.as_millis() as u64;
+                    waited_ms = query.waited.as_millis() as u64, left_ms = call.remaining(now).as_millis() as u64;
                     "sent to an endpoint"
                 );
                 return Ok(Place {
@@ -156,14 +158,19 @@
                     ended: false,
                 });
             }
-            Pick::Refuse(refusal) => return Err(refusal),
+            Pick::Refuse(refusal) => {
+                if let Some(endpoint) = &refusal.loads_at {
+                    gateway.announce_demand(endpoint);
+                }
+                return Err(refusal);
+            }
             Pick::Wait(wait) => wait,
         };
         match &mut waiting {
             Some(waiting) => waiting.follow(&wait),
             None => waiting = Some(Waiting::begin(gateway, call, &wait)),
         }
-        let look_again = call.remaining(now).min(LOOK_GAP);
+        let look_again = query.patience.min(LOOK_GAP);
         future::or(listener, Runtime::sleep(look_again)).await;
     }
 }
--- a/crates/radishpin-gateway/src/request/stream.rs
+++ b/crates/radishpin-gateway/src/request/stream.rs
@@ -168,7 +168,7 @@
         };
         events.drop_partial();
         let last_id = events.last_id().map(str::to_owned);
-        if !self.forward.may_resume() {
+        if !self.forward.may_resume(self.pace.last_at) {
             return false;
         }
         log::info!(
