Explain a request from logs; log what a choice rested on

Cause: on-call engineers have logs and metrics only. The line of a send named a load without its age, and a refusal named its reason without its inputs.

Change: request_sent carries version and age of the sidecar's status; request_refused carries the caller's patience, the time to come back and who loads meanwhile. radishpin explain puts the lines of several processes about a request in order, with what happened to its endpoints, and says what they mean.

--- a/crates/radishpin-core/src/process.rs
+++ b/crates/radishpin-core/src/process.rs
@@ -9,7 +9,7 @@
 mod residency;
 mod roster;
 
-pub use fleet::{Fleet, LinkLoss, Outcome, Pick, PickQuery, Refusal, RefusalReason, Wait};
+pub use fleet::{Fleet, Known, LinkLoss, Outcome, Pick, PickQuery, Refusal, RefusalReason, Wait};
 pub use lease::{
     HOLDER_VALID, LeaseDecision, LeaseRecord, LeaseWatch, READ_GAP, RENEW_EVERY, SPARE_CANDIDATES,
     TAKEOVER_AFTER, TAKEOVER_STAGGER, candidate_rank,
--- a/crates/radishpin-core/src/process/fleet/endpoint.rs
+++ b/crates/radishpin-core/src/process/fleet/endpoint.rs
@@ -1,5 +1,6 @@
 //! What a gateway knows of one endpoint.
 
+use super::Known;
 use crate::process::{EndpointEntry, EndpointPhase, Status};
 use radishpin_protocol::prelude::*;
 
@@ -137,6 +138,16 @@
         self.since_told = 0;
     }
 
+    /// What is known of it, for the logs.
+    pub(super) fn known(&self, now: Duration) -> Known {
+        let status = self.status.as_ref();
+        Known {
+            load: self.load(),
+            status_version: status.map_or(0, |status| status.version),
+            status_age: status.map_or(Duration::ZERO, |_| now.saturating_sub(self.status_at)),
+        }
+    }
+
     /// Requests that it runs or queues, by the newest word.
     pub(super) fn load(&self) -> u32 {
         let told = i64::from(self.told_in_use) + self.since_told;
--- a/crates/radishpin-core/src/process/fleet/pick.rs
+++ b/crates/radishpin-core/src/process/fleet/pick.rs
@@ -62,8 +62,8 @@
         endpoint: EndpointId,
         /// Where it takes requests.
         address: SocketAddr,
-        /// Requests that it runs or queues, by the newest word.
-        load: u32,
+        /// What the choice rests on.
+        known: Known,
     },
     /// It waits for a load.
     Wait(Wait),
@@ -71,6 +71,17 @@
     Refuse(Refusal),
 }
 
+/// What a gateway knew of the endpoint that it chose.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Known {
+    /// Requests that the endpoint runs or queues, by the newest word.
+    pub load: u32,
+    /// Version of its sidecar's status; 0 where the platform's list alone speaks for it.
+    pub status_version: u64,
+    /// Age of that status.
+    pub status_age: Duration,
+}
+
 /// A wait for a load.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Wait {
@@ -176,13 +187,13 @@
                 query.random,
             ));
         };
-        let load = endpoint.load();
+        let known = endpoint.known(now);
         endpoint.begin_request(query.target);
         endpoint.begin_reading(query.prompt_tokens, now);
         Pick::Send {
             endpoint: id,
             address: endpoint.entry.address,
-            load,
+            known,
         }
     }
 
--- a/crates/radishpin-core/tests/fleet.rs
+++ b/crates/radishpin-core/tests/fleet.rs
@@ -103,7 +103,9 @@
 
     fn pick(&mut self, query: &PickQuery<'_>) -> String {
         match self.fleet.pick(query, ms(1_000)) {
-            Pick::Send { endpoint, load, .. } => format!("{endpoint} with {load}"),
+            Pick::Send {
+                endpoint, known, ..
+            } => format!("{endpoint} with {}", known.load),
             Pick::Wait(wait) => format!(
                 "wait for {} {} ms",
                 wait.endpoint,
--- a/crates/radishpin-gateway/src/request/place.rs
+++ b/crates/radishpin-gateway/src/request/place.rs
@@ -141,11 +141,12 @@
             Pick::Send {
                 endpoint,
                 address,
-                load,
+                known,
             } => {
                 log::info!(
                     event = "request_sent", request = call.id, route = call.route.name, endpoint = endpoint,
-                    load = load, configuration = call.catalog_version, tried = tried.len(),
+                    load = known.load, status = known.status_version,
+                    status_age_ms = known.status_age.as_millis() as u64, configuration = call.catalog_version, tried = tried.len(),
                     waited_ms = query.waited.as_millis() as u64, left_ms = call.remaining(now).as_millis() as u64;
                     "sent to an endpoint"
                 );
@@ -159,6 +160,7 @@
                 });
             }
             Pick::Refuse(refusal) => {
+                log_refusal(call, &refusal, &query);
                 if let Some(endpoint) = &refusal.loads_at {
                     gateway.announce_demand(endpoint);
                 }
@@ -174,3 +176,16 @@
         future::or(listener, Runtime::sleep(look_again)).await;
     }
 }
+
+fn log_refusal(call: &Call, refusal: &Refusal, query: &PickQuery<'_>) {
+    let (model, adapter) = query.target.unwrap_or_default();
+    log::info!(
+        event = "request_refused", request = call.id, service = query.service, model = model,
+        adapter = adapter.unwrap_or("-"), reason = refusal.reason.name(),
+        loads_at = refusal.loads_at.as_deref().unwrap_or("-"),
+        retry_after_ms = refusal.retry_after.as_millis() as u64,
+        patience_ms = query.patience.as_millis() as u64, waited_ms = query.waited.as_millis() as u64,
+        tried = query.tried.len(), configuration = call.catalog_version;
+        "cannot be served in time"
+    );
+}
--- a/src/command.rs
+++ b/src/command.rs
@@ -2,6 +2,7 @@
 
 mod agent;
 mod check;
+mod explain;
 mod gateway;
 mod load;
 mod node;
@@ -12,6 +13,8 @@
 mod stop;
 mod r#try;
 
+pub use explain::explain_request;
+
 use crate::{
     CommandError,
     logging::LogOutput,
@@ -62,11 +65,13 @@
     Status,
     /// Load and checks of what came of it.
     Load,
+    /// What became of a request, from logs.
+    Explain,
 }
 
 impl Command {
     /// Every command, in the order of the help.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 12] = [
         Self::Try,
         Self::Node,
         Self::Agent,
@@ -78,6 +83,7 @@
         Self::Stop,
         Self::Status,
         Self::Load,
+        Self::Explain,
     ];
 
     /// Name as the user types it.
@@ -137,6 +143,7 @@
             Self::Stop => &stop::SPEC,
             Self::Status => &status::SPEC,
             Self::Load => &load::SPEC,
+            Self::Explain => &explain::SPEC,
         }
     }
 
@@ -157,6 +164,7 @@
             Self::Stop => stop::run(values),
             Self::Status => status::run(values),
             Self::Load => load::run(values),
+            Self::Explain => explain::run(values),
         }
     }
 }
--- /dev/null
+++ b/src/command/explain.rs
@@ -0,0 +1,73 @@
+//! `radishpin explain`: tells the story of one request from the logs of all processes.
+
+mod line;
+mod logs;
+mod story;
+
+use super::CommandSpec;
+use crate::{
+    CommandError,
+    settings::{Kind, Setting, Values},
+};
+use logs::Logs;
+use std::{
+    fs::File,
+    io::{self, BufRead, BufReader, Write},
+};
+
+static REQUEST: Setting = Setting::required(
+    "request",
+    Kind::Name,
+    "id of the request, as callers and log lines name it",
+);
+
+pub(super) static SPEC: CommandSpec = CommandSpec {
+    name: "explain",
+    summary: "Tell from log files what became of a request, and why.",
+    usages: &["--request ID [FILE...]"],
+    settings: &[&REQUEST],
+    examples: &[
+        "radishpin explain --request 4590d4f904c2f873 gateway.log sidecar.log",
+        "radishpin explain --request 4590d4f904c2f873",
+    ],
+    notes: "Reads the logs of several processes, in one file or several; standard input where no file\n\
+            is named. Lines are put in order by their time; the clocks of hosts may differ a little.\n",
+    check: |_| Vec::new(),
+};
+
+pub(super) fn run(values: &Values) -> Result<(), CommandError> {
+    let id = values.text(&REQUEST)?;
+    let mut readers: Vec<(&str, Box<dyn BufRead>)> = Vec::new();
+    for path in values.operands() {
+        let file = File::open(path).map_err(|cause| CommandError::File {
+            path: path.clone(),
+            cause,
+        })?;
+        readers.push((path, Box::new(BufReader::new(file))));
+    }
+    if readers.is_empty() {
+        readers.push(("standard input", Box::new(io::stdin().lock())));
+    }
+    let story = explain_request(&id, readers)?;
+    io::stdout().lock().write_all(story.as_bytes())?;
+    Ok(())
+}
+
+/// The story of a request from logs, each with the name of its file.
+///
+/// # Errors
+/// A log cannot be read, or no line is about the request.
+pub fn explain_request<R: BufRead>(
+    id: &str,
+    logs: impl IntoIterator<Item = (impl AsRef<str>, R)>,
+) -> Result<String, CommandError> {
+    let mut read = Logs::default();
+    for (name, reader) in logs {
+        read.read(name.as_ref(), reader)?;
+    }
+    let logs = read.sorted();
+    story::tell(&logs, id).ok_or_else(|| CommandError::NotInLogs {
+        id: id.to_owned(),
+        covered: logs.coverage(),
+    })
+}
--- /dev/null
+++ b/src/command/explain/story.rs
@@ -0,0 +1,172 @@
+//! The story of one request in words.
+
+use super::{line::LogLine, logs::Logs};
+use std::{collections::BTreeSet, fmt::Write as _, time::Duration};
+
+/// Time before a request's first line in which other events may have led to its end.
+const BEFORE: Duration = Duration::from_secs(5);
+/// Time after its last line in which what happened to its endpoints may become known.
+const AFTER: Duration = Duration::from_secs(2);
+/// Events of an engine that its sidecar logs without naming the engine.
+const ENGINE_EVENTS: [&str; 3] = ["engine_lost", "engine_regained", "engine_replaced"];
+/// Events of a whole process.
+const PROCESS_EVENTS: [&str; 6] = [
+    "started",
+    "stopping",
+    "stopped",
+    "store_lost",
+    "store_regained",
+    "lines_left_out",
+];
+
+/// Tells the story of a request; `None` where no line is about it.
+pub(super) fn tell(logs: &Logs, id: &str) -> Option<String> {
+    let own: Vec<&LogLine> = logs.lines().iter().filter(|l| l.is_about(id)).collect();
+    let (first, last) = (own.first()?, own.last()?);
+    let mut text = format!("request {id} ({})\n", logs.coverage());
+    for line in &own {
+        write_line(&mut text, line, &sentence(line));
+    }
+    let around = logs.between(first.time - BEFORE, last.time + AFTER);
+    let around = related(around, &own, logs);
+    if !around.is_empty() {
+        text.push_str("meanwhile\n");
+    }
+    for line in around {
+        write_line(
+            &mut text,
+            line,
+            &format!("{} ({})", line.event(), line.pairs()),
+        );
+    }
+    let _ = writeln!(text, "so: {}", conclusion(&own));
+    Some(text)
+}
+
+fn write_line(text: &mut String, line: &LogLine, sentence: &str) {
+    let time = humantime::format_rfc3339_millis(line.time);
+    let sentence = sentence.replace(['\n', '\r'], " ");
+    let _ = writeln!(text, "  {time} {}: {sentence}", line.source);
+}
+
+/// Lines of other events at the endpoints and processes that the request met; of orders, those for
+/// its model.
+fn related<'a>(around: &'a [LogLine], own: &[&LogLine], logs: &Logs) -> Vec<&'a LogLine> {
+    let endpoints: BTreeSet<&str> = own.iter().filter_map(|l| l.field("endpoint")).collect();
+    let sources: BTreeSet<&str> = own.iter().map(|line| line.source.as_str()).collect();
+    let sidecars: BTreeSet<&str> = logs
+        .lines()
+        .iter()
+        .filter(|l| l.event() == "order_sent" && endpoints.contains(l.text("endpoint")))
+        .map(|line| line.source.as_str())
+        .collect();
+    let models: BTreeSet<&str> = own.iter().filter_map(|l| l.field("model")).collect();
+    let is_related = |line: &&LogLine| {
+        let other_request = line.field("request").is_some() || line.field("request_id").is_some();
+        let other_model = line.event() == "order_sent" && !models.contains(line.text("model"));
+        if other_request || other_model {
+            return false;
+        }
+        let source = line.source.as_str();
+        let process_event = PROCESS_EVENTS.contains(&line.event());
+        let engine_event = ENGINE_EVENTS.contains(&line.event());
+        endpoints.contains(line.text("endpoint"))
+            || (process_event && (sources.contains(source) || sidecars.contains(source)))
+            || (engine_event && sidecars.contains(source))
+    };
+    around.iter().filter(is_related).collect()
+}
+
+fn sentence(line: &LogLine) -> String {
+    let f = |key: &str| line.text(key);
+    match line.event() {
+        "request_sent" => format!(
+            "sent to {} (load {} by status {} of {} ms ago, configuration {}; waited {} ms, {} ms left, {} endpoints tried before)",
+            f("endpoint"),
+            f("load"),
+            f("status"),
+            f("status_age_ms"),
+            f("configuration"),
+            f("waited_ms"),
+            f("left_ms"),
+            f("tried"),
+        ),
+        "request_waits" => format!(
+            "waits for {} (adapter {}) at {}, by estimate {} ms; {} ms left",
+            f("model"),
+            f("adapter"),
+            f("endpoint"),
+            f("estimate_ms"),
+            f("left_ms"),
+        ),
+        "request_refused" => format!(
+            "refused: {}; model {}, the caller would stay {} ms, waited {} ms, told to come back in {} ms, loaded meanwhile at {}",
+            f("reason"),
+            f("model"),
+            f("patience_ms"),
+            f("waited_ms"),
+            f("retry_after_ms"),
+            f("loads_at"),
+        ),
+        "attempt_failed" => format!(
+            "{} brought no answer: {} ({}) after {} ms",
+            f("endpoint"),
+            f("outcome"),
+            f("cause"),
+            f("took_ms"),
+        ),
+        "stream_resumes" => format!("the stream broke off; goes on after event {}", f("after")),
+        "stream_passed" => format!(
+            "stream passed on whole: first event after {} ms, longest gap {} ms",
+            f("first_event_ms"),
+            f("longest_gap_ms"),
+        ),
+        "request_ended" => format!(
+            "ended: {} with status {} after {} ms ({}); {} sends without an answer may have run, {} did not run",
+            f("outcome"),
+            f("status"),
+            f("took_ms"),
+            f("reason"),
+            f("sends_ran"),
+            f("sends_refused"),
+        ),
+        event => format!("{event} ({})", line.pairs()),
+    }
+}
+
+/// What the last line of a request means.
+fn conclusion(own: &[&LogLine]) -> &'static str {
+    let ended = own.iter().rev().find(|l| l.event() == "request_ended");
+    let Some(ended) = ended else {
+        return "its end is not in these logs: the process died, or its lines are left out or elsewhere";
+    };
+    match (ended.text("outcome"), ended.text("reason")) {
+        ("answered", _) => "it was answered",
+        ("refused", reason) => refusal(reason),
+        ("failed", _) if ended.text("sends_ran") == "0" => "it failed before an endpoint had it",
+        ("failed", _) => {
+            "an endpoint had it and gave no answer; it may have run, and only the service behind that endpoint knows"
+        }
+        ("cut", "out_of_time") => "its time ran out in the middle of the stream",
+        ("cut", _) => {
+            "its endpoint went away in the middle of the stream, and no other one could go on"
+        }
+        ("canceled", _) => "its caller left",
+        _ => "see its last line",
+    }
+}
+
+fn refusal(reason: &str) -> &'static str {
+    match reason {
+        "load_too_late" => {
+            "it did not run: no endpoint held its model, and the soonest load would have ended after its caller left"
+        }
+        "no_loader" => "it did not run: no endpoint held its model, and none could load it",
+        "busy" => "it did not run: the endpoints that hold its model had no place",
+        "no_endpoint" => "it did not run: its service had no endpoint that takes requests",
+        "unknown_model" => "it did not run: the configuration in force offers no such model",
+        "refused_by_endpoints" => "it did not run: each endpoint that it was sent to refused it",
+        "out_of_time" => "it did not run: its time was over before it could be sent",
+        _ => "it did not run",
+    }
+}
--- a/src/error.rs
+++ b/src/error.rs
@@ -73,6 +73,10 @@
         Promise { text: String } {
             display("{text}")
         }
+        /// No line of the logs is about the request.
+        NotInLogs { id: String, covered: String } {
+            display("no line about request {id} in {covered}; check the id, and whether the logs of all gateways of that time are given")
+        }
         /// Standard output or another local resource failed.
         Io(cause: std::io::Error) {
             display("{cause}")
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,7 +12,7 @@
 mod settings;
 mod signals;
 
-pub use command::{Command, CommandSpec};
+pub use command::{Command, CommandSpec, explain_request};
 pub use error::CommandError;
 pub use logging::{LogOutput, QueuedLines, format_record, start_logging};
 pub use run::{Outcome, evaluate, main};
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -99,8 +99,8 @@
 
 #[test]
 fn unknown_commands_and_operands_name_what_is_allowed() {
-    insta::assert_snapshot!(faults("serve", &[]), @"serve: not allowed here; allowed: try, node, agent, gateway, sidecar, standin, check, profile, stop, status, load");
-    insta::assert_snapshot!(faults("", &[]), @"no command: not allowed here; allowed: try, node, agent, gateway, sidecar, standin, check, profile, stop, status, load");
+    insta::assert_snapshot!(faults("serve", &[]), @"serve: not allowed here; allowed: try, node, agent, gateway, sidecar, standin, check, profile, stop, status, load, explain");
+    insta::assert_snapshot!(faults("", &[]), @"no command: not allowed here; allowed: try, node, agent, gateway, sidecar, standin, check, profile, stop, status, load, explain");
     insta::assert_snapshot!(faults("try now", &[]), @"now: not allowed here; allowed: flags only");
     insta::assert_snapshot!(faults("try -x --seed", &[]), @"
     -x: unknown flag; see `radishpin try --help`
