Count late orders by the counts at which they can take effect

Cause: explain showed a sidecar that stood still for 120 ms for each unanswered order, several times in a row.

Change: late orders are kept with count and endpoint. After a restart under the same id a new order leaves room for those whose counts follow its own without a gap, one of each count. A load that was not answered may be given again.

--- a/crates/radishpin-core/src/process/residency/queue.rs
+++ b/crates/radishpin-core/src/process/residency/queue.rs
@@ -74,7 +74,9 @@
     pub(super) fn next_load(&self, spec: &EngineSpec, now: Duration) -> Option<Wanted> {
         let store_open = self.store_is_open(now);
         let mut wanted = self.wanted(spec, now).into_iter();
-        wanted.find(|wanted| store_open || wanted.tier != Tier::Remote)
+        wanted.find(|wanted| {
+            store_open || wanted.tier != Tier::Remote || self.is_unanswered(&wanted.model)
+        })
     }
 
     /// Models that callers wait for, the next one first.
@@ -129,8 +131,8 @@
         });
         let wanted: BTreeSet<(&ModelId, &AdapterId)> = missing.collect();
         let (model, adapter) = wanted.into_iter().next()?;
-        let late = self.late_orders(report).map(|order| order.adapters);
-        let taken = held.len() + report.arriving_adapters.len() + late.sum::<usize>();
+        let late = self.late_orders(report).adapters;
+        let taken = held.len() + report.arriving_adapters.len() + late;
         let adapter_mb = spec.models.get(model).map_or(0, |model| model.adapter_mb);
         if taken < spec.adapter_slots && self.free_mb(spec) >= adapter_mb {
             return Some(super::Action::LoadAdapter(model.clone(), adapter.clone()));
--- a/crates/radishpin-gateway/src/process/sidecar.rs
+++ b/crates/radishpin-gateway/src/process/sidecar.rs
@@ -33,7 +33,7 @@
 /// Longest time to an engine's report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Longest time to the answer to an order; the engine is on the same host.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(120);
+const ORDER_TIMEOUT: Duration = Duration::from_millis(40);
 /// Reports in a row that fail before the engine counts as lost; a refused connection is one too.
 const LOST_AFTER_REPORTS: u32 = 2;
 /// Longest wait of a call for a new configuration.
