Refuse in time what waits at a gateway that stops

Cause: a gateway that was stopped let patient callers wait for loads up to their own deadline, and exited before: a request that had been read whole ended with a closed connection.

Change: while a gateway drains, waits end three seconds before its exit (a third of a short grace period). Who would wait longer is sent to another gateway at once. A request whose endpoint has not answered shortly before the exit is told that its outcome is unknown, and not sent again.

Tests: two of serving that failed before, one of fleet.

--- a/crates/radishpin-core/src/process/fleet/pick.rs
+++ b/crates/radishpin-core/src/process/fleet/pick.rs
@@ -27,6 +27,8 @@
 const READING_COST: Duration = Duration::from_millis(250);
 /// Time in which places of a loaded endpoint come free.
 const BUSY_RETRY: Duration = Duration::from_millis(700);
+/// Time in which callers of a gateway that stops find another one.
+const STOPPING_RETRY: Duration = Duration::from_millis(100);
 /// Time in which an endpoint comes back, or another one is found.
 const ABSENT_RETRY: Duration = Duration::from_millis(1_000);
 
@@ -41,6 +43,8 @@
     pub priority: u8,
     /// Time for which its caller still waits for the first of the answer.
     pub patience: Duration,
+    /// Whether the gateway is about to stop, so that its callers are better served by another one.
+    pub stopping: bool,
     /// Time for which it has waited.
     pub waited: Duration,
     /// Whether a wait may move to another endpoint that would serve it sooner.
@@ -104,6 +108,8 @@
     NoLoader,
     /// The service does not offer the model.
     UnknownModel,
+    /// The gateway stops before a load is done.
+    Stopping,
 }
 
 impl RefusalReason {
@@ -115,6 +121,7 @@
             Self::LoadTooLate => "load_too_late",
             Self::NoLoader => "no_loader",
             Self::UnknownModel => "unknown_model",
+            Self::Stopping => "stopping",
         }
     }
 }
@@ -305,6 +312,9 @@
         };
         self.assign(target.clone(), &endpoint);
         if estimate + FIRST_TOKEN > query.patience {
+            if query.stopping {
+                return refuse(RefusalReason::Stopping, STOPPING_RETRY);
+            }
             let refusal = Refusal::until_loaded(endpoint.clone(), estimate, query.random);
             self.recalls
                 .add(target, &endpoint, refusal.retry_after, now);
--- a/crates/radishpin-core/tests/fleet.rs
+++ b/crates/radishpin-core/tests/fleet.rs
@@ -127,6 +127,7 @@
         target,
         priority: 2,
         patience: ms(3_000),
+        stopping: false,
         waited: ms(0),
         reconsider: true,
         prompt_tokens: 0,
@@ -300,6 +301,21 @@
     assert_snapshot!(world.pick(&patient), @"wait for i1 6150 ms");
 }
 
+/// Load pattern: a gateway is stopped while its callers wait for a load that it won't see. Another
+/// gateway takes them at once.
+#[test]
+fn callers_of_a_gateway_that_stops_go_to_another_one() {
+    let mut world = World::new();
+    world.engine("i1", &["a"]);
+    let cold = PickQuery {
+        patience: ms(1_000),
+        stopping: true,
+        ..query("drafts", Some(("b", None)))
+    };
+    assert_snapshot!(world.pick(&cold), @"refuse: stopping, retry after 100 ms");
+    assert!(world.fleet.report_to("i1", ms(1_000)).demands.is_empty());
+}
+
 /// Load pattern: demand moves to a model whose load takes longer than callers stay. They are told
 /// to come back when it is done, and it goes on without them.
 #[test]
--- a/crates/radishpin-gateway/src/process/gateway.rs
+++ b/crates/radishpin-gateway/src/process/gateway.rs
@@ -39,6 +39,10 @@
 const ROTATION_TIME: Duration = Duration::from_millis(2_600);
 /// Time before the end of the grace period in which the process exits by itself.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
+/// Time that is left to a request that finds an endpoint while the process stops.
+const ANSWER_TIME: Duration = Duration::from_secs(3);
+/// Time before the exit in which the last answers go out.
+const LAST_ANSWER_MARGIN: Duration = Duration::from_millis(200);
 /// Largest head of a request before a configuration is known, in bytes.
 const HEAD_BYTES_MIN: usize = 16 * 1024;
 /// Room for a request line and separators beyond the configured size of a head, in bytes.
@@ -189,6 +193,19 @@
         }
     }
 
+    /// When requests that still wait are refused, so that others can end before the process exits.
+    pub(crate) fn waits_until(&self) -> Option<Duration> {
+        let exits_at = self.shutdown.exits_at()?;
+        let grace = self.settings.lock().bounds.stop_grace;
+        Some(exits_at.saturating_sub(ANSWER_TIME.min(grace / 3)))
+    }
+
+    /// When requests get their last answer before the process exits.
+    pub(crate) fn answers_until(&self) -> Option<Duration> {
+        let exits_at = self.shutdown.exits_at()?;
+        Some(exits_at.saturating_sub(LAST_ANSWER_MARGIN))
+    }
+
     /// Whether callers can be served.
     fn is_ready(&self) -> bool {
         !self.shutdown.is_draining()
@@ -280,17 +297,21 @@
         self.ready
     }
 
-    /// Stops in order: callers go elsewhere, and the requests that run get their answers.
-    pub async fn stop(&self) {
+    /// Stops in order: callers go elsewhere, and the requests that run get their answers. Returns the
+    /// number of connections that were cut.
+    pub async fn stop(&self) -> usize {
         let shutdown = &self.gateway.shutdown;
         let grace = self.gateway.settings.lock().bounds.stop_grace;
         let connections = shutdown.connections();
         log::info!(event = "stopping", connections = connections; "asked to stop; draining");
-        shutdown.drain();
+        let exits_at = self.gateway.clock.now() + grace.saturating_sub(EXIT_MARGIN);
+        shutdown.drain(exits_at);
+        // Requests that wait look again at how long they may.
+        self.gateway.fleet_changed.notify(usize::MAX);
         let rotation = ROTATION_TIME.min(grace / 2);
         Runtime::sleep(rotation).await;
         shutdown.close();
-        let left = grace.saturating_sub(rotation + EXIT_MARGIN);
+        let left = exits_at.saturating_sub(self.gateway.clock.now());
         let ended = timeout(left, shutdown.connections_ended()).await;
         let cut = if ended.is_some() {
             0
@@ -298,6 +319,7 @@
             shutdown.connections()
         };
         log::info!(event = "stopped", connections_cut = cut; "gateway stopped");
+        cut
     }
 }
 
--- a/crates/radishpin-gateway/src/process/shutdown.rs
+++ b/crates/radishpin-gateway/src/process/shutdown.rs
@@ -3,15 +3,21 @@
 use async_signal::{Signal, Signals};
 use event_listener::Event;
 use futures_lite::StreamExt;
+use radishpin_protocol::prelude::*;
 use std::{
     io,
-    sync::atomic::{AtomicBool, AtomicUsize, Ordering},
+    sync::{
+        OnceLock,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
 };
 
 /// Whether the process is stopping, and what still has to end.
 #[derive(Debug, Default)]
 pub(crate) struct Shutdown {
-    draining: AtomicBool,
+    /// When the process exits, once it drains.
+    exits_at: OnceLock<Duration>,
+    drained: Event,
     closing: AtomicBool,
     closed: Event,
     connections: AtomicUsize,
@@ -21,12 +27,30 @@
 impl Shutdown {
     /// Whether the process asks callers to go elsewhere.
     pub(crate) fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Relaxed)
+        self.exits_at.get().is_some()
     }
 
-    /// Begins to drain: requests are still taken, connections end with their next answer.
-    pub(crate) fn drain(&self) {
-        self.draining.store(true, Ordering::Relaxed);
+    /// Begins to drain: requests are still taken, connections end with their next answer, and the
+    /// process exits at `exits_at`.
+    pub(crate) fn drain(&self, exits_at: Duration) {
+        self.exits_at.get_or_init(|| exits_at);
+        self.drained.notify(usize::MAX);
+    }
+
+    /// Waits for [`Self::drain`].
+    pub(crate) async fn draining(&self) {
+        loop {
+            let listener = self.drained.listen();
+            if self.is_draining() {
+                return;
+            }
+            listener.await;
+        }
+    }
+
+    /// When the process exits, once it drains.
+    pub(crate) fn exits_at(&self) -> Option<Duration> {
+        self.exits_at.get().copied()
     }
 
     /// Ends listeners at once, and connections after the request that they carry.
--- a/crates/radishpin-gateway/src/request/attempt.rs
+++ b/crates/radishpin-gateway/src/request/attempt.rs
@@ -9,13 +9,14 @@
     process::Gateway,
 };
 use bytes::Bytes;
+use futures_lite::future;
 use http::{StatusCode, response::Parts};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use radishpin_adapter::{LoadHeader, header as wire};
 use radishpin_core::process::Outcome;
 use radishpin_protocol::prelude::*;
-use radishpin_runtime::timeout;
+use radishpin_runtime::{Runtime, timeout};
 
 /// Bytes of an answer that is collected whole, at most.
 const WHOLE_BYTES_MAX: usize = 64 * 1024 * 1024;
@@ -55,12 +56,22 @@
     last_event_id: Option<&str>,
     patience: Duration,
 ) -> Attempt {
-    match timeout(patience, exchange(gateway, call, place, last_event_id)).await {
+    let exchange = exchange(gateway, call, place, last_event_id);
+    let exchange = future::or(exchange, last_answers(gateway));
+    match timeout(patience, exchange).await {
         Some(attempt) => attempt,
         None => Attempt::TimedOut,
     }
 }
 
+/// Gives a request up shortly before the process exits: its caller is told that it has no answer.
+async fn last_answers(gateway: &Gateway) -> Attempt {
+    gateway.shutdown.draining().await;
+    let until = gateway.answers_until().unwrap_or_default();
+    Runtime::sleep(until.saturating_sub(gateway.clock.now())).await;
+    Attempt::TimedOut
+}
+
 async fn exchange(
     gateway: &Gateway,
     call: &Call,
--- a/crates/radishpin-gateway/src/request/forward.rs
+++ b/crates/radishpin-gateway/src/request/forward.rs
@@ -245,7 +245,11 @@
     /// Whether a request that may have run is sent again.
     fn may_run_again(&self, reason: &str) -> bool {
         let now = self.gateway.clock.now();
-        let left = !self.call.remaining(now).is_zero();
+        let exits = self
+            .gateway
+            .answers_until()
+            .is_some_and(|until| until <= now);
+        let left = !self.call.remaining(now).is_zero() && !exits;
         let again = left
             && self.ran < self.call.route.max_attempts
             && self.gateway.budgets.lock().try_take(&self.call.service);
--- a/crates/radishpin-gateway/src/request/place.rs
+++ b/crates/radishpin-gateway/src/request/place.rs
@@ -120,11 +120,15 @@
     loop {
         let listener = gateway.fleet_changed.listen();
         let now = gateway.clock.now();
+        let waits_until = gateway.waits_until();
+        let stopping = waits_until.is_some_and(|until| until < leaves_at);
+        let waits_until = waits_until.map_or(leaves_at, |until| until.min(leaves_at));
         let query = PickQuery {
             service: &call.service,
             target: call.target(),
             priority: call.route.priority,
-            patience: leaves_at.saturating_sub(now),
+            patience: waits_until.saturating_sub(now),
+            stopping,
             waited: waiting
                 .as_ref()
                 .map_or(Duration::ZERO, |w| now.saturating_sub(w.since)),
--- a/crates/radishpin-gateway/tests/serving/faults.rs
+++ b/crates/radishpin-gateway/tests/serving/faults.rs
@@ -179,6 +179,41 @@
     world.store.remove("servers", "e1");
 }
 
+/// Load pattern: a gateway is stopped while callers wait for a cold model whose load takes longer.
+#[test]
+fn a_stop_refuses_in_time_what_still_waits() {
+    let world = World::start();
+    let (engine, _sidecar) = world.engine("i1", &["m0", "m1"]);
+    world.settle();
+    engine.will_ignore_orders(u32::MAX);
+    let got = thread::scope(|scope| {
+        scope.spawn(|| smol::block_on(world.gateway.stop()));
+        thread::sleep(Duration::from_millis(500));
+        world.ask(&Ask::new("/dictation/2f", "a1").model("m3"))
+    });
+    assert_eq!(got.status, 503);
+    assert_eq!(got.body, "stopping\n");
+    assert!(got.header("retry-after").is_some());
+}
+
+/// Load pattern: a gateway is stopped while an endpoint keeps its callers waiting without a word.
+#[test]
+fn a_stop_tells_callers_that_have_no_answer_before_the_process_exits() {
+    let world = World::start();
+    let endpoint = world.plain("e1");
+    world.settle();
+    endpoint.will(&[Deed::Hang]);
+    let (got, cut) = thread::scope(|scope| {
+        let stop = scope.spawn(|| smol::block_on(world.gateway.stop()));
+        // Late enough that the route's timeout passes after the exit.
+        thread::sleep(Duration::from_millis(1_500));
+        let got = world.ask(&Ask::new("/order/2f", "a1"));
+        (got, stop.join().expect("it stops"))
+    });
+    assert_eq!(got.status, 504);
+    assert_eq!(cut, 0);
+}
+
 #[test]
 fn a_stop_lets_requests_end_and_sends_callers_elsewhere() {
     let world = World::start();
