Listen until the exit; end waits before their callers leave

Change: the listener stays until the process exits. A request that comes after the callers were sent elsewhere is served where its route's timeout ends before the exit, and else refused at once; streams are refused. A wait, for an adapter too, ends before its caller leaves.

--- a/crates/radishpin-core/src/process.rs
+++ b/crates/radishpin-core/src/process.rs
@@ -9,7 +9,9 @@
 mod residency;
 mod roster;
 
-pub use fleet::{Fleet, Known, LinkLoss, Outcome, Pick, PickQuery, Refusal, RefusalReason, Wait};
+pub use fleet::{
+    FIRST_TOKEN, Fleet, Known, LinkLoss, Outcome, Pick, PickQuery, Refusal, RefusalReason, Wait,
+};
 pub use lease::{
     HOLDER_VALID, LeaseDecision, LeaseRecord, LeaseWatch, READ_GAP, RENEW_EVERY, SPARE_CANDIDATES,
     TAKEOVER_AFTER, TAKEOVER_STAGGER, candidate_rank,
--- a/crates/radishpin-core/src/process/fleet/pick.rs
+++ b/crates/radishpin-core/src/process/fleet/pick.rs
@@ -19,8 +19,8 @@
 const LOAD_MAX: f32 = 1.1;
 /// Longest time that a request waits for an adapter.
 const ADAPTER_WAIT_MAX: Duration = Duration::from_millis(2_500);
-/// From the end of a load to the first token.
-const FIRST_TOKEN: Duration = Duration::from_millis(100);
+/// From the end of a load to the first token; a wait that has no more left is over.
+pub const FIRST_TOKEN: Duration = Duration::from_millis(100);
 /// Time that a move of a wait has to gain.
 const MOVE_GAIN_MIN: Duration = Duration::from_millis(600);
 /// Prompts that wait to be read for this long cost as much as all places of an endpoint.
@@ -28,7 +28,7 @@
 /// Time in which places of a loaded endpoint come free.
 const BUSY_RETRY: Duration = Duration::from_millis(700);
 /// Time in which callers of a gateway that stops find another one.
-const STOPPING_RETRY: Duration = Duration::from_millis(100);
+const STOPPING_RETRY: Duration = Duration::from_millis(300);
 /// Time in which an endpoint comes back, or another one is found.
 const ABSENT_RETRY: Duration = Duration::from_millis(1_000);
 
@@ -150,6 +150,11 @@
         }
     }
 
+    /// A refusal of a gateway that stops.
+    pub fn stopping(random: u64) -> Self {
+        Self::new(RefusalReason::Stopping, STOPPING_RETRY, random)
+    }
+
     /// A refusal whose caller comes back once an endpoint has loaded what it lacked. The model
     /// serves all of them then, so that they are spread over a short time only.
     fn until_loaded(endpoint: EndpointId, estimate: Duration, random: u64) -> Self {
@@ -270,7 +275,8 @@
             .endpoints
             .get(&endpoint)
             .is_some_and(Endpoint::takes_loads);
-        if query.waited >= ADAPTER_WAIT_MAX || !can_load {
+        let too_late = query.waited >= ADAPTER_WAIT_MAX || query.patience <= FIRST_TOKEN;
+        if too_late || !can_load {
             let reason = RefusalReason::NoLoader;
             return Pick::Refuse(Refusal::new(reason, ABSENT_RETRY, query.random));
         }
@@ -311,9 +317,9 @@
             return refuse(RefusalReason::NoLoader, ABSENT_RETRY);
         };
         self.assign(target.clone(), &endpoint);
-        if estimate + FIRST_TOKEN > query.patience {
+        if estimate + FIRST_TOKEN >= query.patience {
             if query.stopping {
-                return refuse(RefusalReason::Stopping, STOPPING_RETRY);
+                return Pick::Refuse(Refusal::stopping(query.random));
             }
             let refusal = Refusal::until_loaded(endpoint.clone(), estimate, query.random);
             self.recalls
--- a/crates/radishpin-gateway/src/connection/server.rs
+++ b/crates/radishpin-gateway/src/connection/server.rs
@@ -26,7 +26,7 @@
     pub(crate) head_timeout: Duration,
 }
 
-/// Listens on an address and serves it until the shutdown closes; returns the address, with its
+/// Listens on an address and serves it until the shutdown ends; returns the address, with its
 /// port where that was left open.
 ///
 /// # Errors
@@ -54,7 +54,7 @@
     Ok(address)
 }
 
-/// Serves the connections of a listener until the shutdown closes.
+/// Serves the connections of a listener until the shutdown ends.
 async fn accept<B, H, F>(
     runtime: Runtime,
     listener: TcpListener,
@@ -70,11 +70,11 @@
 {
     loop {
         let accepted = async { Some(listener.accept().await) };
-        let closed = async {
-            shutdown.closed().await;
+        let ended = async {
+            shutdown.ended().await;
             None
         };
-        match future::or(accepted, closed).await {
+        match future::or(accepted, ended).await {
             None => return,
             Some(Ok((stream, _))) => {
                 let shutdown = Arc::clone(&shutdown);
@@ -110,14 +110,19 @@
         let answer = handler(request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
+    let one_request = shutdown.is_closing();
     let mut builder = http1::Builder::new();
     builder
+        .keep_alive(!one_request)
         .timer(SmolTimer::new())
         .header_read_timeout(limits.head_timeout)
         .max_buf_size(limits.head_bytes);
     let mut connection = pin!(builder.serve_connection(FuturesIo::new(stream), service));
     let ended = async { Some(connection.as_mut().await) };
     let closed = async {
+        if one_request {
+            return std::future::pending().await;
+        }
         shutdown.closed().await;
         None
     };
--- a/crates/radishpin-gateway/src/process/gateway.rs
+++ b/crates/radishpin-gateway/src/process/gateway.rs
@@ -17,7 +17,7 @@
 use radishpin_core::{
     process::{EndpointPhase, Fleet, GatewayReport, LinkLoss, Roster, RosterChange, Status},
     request::RetryBudgets,
-    version::Catalog,
+    version::{Catalog, Route},
 };
 use radishpin_protocol::prelude::*;
 use radishpin_runtime::{Runtime, timeout};
@@ -200,6 +200,18 @@
         Some(exits_at.saturating_sub(ANSWER_TIME.min(grace / 3)))
     }
 
+    /// Whether a request that comes now would not end before the process exits: those that came
+    /// before the callers were sent elsewhere have the time that is left.
+    pub(crate) fn comes_too_late(&self, route: &Route) -> bool {
+        if !self.shutdown.is_closing() {
+            return false;
+        }
+        let left = self.answers_until().map_or(Duration::ZERO, |until| {
+            until.saturating_sub(self.clock.now())
+        });
+        route.repetition.is_stream() || route.timeout > left
+    }
+
     /// When requests get their last answer before the process exits.
     pub(crate) fn answers_until(&self) -> Option<Duration> {
         let exits_at = self.shutdown.exits_at()?;
@@ -318,6 +330,7 @@
         } else {
             shutdown.connections()
         };
+        shutdown.end();
         log::info!(event = "stopped", connections_cut = cut; "gateway stopped");
         cut
     }
--- a/crates/radishpin-gateway/src/process/shutdown.rs
+++ b/crates/radishpin-gateway/src/process/shutdown.rs
@@ -20,6 +20,8 @@
     drained: Event,
     closing: AtomicBool,
     closed: Event,
+    ending: AtomicBool,
+    ended: Event,
     connections: AtomicUsize,
     connection_ended: Event,
 }
@@ -53,17 +55,40 @@
         self.exits_at.get().copied()
     }
 
-    /// Ends listeners at once, and connections after the request that they carry.
+    /// Ends connections after the request that they carry; what is accepted later carries one.
     pub(crate) fn close(&self) {
         self.closing.store(true, Ordering::SeqCst);
         self.closed.notify(usize::MAX);
     }
 
+    /// Whether connections end after the request that they carry.
+    pub(crate) fn is_closing(&self) -> bool {
+        self.closing.load(Ordering::SeqCst)
+    }
+
+    /// Ends listeners.
+    pub(crate) fn end(&self) {
+        self.close();
+        self.ending.store(true, Ordering::SeqCst);
+        self.ended.notify(usize::MAX);
+    }
+
+    /// Waits for [`Self::end`].
+    pub(crate) async fn ended(&self) {
+        loop {
+            let listener = self.ended.listen();
+            if self.ending.load(Ordering::SeqCst) {
+                return;
+            }
+            listener.await;
+        }
+    }
+
     /// Waits for [`Self::close`].
     pub(crate) async fn closed(&self) {
         loop {
             let listener = self.closed.listen();
-            if self.closing.load(Ordering::SeqCst) {
+            if self.is_closing() {
                 return;
             }
             listener.await;
--- a/crates/radishpin-gateway/src/process/sidecar.rs
+++ b/crates/radishpin-gateway/src/process/sidecar.rs
@@ -88,7 +88,7 @@
 
     /// Stops listening; an order that is on its way is settled by the next life.
     pub fn stop(&self) {
-        self.sidecar.shutdown.close();
+        self.sidecar.shutdown.end();
         log::info!(event = "stopped"; "sidecar stopped");
     }
 }
--- a/crates/radishpin-gateway/src/request/forward.rs
+++ b/crates/radishpin-gateway/src/request/forward.rs
@@ -30,7 +30,14 @@
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     let mut response = match Call::read(&gateway, request).await {
-        Ok(call) => Forward::new(gateway.clone(), Arc::new(call)).run().await,
+        Ok(call) => {
+            let forward = Forward::new(gateway.clone(), Arc::new(call));
+            if gateway.comes_too_late(&forward.call.route) {
+                forward.refuse(&Refused::ByGateway(Refusal::stopping(forward.call.random)))
+            } else {
+                forward.run().await
+            }
+        }
         Err(response) => {
             let status = response.status().as_str().to_owned();
             let outcome = format!("own_{status}");
--- a/crates/radishpin-gateway/tests/serving/faults.rs
+++ b/crates/radishpin-gateway/tests/serving/faults.rs
@@ -214,6 +214,30 @@
     assert_eq!(cut, 0);
 }
 
+/// Load pattern: all gateways are stopped within seconds, so that the platform sends callers to
+/// those that are about to exit.
+#[test]
+fn a_gateway_that_is_about_to_exit_refuses_what_would_not_end() {
+    let world = World::start();
+    let endpoint = world.plain("e1");
+    world.settle();
+    endpoint.will(&[Deed::Hang]);
+    let (late, cut) = thread::scope(|scope| {
+        let stop = scope.spawn(|| smol::block_on(world.gateway.stop()));
+        thread::sleep(Duration::from_millis(1_500));
+        scope.spawn(|| world.ask(&Ask::new("/order/2f", "a1")));
+        thread::sleep(Duration::from_millis(1_000));
+        let late = ["/order/2f", "/dictation/2f"].map(|path| world.ask(&Ask::new(path, "a2")));
+        (late, stop.join().expect("it stops"))
+    });
+    for got in late {
+        assert_eq!((got.status, got.body.as_str()), (503, "stopping\n"));
+        assert_eq!(got.header("connection"), Some("close"));
+    }
+    assert_eq!(cut, 0);
+    assert_eq!(endpoint.seen_ids(), ["a1"]);
+}
+
 #[test]
 fn a_stop_lets_requests_end_and_sends_callers_elsewhere() {
     let world = World::start();
