Serve metrics on a port of their own; bound the lines of each event

Lines about left out ones have a time, so that explain reads them.

Tests: tests/logging.rs. No decision is touched.

--- a/crates/radishpin-gateway/src/process.rs
+++ b/crates/radishpin-gateway/src/process.rs
@@ -13,7 +13,7 @@
 pub use error::GatewayError;
 pub(crate) use gateway::Gateway;
 pub use gateway::{GatewayProcess, run_gateway};
-pub(crate) use metrics::Metrics;
+pub(crate) use metrics::{Metrics, serve_metrics};
 pub use settings::read_settings;
 pub(crate) use settings::watch_settings;
 pub(crate) use shutdown::{Shutdown, stop_asked};
--- a/crates/radishpin-gateway/src/process/gateway.rs
+++ b/crates/radishpin-gateway/src/process/gateway.rs
@@ -1,7 +1,8 @@
 //! The gateway: takes callers' requests.
 
 use super::{
-    Clock, GatewayError, Metrics, Shutdown, StoreClient, read_settings, stop_asked, watch_settings,
+    Clock, GatewayError, Metrics, Shutdown, StoreClient, read_settings, serve_metrics, stop_asked,
+    watch_settings,
 };
 use crate::{
     connection::{Pool, ServerLimits, run_link, serve},
@@ -263,19 +264,25 @@
     ///
     /// # Errors
     /// The settings lack an address, or an address cannot be had.
-    pub async fn start(runtime: Runtime, settings: Settings) -> Result<Self, GatewayError> {
+    pub async fn start(
+        runtime: Runtime,
+        settings: Settings,
+        metrics_port: u16,
+    ) -> Result<Self, GatewayError> {
         let callers = settings
             .callers_listen
             .ok_or(GatewayError::MissingSetting("address for callers"))?;
         let ready = settings
             .ready_listen
             .ok_or(GatewayError::MissingSetting("address for readiness probes"))?;
-        let metrics = SocketAddr::new(settings.ip_address, settings.metrics_port);
+        let metrics = SocketAddr::new(settings.ip_address, metrics_port);
         let store = settings.store;
         let gateway = Arc::new(Gateway::new(runtime, settings)?);
         let callers = serve_callers(&gateway, callers).await?;
         let ready = serve_readiness(&gateway, ready).await?;
-        serve_metrics(&gateway, metrics).await?;
+        let asked = Arc::clone(&gateway);
+        let answer = move || asked.metrics.answer();
+        serve_metrics(&gateway.runtime, metrics, answer).await;
         follow_store(&gateway, store);
         let planner = Arc::clone(&gateway);
         let plans = async move { planner.plan_always().await };
@@ -340,11 +347,11 @@
 ///
 /// # Errors
 /// The settings lack an address, an address cannot be had, or the process cannot be set up.
-pub fn run_gateway(path: PathBuf) -> Result<(), GatewayError> {
+pub fn run_gateway(path: PathBuf, metrics_port: u16) -> Result<(), GatewayError> {
     let settings = read_settings(&path)?;
     let runtime = Runtime::start(settings.cores)?;
     smol::block_on(async {
-        let process = GatewayProcess::start(runtime, settings).await?;
+        let process = GatewayProcess::start(runtime, settings, metrics_port).await?;
         spawn_settings_watch(&process.gateway, &path);
         stop_asked().await?;
         process.stop().await;
@@ -399,16 +406,6 @@
     response
 }
 
-async fn serve_metrics(
-    gateway: &Arc<Gateway>,
-    address: SocketAddr,
-) -> Result<SocketAddr, GatewayError> {
-    let asked = Arc::clone(gateway);
-    let handler = move |_| std::future::ready(asked.metrics.answer());
-    let never = Arc::default();
-    serve(&gateway.runtime, address, internal_limits, &never, handler).await
-}
-
 fn follow_store(gateway: &Arc<Gateway>, address: SocketAddr) {
     let client = || StoreClient::new(gateway.runtime.clone(), gateway.clock, address);
     let accepting = Arc::clone(gateway);
--- a/crates/radishpin-gateway/src/process/metrics.rs
+++ b/crates/radishpin-gateway/src/process/metrics.rs
@@ -1,5 +1,7 @@
 //! Counters and histograms of the process.
 
+use super::gateway::internal_limits;
+use crate::connection::serve;
 use http::{Response, header};
 use http_body_util::Full;
 use hyper::body::Bytes;
@@ -7,6 +9,8 @@
     Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
     TextEncoder,
 };
+use radishpin_runtime::Runtime;
+use std::{net::SocketAddr, sync::Arc};
 
 /// Upper bounds of latency buckets, in seconds.
 const LATENCY_BUCKETS_S: [f64; 12] = [
@@ -120,3 +124,16 @@
         response
     }
 }
+
+/// Serves metrics to the end of the process. Callers are served also where the address is taken.
+pub(crate) async fn serve_metrics(
+    runtime: &Runtime,
+    address: SocketAddr,
+    answer: impl Fn() -> Response<Full<Bytes>> + Clone + Send + Sync + 'static,
+) {
+    let handler = move |_| std::future::ready(answer());
+    let never = Arc::default();
+    if let Err(cause) = serve(runtime, address, internal_limits, &never, handler).await {
+        log::error!(event = "metrics_unavailable", address:% = address, cause:% = cause; "no metrics are served");
+    }
+}
--- a/crates/radishpin-gateway/src/process/sidecar.rs
+++ b/crates/radishpin-gateway/src/process/sidecar.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Clock, GatewayError, Metrics, Shutdown, StoreClient, gateway::internal_limits, read_settings,
-    stop_asked, watch_settings,
+    serve_metrics, stop_asked, watch_settings,
 };
 use crate::{
     connection::{Connection, ExchangeError, get, post, serve},
@@ -69,10 +69,18 @@
     ///
     /// # Errors
     /// The settings name no engine, or an address cannot be had.
-    pub async fn start(runtime: Runtime, settings: Settings) -> Result<Self, GatewayError> {
+    pub async fn start(
+        runtime: Runtime,
+        settings: Settings,
+        metrics_port: u16,
+    ) -> Result<Self, GatewayError> {
         let sidecar = Arc::new(Sidecar::new(runtime, settings)?);
         let settings = Arc::clone(&sidecar.settings.lock());
         serve_gateways(&sidecar, &settings).await?;
+        let address = SocketAddr::new(settings.ip_address, metrics_port);
+        let asked = Arc::clone(&sidecar);
+        let answer = move || asked.metrics.answer();
+        serve_metrics(&sidecar.runtime, address, answer).await;
         follow_catalog(&sidecar, &settings);
         let worker = Arc::clone(&sidecar);
         let work = async move { worker.work().await };
@@ -97,11 +105,11 @@
 ///
 /// # Errors
 /// The settings name no engine, an address cannot be had, or the process cannot be set up.
-pub fn run_sidecar(path: PathBuf) -> Result<(), GatewayError> {
+pub fn run_sidecar(path: PathBuf, metrics_port: u16) -> Result<(), GatewayError> {
     let settings = read_settings(&path)?;
     let runtime = Runtime::start(settings.cores)?;
     smol::block_on(async {
-        let process = SidecarProcess::start(runtime.clone(), settings).await?;
+        let process = SidecarProcess::start(runtime.clone(), settings, metrics_port).await?;
         let watched = Arc::clone(&process.sidecar);
         let watch = async move { watch_settings(&path, &watched.settings).await };
         runtime.spawn_detached(watch);
@@ -138,10 +146,6 @@
     let handling = Arc::clone(sidecar);
     let handler = move |request| answer_gateway(Arc::clone(&handling), request);
     serve(runtime, address, internal_limits, shutdown, handler).await?;
-    let address = SocketAddr::new(settings.ip_address, settings.metrics_port);
-    let asked = Arc::clone(sidecar);
-    let handler = move |_| std::future::ready(asked.metrics.answer());
-    serve(runtime, address, internal_limits, shutdown, handler).await?;
     Ok(())
 }
 
--- a/crates/radishpin-gateway/tests/serving/world.rs
+++ b/crates/radishpin-gateway/tests/serving/world.rs
@@ -144,7 +144,7 @@
         let internal_port = free.local_addr().expect("it has an address").port();
         let role = json!({"listen_addresses": {"front": "127.0.0.1:0", "ready": "127.0.0.1:0"}});
         let settings = settings(role, store_address, internal_port);
-        let gateway = smol::block_on(GatewayProcess::start(gateway_runtime.clone(), settings));
+        let gateway = smol::block_on(GatewayProcess::start(gateway_runtime.clone(), settings, 0));
         Self {
             runtime,
             store,
@@ -177,7 +177,7 @@
             "ip_address": ip.to_string(), "app": endpoint.address.to_string(), "service": "drafts",
         });
         let settings = settings(role, self.store_address, self.internal_port);
-        smol::block_on(SidecarProcess::start(self.runtime.clone(), settings))
+        smol::block_on(SidecarProcess::start(self.runtime.clone(), settings, 0))
             .expect("sidecar starts")
     }
 
--- a/src/command/gateway.rs
+++ b/src/command/gateway.rs
@@ -5,7 +5,7 @@
     CommandError,
     settings::{
         Values,
-        common::{BOOT, ROLE_LOG_LEVEL},
+        common::{BOOT, METRICS_PORT, ROLE_LOG_LEVEL},
     },
 };
 
@@ -13,15 +13,17 @@
     name: "gateway",
     summary: "Take callers' requests on a platform with a table store.",
     usages: &["[FLAGS]"],
-    settings: &[&BOOT, &ROLE_LOG_LEVEL],
+    settings: &[&BOOT, &METRICS_PORT, &ROLE_LOG_LEVEL],
     examples: &[
         "radishpin gateway --boot /etc/radishpin/boot.json",
-        "radishpin gateway --boot /etc/radishpin/boot.json --log-level warn",
+        "radishpin gateway --boot /etc/radishpin/boot.json --metrics-port 9464 --log-level warn",
     ],
     notes: "",
     check: no_operands,
 };
 
 pub(super) fn run(values: &Values) -> Result<(), CommandError> {
-    Ok(radishpin_gateway::run_gateway(values.text(&BOOT)?.into())?)
+    let metrics_port = values.number(&METRICS_PORT)?;
+    let boot = values.text(&BOOT)?;
+    Ok(radishpin_gateway::run_gateway(boot.into(), metrics_port)?)
 }
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,9 +1,15 @@
 //! Logs: one line a record, `key=value` pairs.
 
+mod limit;
+
+pub use limit::{LINES_PER_EVENT_S, LineLimit};
+
+use env_logger::fmt::Formatter;
 use log::{
     LevelFilter, Record,
     kv::{Error, Key, Value, VisitSource},
 };
+use parking_lot::Mutex;
 use std::{
     io::{self, Write},
     sync::{
@@ -12,7 +18,7 @@
         mpsc::{self, SyncSender},
     },
     thread,
-    time::SystemTime,
+    time::{Instant, SystemTime},
 };
 
 /// Where log lines go.
@@ -31,9 +37,7 @@
 pub fn start_logging(level: &str, output: LogOutput) {
     let level: LevelFilter = level.parse().unwrap_or(LevelFilter::Info);
     let mut builder = env_logger::Builder::new();
-    builder
-        .filter_level(level)
-        .format(|out, record| format_record(out, SystemTime::now(), record));
+    builder.filter_level(level).format(limited_format());
     if output == LogOutput::Stdout {
         let lines = QueuedLines::start(io::stdout(), QUEUED_LINES_MAX);
         builder.target(env_logger::Target::Pipe(Box::new(lines)));
@@ -41,6 +45,35 @@
     let _ = builder.try_init();
 }
 
+/// Writes records within the limit of each event, and tells once a second what was left out.
+fn limited_format() -> impl Fn(&mut Formatter, &Record<'_>) -> io::Result<()> + Send + Sync {
+    let started = Instant::now();
+    let limit = Mutex::new(LineLimit::default());
+    move |out, record| {
+        let now = started.elapsed();
+        let event = record.key_values().get(Key::from_str("event"));
+        let event = event.map_or_else(String::new, |event| event.to_string());
+        let (left_out, admitted) = {
+            let mut limit = limit.lock();
+            (limit.end_window(now), limit.admit(&event, now))
+        };
+        for (event, count) in left_out {
+            let line = left_out_line(SystemTime::now(), count);
+            writeln!(out, "{line} of={}", quoted(&event))?;
+        }
+        if admitted {
+            format_record(out, SystemTime::now(), record)?;
+        }
+        Ok(())
+    }
+}
+
+/// The line that tells how many lines were left out.
+fn left_out_line(time: SystemTime, count: u64) -> String {
+    let time = humantime::format_rfc3339_millis(time);
+    format!("time={time} level=warn event=lines_left_out count={count}")
+}
+
 /// A writer that never blocks: a thread writes what it is given, and what finds the queue full is
 /// left out and counted.
 pub struct QueuedLines {
@@ -60,7 +93,8 @@
                 let _ = output.write_all(&line);
                 let missing = counted.swap(0, Ordering::Relaxed);
                 if missing > 0 {
-                    let _ = writeln!(output, "level=warn event=lines_left_out count={missing}");
+                    let line = left_out_line(SystemTime::now(), missing);
+                    let _ = writeln!(output, "{line}");
                 }
                 let _ = output.flush();
             }
--- a/src/settings/common.rs
+++ b/src/settings/common.rs
@@ -85,6 +85,19 @@
 )
 .env(SETTINGS_PATH_VARIABLE);
 
+/// Port on which a role of the platform serves its metrics.
+pub(crate) static METRICS_PORT: Setting = Setting::with_default(
+    "metrics-port",
+    Kind::Number {
+        min: 1,
+        max: 65_535,
+        unit: "port",
+    },
+    "9464",
+    "Port on which metrics are served as text, at any path.",
+)
+.env("RADISHPIN_METRICS_PORT");
+
 /// Level of the logs of a role that logs to standard output.
 pub(crate) static ROLE_LOG_LEVEL: Setting = Setting::with_default(
     "log-level",
--- a/tests/logging.rs
+++ b/tests/logging.rs
@@ -1,7 +1,7 @@
 //! Log lines: key=value pairs that can be told apart.
 
 use log::{Level, Record};
-use radishpin_cli::{QueuedLines, format_record};
+use radishpin_cli::{LINES_PER_EVENT_S, LineLimit, QueuedLines, format_record};
 use std::{
     io::Write,
     time::{Duration, UNIX_EPOCH},
@@ -66,3 +66,30 @@
     let left_out = format!("event=lines_left_out count={}", 20 - kept);
     assert!(text.contains(&left_out), "{text}");
 }
+
+/// Load pattern: one event floods the logs. Others keep their lines, and the flood is counted.
+#[test]
+fn an_event_that_floods_costs_no_other_event_its_lines() {
+    let at = Duration::from_millis;
+    let mut limit = LineLimit::default();
+    let flood = 3 * LINES_PER_EVENT_S;
+    let written = (0..flood).filter(|_| limit.admit("request_sent", at(10)));
+    assert_eq!(written.count(), LINES_PER_EVENT_S as usize);
+    assert!(limit.admit("endpoint_changed", at(20)));
+    assert!(limit.end_window(at(900)).is_empty());
+    let left_out = limit.end_window(at(1_000));
+    assert_eq!(
+        left_out,
+        [("request_sent".to_owned(), u64::from(2 * LINES_PER_EVENT_S))]
+    );
+    assert!(limit.admit("request_sent", at(1_010)));
+    assert!(limit.end_window(at(2_100)).is_empty());
+}
+
+/// Any number of different events takes bounded memory.
+#[test]
+fn events_beyond_those_told_apart_share_a_limit() {
+    let mut limit = LineLimit::default();
+    let written = (0..10_000).filter(|n| limit.admit(&format!("event-{n}"), Duration::ZERO));
+    assert!(written.count() < 2 * LINES_PER_EVENT_S as usize);
+}
