--- a/src/command/load/call.rs
+++ b/src/command/load/call.rs
@@ -109,7 +109,7 @@
 }
 
 fn log_drop(planned: &Planned, due: Instant, cause: &str) {
-    log::warn!(
+    log::debug!(
         event = "call_dropped", marker = planned.marker.as_str(), ask:? = planned.ask,
         waited_ms = due.elapsed().as_millis() as u64, cause = cause;
         "a call got no answer"
