Write the last log lines before the process ends

Cause: the lines of a stop never came: a thread writes them, and the process ended first.

Change: the process waits for queued lines, at most 100 ms. Test: two of tests/logging.rs, and one that stops both roles.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,7 +15,8 @@
 pub use command::{Command, CommandSpec, explain_request};
 pub use error::CommandError;
 pub use logging::{
-    LINES_PER_EVENT_S, LineLimit, LogOutput, QueuedLines, format_record, start_logging,
+    LINES_PER_EVENT_S, LineLimit, LogOutput, PendingLines, QueuedLines, format_record,
+    start_logging,
 };
 pub use run::{Outcome, evaluate, main};
 pub use settings::{Fault, Input, Kind, Presence, Setting, TimeSpec, Value, Values};
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -18,7 +18,7 @@
         mpsc::{self, SyncSender},
     },
     thread,
-    time::{Instant, SystemTime},
+    time::{Duration, Instant, SystemTime},
 };
 
 /// Where log lines go.
@@ -33,16 +33,39 @@
 /// Lines that wait to be written to standard output, at most; further ones are left out.
 const QUEUED_LINES_MAX: usize = 4_096;
 
-/// Starts the logs at `level`; a second call changes nothing.
-pub fn start_logging(level: &str, output: LogOutput) {
+/// Longest time at the end of the process in which the last lines are written.
+const LAST_LINES_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time between two looks whether they are.
+const LAST_LINES_GAP: Duration = Duration::from_millis(1);
+
+/// Lines that wait to be written.
+#[derive(Clone, Debug, Default)]
+pub struct PendingLines(Arc<AtomicU64>);
+
+impl PendingLines {
+    /// Waits until they are written, for at most 100 ms: an output that is stuck holds up no exit.
+    pub fn wait(&self) {
+        let started = Instant::now();
+        while self.0.load(Ordering::Acquire) > 0 && started.elapsed() < LAST_LINES_TIMEOUT {
+            thread::sleep(LAST_LINES_GAP);
+        }
+    }
+}
+
+/// Starts the logs at `level`; a second call changes nothing. Returns the lines that are to be
+/// waited for at the end of the process.
+pub fn start_logging(level: &str, output: LogOutput) -> PendingLines {
+    let mut pending = PendingLines::default();
     let level: LevelFilter = level.parse().unwrap_or(LevelFilter::Info);
     let mut builder = env_logger::Builder::new();
     builder.filter_level(level).format(limited_format());
     if output == LogOutput::Stdout {
         let lines = QueuedLines::start(io::stdout(), QUEUED_LINES_MAX);
+        pending = lines.pending();
         builder.target(env_logger::Target::Pipe(Box::new(lines)));
     }
     let _ = builder.try_init();
+    pending
 }
 
 /// Writes records within the limit of each event, and tells once a second what was left out.
@@ -79,6 +102,7 @@
 pub struct QueuedLines {
     sender: SyncSender<Vec<u8>>,
     left_out: Arc<AtomicU64>,
+    pending: PendingLines,
 }
 
 impl QueuedLines {
@@ -87,6 +111,8 @@
         let (sender, lines) = mpsc::sync_channel::<Vec<u8>>(lines_max);
         let left_out = Arc::new(AtomicU64::new(0));
         let counted = Arc::clone(&left_out);
+        let pending = PendingLines::default();
+        let written = pending.clone();
         thread::spawn(move || {
             while let Ok(line) = lines.recv() {
                 // Without standard output there is nowhere to say so.
@@ -97,15 +123,27 @@
                     let _ = writeln!(output, "{line}");
                 }
                 let _ = output.flush();
+                written.0.fetch_sub(1, Ordering::Release);
             }
         });
-        Self { sender, left_out }
+        Self {
+            sender,
+            left_out,
+            pending,
+        }
+    }
+
+    /// The lines that wait to be written.
+    pub fn pending(&self) -> PendingLines {
+        self.pending.clone()
     }
 }
 
 impl Write for QueuedLines {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        self.pending.0.fetch_add(1, Ordering::Relaxed);
         if self.sender.try_send(line.to_vec()).is_err() {
+            self.pending.0.fetch_sub(1, Ordering::Release);
             self.left_out.fetch_add(1, Ordering::Relaxed);
         }
         Ok(line.len())
--- a/src/run.rs
+++ b/src/run.rs
@@ -35,8 +35,10 @@
         Outcome::Bad(faults) => finish(Err(CommandError::Settings(faults))),
         Outcome::Run(command, values) => {
             let level = values.optional_text(&common::LOG_LEVEL);
-            start_logging(level.unwrap_or("warn"), command.log_output());
-            finish(command.run(&values))
+            let last_lines = start_logging(level.unwrap_or("warn"), command.log_output());
+            let code = finish(command.run(&values));
+            last_lines.wait();
+            code
         }
     }
 }
--- a/tests/boot.rs
+++ b/tests/boot.rs
@@ -1,6 +1,11 @@
 //! The settings that the platform gives to a process, seen from the command line.
 
-use std::{fs, path::PathBuf, process::Command};
+use std::{
+    fs,
+    io::{BufRead, BufReader, Read},
+    path::PathBuf,
+    process::{Command, Stdio},
+};
 
 fn radishpin(args: &[&str]) -> (Option<i32>, String) {
     let output = Command::new(env!("CARGO_BIN_EXE_radishpin"))
@@ -64,3 +69,41 @@
         Some(2)
     );
 }
+
+/// The last word of a process is what an engineer on call looks for first.
+#[test]
+fn a_role_that_is_asked_to_stop_says_so_with_its_last_line() {
+    let settings = WHOLE
+        .replace("[7380, 7395]", "[0, 0]")
+        .replace("\"grace_s\": 8", "\"grace_s\": 1")
+        .replace(
+            "\"limits\"",
+            r#""listen_addresses": {"front": "127.0.0.1:0", "ready": "127.0.0.1:0"},
+               "app": "127.0.0.1:9", "limits""#,
+        );
+    let path = boot_file("stopped.json", &settings);
+    for role in ["gateway", "sidecar"] {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_radishpin"))
+            .args([role, "--boot"])
+            .arg(&path)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the binary starts");
+        let mut output = BufReader::new(child.stdout.take().expect("its output"));
+        let mut line = String::new();
+        while !line.contains("event=started") {
+            line.clear();
+            let read = output.read_line(&mut line).expect("its output");
+            assert!(read > 0, "{role} ended before it started");
+        }
+        let kill = Command::new("kill")
+            .args(["-TERM", &child.id().to_string()])
+            .status();
+        assert!(kill.expect("kill runs").success());
+        let mut rest = String::new();
+        output.read_to_string(&mut rest).expect("its output");
+        assert!(child.wait().expect("its end").success());
+        let last = rest.lines().last().unwrap_or_default();
+        assert!(last.contains("event=stopped"), "{role}: {rest}");
+    }
+}
--- a/tests/logging.rs
+++ b/tests/logging.rs
@@ -93,3 +93,39 @@
     let written = (0..10_000).filter(|n| limit.admit(&format!("event-{n}"), Duration::ZERO));
     assert!(written.count() < 2 * LINES_PER_EVENT_S as usize);
 }
+
+/// A writer that takes its time with each line.
+struct Slow(std::sync::mpsc::Sender<Vec<u8>>);
+
+impl Write for Slow {
+    fn write(&mut self, line: &[u8]) -> std::io::Result<usize> {
+        std::thread::sleep(Duration::from_millis(2));
+        let _ = self.0.send(line.to_vec());
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn the_last_lines_are_written_before_the_process_ends() {
+    let (written, lines) = std::sync::mpsc::channel();
+    let mut logs = QueuedLines::start(Slow(written), 16);
+    for n in 0..8 {
+        logs.write_all(format!("line {n}\n").as_bytes()).unwrap();
+    }
+    logs.pending().wait();
+    assert_eq!(lines.try_iter().count(), 8);
+}
+
+#[test]
+fn a_stuck_output_does_not_hold_up_the_end_of_the_process() {
+    let (_release, stuck) = std::sync::mpsc::channel();
+    let (written, lines) = std::sync::mpsc::channel();
+    let mut logs = QueuedLines::start(Stuck(stuck, written), 16);
+    logs.write_all(b"line\n").unwrap();
+    logs.pending().wait();
+    assert_eq!(lines.try_iter().count(), 0);
+}
