Log how the end of a stream was marked and whether it ended inside an event

The lines of the two reported streams say that each was relayed to its end. They do not tell whether the engine's answer had a last chunk, a length or neither, nor whether it ended inside an event, so a client that takes a closed connection for the end and an engine that ends its answer early look alike. stream_passed now has framing, events and inside_event. No decision changes.

--- a/crates/radishpin-gateway/src/request.rs
+++ b/crates/radishpin-gateway/src/request.rs
@@ -3,6 +3,7 @@
 mod assignment;
 mod attempt;
 mod call;
+mod event_scanner;
 mod events;
 mod forward;
 mod response;
--- a/crates/radishpin-gateway/src/request/response.rs
+++ b/crates/radishpin-gateway/src/request/response.rs
@@ -21,6 +21,39 @@
     }
 }
 
+/// How the end of a response's body is marked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum BodyFraming {
+    /// By its length.
+    Length,
+    /// By the last chunk.
+    Chunked,
+    /// By the end of the connection, so a body that was cut off looks like a complete one.
+    UntilClose,
+}
+
+impl BodyFraming {
+    /// Reads the framing from the headers of a response that has a body.
+    pub(crate) fn of(headers: &HeaderMap) -> Self {
+        if headers.contains_key(header::TRANSFER_ENCODING) {
+            return Self::Chunked;
+        }
+        match headers.contains_key(header::CONTENT_LENGTH) {
+            true => Self::Length,
+            false => Self::UntilClose,
+        }
+    }
+
+    /// Name in log lines.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunked => "chunked",
+            Self::UntilClose => "until_close",
+        }
+    }
+}
+
 /// Body of a response to a caller: buffered, or a stream relayed from an endpoint.
 pub(crate) type ResponseBody = UnsyncBoxBody<Bytes, ResponseError>;
 
--- a/crates/radishpin-gateway/src/request/stream.rs
+++ b/crates/radishpin-gateway/src/request/stream.rs
@@ -2,9 +2,10 @@
 
 use super::{
     attempt::{AttemptResult, OpenStream},
+    event_scanner::EventScanner,
     events::EventBuffer,
     forward::{Forward, ForwardOutcome},
-    response::{ResponseBody, ResponseError, remove_connection_headers},
+    response::{BodyFraming, ResponseBody, ResponseError, remove_connection_headers},
 };
 use bytes::Bytes;
 use futures_lite::stream::unfold;
@@ -22,6 +23,7 @@
     open: Option<OpenStream>,
     /// Splits a resumable stream into events; `None` if no other endpoint may resume the stream.
     events: Option<EventBuffer>,
+    scanner: EventScanner,
     timing: StreamTiming,
     ended: bool,
 }
@@ -54,6 +56,7 @@
         forward,
         open: Some(open),
         events: resumable.then(EventBuffer::default),
+        scanner: EventScanner::default(),
         timing: StreamTiming::default(),
         ended: false,
     };
@@ -105,6 +108,7 @@
                 Some(Some(Err(_))) => return Err(ResponseError::Truncated),
                 Some(Some(Ok(frame))) => {
                     if let Ok(data) = frame.into_data() {
+                        self.scanner.scan(&data);
                         return Ok(Some(data));
                     }
                 }
@@ -139,13 +143,11 @@
             .first_at
             .unwrap_or_default()
             .saturating_sub(received_at);
-        let endpoint = self
-            .open
-            .as_ref()
-            .map_or("-", |open| &open.assignment.endpoint);
+        let Some(open) = &self.open else { return };
         log::info!(
-            event = "stream_passed", request = self.forward.call.id, endpoint = endpoint,
-            first_event_ms = first.as_millis() as u64,
+            event = "stream_passed", request = self.forward.call.id, endpoint = open.assignment.endpoint,
+            framing = BodyFraming::of(&open.head.headers).name(), events = self.scanner.events(),
+            inside_event = self.scanner.is_inside_event(), first_event_ms = first.as_millis() as u64,
             longest_gap_ms = self.timing.longest_gap.as_millis() as u64;
             "stream relayed to its end"
         );
