Test that streams which end early do not look complete, whatever marks their end

The raw endpoint sends responses byte for byte, as an HTTP library never leaves a stream unframed.

Test callers no longer take a reset for the regular end of a connection.

--- a/crates/radishpin-gateway/tests/serving/caller.rs
+++ b/crates/radishpin-gateway/tests/serving/caller.rs
@@ -1,4 +1,4 @@
-//! An HTTP/1.1 caller that opens a connection for each request.
+//! A caller that opens a connection for each request.
 
 use smol::{io::AsyncReadExt, io::AsyncWriteExt, net::TcpStream};
 use std::{fmt, net::SocketAddr, time::Duration};
@@ -11,6 +11,7 @@
     pub headers: Vec<(String, String)>,
     pub body: String,
     pub deadline_ms: u64,
+    pub version: &'static str,
 }
 
 impl CallerRequest {
@@ -21,6 +22,7 @@
             headers: Vec::new(),
             body: "question".to_owned(),
             deadline_ms: 4_000,
+            version: "HTTP/1.1",
         }
     }
 
@@ -40,12 +42,18 @@
         self
     }
 
+    pub fn http_1_0(mut self) -> Self {
+        self.version = "HTTP/1.0";
+        self
+    }
+
     /// The request as sent on the wire.
     pub fn text(&self) -> String {
         let mut text = format!(
-            "POST {} HTTP/1.1\r\nHost: shop.example\r\nRadishpin-Attempt-Id: {}\r\n\
+            "POST {} {}\r\nHost: shop.example\r\nRadishpin-Attempt-Id: {}\r\n\
              Radishpin-Deadline-Milliseconds: {}\r\nContent-Length: {}\r\nConnection: close\r\n",
             self.path,
+            self.version,
             self.id,
             self.deadline_ms,
             self.body.len()
@@ -64,7 +72,7 @@
     pub status: u16,
     pub head: String,
     pub body: String,
-    /// Whether the body was received to its end; always true for a body that is not chunked.
+    /// Whether the body was received to its end: the last chunk, or the regular end of the connection.
     pub complete: bool,
 }
 
@@ -102,11 +110,11 @@
     let mut bytes = Vec::new();
     let limit = Duration::from_secs(20);
     let finished = radishpin_runtime::timeout(limit, stream.read_to_end(&mut bytes)).await;
-    assert!(finished.is_some(), "no response within {limit:?}");
-    parse(&String::from_utf8_lossy(&bytes))
+    let closed = finished.unwrap_or_else(|| panic!("no response within {limit:?}"));
+    parse(&String::from_utf8_lossy(&bytes), closed.is_ok())
 }
 
-fn parse(text: &str) -> CallerResponse {
+fn parse(text: &str, closed: bool) -> CallerResponse {
     let Some((head, rest)) = text.split_once("\r\n\r\n") else {
         return CallerResponse {
             status: 0,
@@ -125,7 +133,7 @@
     let (body, complete) = if chunked {
         decode_chunked(rest)
     } else {
-        (rest.to_owned(), true)
+        (rest.to_owned(), closed)
     };
     CallerResponse {
         status: status.unwrap_or(0),
--- a/crates/radishpin-gateway/tests/serving/cluster.rs
+++ b/crates/radishpin-gateway/tests/serving/cluster.rs
@@ -98,6 +98,8 @@
         "routes": [
             route("order", "non_idempotent", "shop", 1, false),
             route("lookup", "idempotent", "shop", 2, false),
+            route("ticker", "streaming", "shop", 1, false),
+            route("feed", "streaming", "shop", 2, true),
             route("dictation", "streaming", "drafts", 1, false),
             route("summary", "streaming", "drafts", 2, true),
         ],
