Let the test endpoint of unframed streams resume them

As committed, the two tests of resumption were wrong: their endpoints sent the first events again to a request with Last-Event-Id, so no gateway could have passed. Endpoints now go on after event 2, and the tests are stricter: the stream must be whole, with each event once.

--- a/crates/radishpin-gateway/tests/serving/framing.rs
+++ b/crates/radishpin-gateway/tests/serving/framing.rs
@@ -17,7 +17,7 @@
 
 fn ask(path: &str, response: RawResponse) -> CallerResponse {
     let cluster = TestCluster::start();
-    let _endpoint = RawEndpoint::start(&cluster, "e1", &[response]);
+    let _endpoint = RawEndpoint::start(&cluster, "e1", move |_| response.clone());
     cluster.wait_until_ready();
     cluster.ask(&CallerRequest::new(path, "s1"))
 }
@@ -67,46 +67,38 @@
     }
 }
 
-#[test]
-fn a_resumable_stream_without_length_goes_on_after_it_was_closed_inside_an_event() {
+/// Sends a request to a resumable route whose endpoints break off each stream inside event 3, and
+/// complete it where it is resumed after event 2.
+fn ask_resumable(convert: fn(&str) -> String) -> CallerResponse {
     let cluster = TestCluster::start();
-    let endpoints = ["e1", "e2"].map(|id| {
-        let responses = [
-            RawResponse::closed(UNFRAMED, TWO_EVENTS_AND_A_HALF),
-            RawResponse::closed(UNFRAMED, LAST_EVENT),
-        ];
-        RawEndpoint::start(&cluster, id, &responses)
+    let _endpoints = ["e1", "e2"].map(|id| {
+        RawEndpoint::start(&cluster, id, move |head| {
+            let body = match header(head, "last-event-id").as_deref() {
+                Some("2") => LAST_EVENT,
+                _ => TWO_EVENTS_AND_A_HALF,
+            };
+            RawResponse::closed(UNFRAMED, &convert(body))
+        })
     });
     cluster.wait_until_ready();
-    // Both endpoints break off their first response, so the second request is the one resumed.
-    let got = cluster.ask(&CallerRequest::new("/feed/2f", "s1"));
-    let mut resumed_after = endpoints
-        .iter()
-        .flat_map(|endpoint| endpoint.received())
-        .map(|head| header(&head, "last-event-id"))
-        .collect::<Vec<_>>();
-    resumed_after.sort();
-    assert_eq!(resumed_after, [None, Some("2".to_owned())]);
-    assert_eq!((got.status, got.complete), (200, false));
-    assert_eq!(got.body, TWO_EVENTS);
+    cluster.ask(&CallerRequest::new("/feed/2f", "s1"))
+}
+
+#[test]
+fn a_resumable_stream_without_length_goes_on_after_it_was_closed_inside_an_event() {
+    let got = ask_resumable(str::to_owned);
+    assert_eq!((got.status, got.complete), (200, true));
+    assert_eq!(got.body, format!("{TWO_EVENTS}{LAST_EVENT}"));
 }
 
 #[test]
 fn a_resumable_stream_in_crlf_lines_is_resumed_after_its_last_complete_event() {
-    let cluster = TestCluster::start();
-    let endpoints = ["e1", "e2"].map(|id| {
-        let broken = TWO_EVENTS_AND_A_HALF.replace('\n', "\r\n");
-        RawEndpoint::start(&cluster, id, &[RawResponse::closed(UNFRAMED, &broken)])
-    });
-    cluster.wait_until_ready();
-    let got = cluster.ask(&CallerRequest::new("/feed/2f", "s1"));
-    let received = endpoints.iter().flat_map(|endpoint| endpoint.received());
-    let mut resumed_after: Vec<_> = received
-        .map(|head| header(&head, "last-event-id"))
-        .collect();
-    resumed_after.sort();
-    assert_eq!(resumed_after, [None, Some("2".to_owned())]);
-    assert_eq!(got.body, TWO_EVENTS.replace('\n', "\r\n"));
+    let got = ask_resumable(|body| body.replace('\n', "\r\n"));
+    assert_eq!((got.status, got.complete), (200, true));
+    assert_eq!(
+        got.body.replace("\r\n", "\n"),
+        format!("{TWO_EVENTS}{LAST_EVENT}")
+    );
 }
 
 #[test]
--- a/crates/radishpin-gateway/tests/serving/raw_endpoint.rs
+++ b/crates/radishpin-gateway/tests/serving/raw_endpoint.rs
@@ -1,7 +1,6 @@
 //! An endpoint that sends responses byte for byte, for framings that an HTTP library never sends.
 
 use super::cluster::TestCluster;
-use parking_lot::Mutex;
 use serde_json::json;
 use std::{
     io::{Read, Write},
@@ -51,27 +50,27 @@
     }
 }
 
-#[derive(Debug)]
 pub struct RawEndpoint {
     pub address: SocketAddr,
-    received: Mutex<Vec<String>>,
-    responses: Mutex<Vec<RawResponse>>,
+    respond: Box<dyn Fn(&str) -> RawResponse + Send + Sync>,
 }
 
 impl RawEndpoint {
-    /// Starts an endpoint of the service `shop` and lists it; it sends `responses` in order, and
-    /// closes the connections of further requests without a response.
-    pub fn start(cluster: &TestCluster, id: &str, responses: &[RawResponse]) -> Arc<Self> {
+    /// Starts an endpoint of the service `shop` and lists it; `respond` gets the head of a request.
+    pub fn start(
+        cluster: &TestCluster,
+        id: &str,
+        respond: impl Fn(&str) -> RawResponse + Send + Sync + 'static,
+    ) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("can bind to the loopback address");
         let endpoint = Arc::new(Self {
             address: listener.local_addr().expect("listener has an address"),
-            received: Mutex::default(),
-            responses: Mutex::new(responses.to_vec()),
+            respond: Box::new(respond),
         });
         let serving = Arc::clone(&endpoint);
         thread::spawn(move || {
             for stream in listener.incoming() {
-                serving.respond(stream.expect("connection is accepted"));
+                serving.serve(stream.expect("connection is accepted"));
             }
         });
         let entry = json!({
@@ -82,22 +81,12 @@
         endpoint
     }
 
-    /// The heads of the received requests, in order.
-    pub fn received(&self) -> Vec<String> {
-        self.received.lock().clone()
-    }
-
-    fn respond(&self, mut stream: TcpStream) {
+    fn serve(&self, mut stream: TcpStream) {
         let Some(head) = read_request(&mut stream) else {
             return;
         };
         let id = header(&head, "radishpin-attempt-id").unwrap_or_default();
-        self.received.lock().push(head.clone());
-        let mut responses = self.responses.lock();
-        if responses.is_empty() {
-            return;
-        }
-        let response = responses.remove(0);
+        let response = (self.respond)(&head);
         let text = response.text.replace("{id}", &id);
         stream.write_all(text.as_bytes()).expect("response is sent");
         if response.ending == Ending::Reset {
