Take a stream that ends inside an event for broken off, whatever its framing says

Cause: the relay took the end of the body for the end of the stream. An answer may have neither a length nor chunks; then its body ends with its connection, and the client library reports a close in the middle as a regular end. The relay then ended the caller's chunked answer and passed even the incomplete event on. Resumable streams were not resumed for the same reason.

Fix: the content of a stream decides. core's EventScanner finds the ends of events, in LF, CRLF and CR; a body that ends inside an event is broken off in any framing, and so is one without an event where only the end of the connection marks its end. Such a stream is resumed where its route allows it, else the caller's connection is closed without the last chunk. Bodies of another media type are left to their framing. The line stream_ended_early tells why.

What cannot be known from the bytes stays open: a stream without length that is closed between two events.

--- a/crates/radishpin-core/src/request.rs
+++ b/crates/radishpin-core/src/request.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod attempt_ledger;
+mod event_scanner;
 mod keyed_call;
 mod load_limit;
 mod prefix_hints;
@@ -19,6 +20,7 @@
 
 pub use admission::{AdmissionRefusal, admit, estimate_wait, queue_wait, retry_after};
 pub use attempt_ledger::{AttemptAdmission, AttemptLedger, AttemptState, TombstoneOutcome};
+pub use event_scanner::EventScanner;
 pub use keyed_call::{
     Dispatch, Fingerprint, INLINE_ANSWER_BYTES, KeyedCall, KeyedRow, KeyedStep, StoreReply,
     StoredAnswer, after_commit, after_read, after_tombstone, claim_key, finished_row, not_run_row,
--- a/crates/radishpin-gateway/src/request/event_scanner.rs
+++ b/crates/radishpin-core/src/request/event_scanner.rs
@@ -2,7 +2,7 @@
 
 /// Incremental scanner for the blank lines that end events; lines end with LF, CRLF or CR.
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct EventScanner {
+pub struct EventScanner {
     in_line: bool,
     in_event: bool,
     after_carriage_return: bool,
@@ -12,7 +12,7 @@
 impl EventScanner {
     /// Scans the next bytes of the stream; returns how many of them belong to events that are
     /// complete, 0 if no event ends within them.
-    pub(crate) fn scan(&mut self, bytes: &[u8]) -> usize {
+    pub fn scan(&mut self, bytes: &[u8]) -> usize {
         let mut complete_bytes = 0;
         for (index, byte) in bytes.iter().enumerate() {
             self.advance(*byte);
@@ -45,12 +45,12 @@
     }
 
     /// Whether an event has begun and not ended.
-    pub(crate) fn is_inside_event(&self) -> bool {
+    pub fn is_inside_event(&self) -> bool {
         self.in_event
     }
 
     /// Number of events that have ended.
-    pub(crate) fn events(&self) -> u64 {
+    pub fn events(&self) -> u64 {
         self.events
     }
 }
--- a/crates/radishpin-gateway/src/request.rs
+++ b/crates/radishpin-gateway/src/request.rs
@@ -3,7 +3,6 @@
 mod assignment;
 mod attempt;
 mod call;
-mod event_scanner;
 mod events;
 mod forward;
 mod response;
--- a/crates/radishpin-gateway/src/request/events.rs
+++ b/crates/radishpin-gateway/src/request/events.rs
@@ -1,31 +1,93 @@
-//! Splits a stream of server-sent events at the ends of events.
+//! Content of a streaming response: which bytes may be relayed, and whether an end is complete.
 
+use super::response::BodyFraming;
 use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, header};
+use radishpin_core::request::EventScanner;
 
-/// Blank line that ends an event.
-const EVENT_END: &[u8] = b"\n\n";
+const EVENT_STREAM: &str = "text/event-stream";
 const ID_FIELD: &[u8] = b"id:";
 
+/// Content of a streaming response.
+#[derive(Debug)]
+pub(crate) enum StreamContent {
+    /// Events that another endpoint may continue; only complete ones are relayed.
+    ResumableEvents(EventBuffer),
+    /// Events that are relayed as their bytes arrive.
+    Events(EventScanner),
+    /// A body of another media type, of which only the framing marks the end.
+    Opaque,
+}
+
+impl StreamContent {
+    /// Determines the content from the headers of a response; one without a media type on a
+    /// streaming route holds events.
+    pub(crate) fn of(headers: &HeaderMap, resumable: bool) -> Self {
+        let media_type = headers
+            .get(header::CONTENT_TYPE)
+            .and_then(|value| value.to_str().ok())
+            .and_then(|text| text.split(';').next());
+        match media_type {
+            Some(name) if !name.trim().eq_ignore_ascii_case(EVENT_STREAM) => Self::Opaque,
+            _ if resumable => Self::ResumableEvents(EventBuffer::default()),
+            _ => Self::Events(EventScanner::default()),
+        }
+    }
+
+    /// Takes the next bytes and returns those that may be relayed now; empty if there are none.
+    pub(crate) fn push(&mut self, chunk: Bytes) -> Bytes {
+        match self {
+            Self::ResumableEvents(buffer) => buffer.push(&chunk),
+            Self::Events(scanner) => {
+                scanner.scan(&chunk);
+                chunk
+            }
+            Self::Opaque => chunk,
+        }
+    }
+
+    /// Whether the content is complete if its body, framed like this, ends now. A connection that
+    /// closes marks no end by itself: only the events before it tell a complete stream.
+    pub(crate) fn is_complete(&self, framing: BodyFraming) -> bool {
+        let Some(scanner) = self.scanner() else {
+            return true;
+        };
+        let has_end = framing != BodyFraming::UntilClose || scanner.events() > 0;
+        has_end && !scanner.is_inside_event()
+    }
+
+    /// State of the events; `None` if the content is none.
+    pub(crate) fn scanner(&self) -> Option<EventScanner> {
+        match self {
+            Self::ResumableEvents(buffer) => Some(buffer.scanner),
+            Self::Events(scanner) => Some(*scanner),
+            Self::Opaque => None,
+        }
+    }
+}
+
 /// Buffers an incomplete event until its end arrives, and keeps the id of the last complete one.
 #[derive(Debug, Default)]
 pub(crate) struct EventBuffer {
     pending: BytesMut,
+    scanner: EventScanner,
     last_id: Option<String>,
 }
 
 impl EventBuffer {
     /// Appends a chunk and returns the events that are complete now; empty if there are none.
-    pub(crate) fn push(&mut self, chunk: &[u8]) -> Bytes {
+    fn push(&mut self, chunk: &[u8]) -> Bytes {
+        let pending_bytes = self.pending.len();
         self.pending.extend_from_slice(chunk);
-        let end = self
-            .pending
-            .windows(EVENT_END.len())
-            .rposition(|window| window == EVENT_END);
-        let Some(end) = end else {
+        let complete_bytes = self.scanner.scan(chunk);
+        if complete_bytes == 0 {
             return Bytes::new();
-        };
-        let complete = self.pending.split_to(end + EVENT_END.len()).freeze();
-        let mut lines = complete.split(|byte| *byte == b'\n').rev();
+        }
+        let complete = self
+            .pending
+            .split_to(pending_bytes + complete_bytes)
+            .freeze();
+        let mut lines = complete.split(|byte| matches!(byte, b'\n' | b'\r')).rev();
         let id = lines.find_map(|line| line.strip_prefix(ID_FIELD));
         if let Some(id) = id.and_then(|id| std::str::from_utf8(id).ok()) {
             self.last_id = Some(id.trim().to_owned());
@@ -38,13 +100,10 @@
         self.last_id.as_deref()
     }
 
-    /// Discards an incomplete event, which the endpoint that resumes the stream sends again.
-    pub(crate) fn drop_partial(&mut self) {
+    /// Prepares for the response of the endpoint that resumes the stream: discards an incomplete
+    /// event, which that endpoint sends again.
+    pub(crate) fn start_resumed(&mut self) {
         self.pending.clear();
-    }
-
-    /// Takes the bytes after the last complete event, once the stream has ended.
-    pub(crate) fn take_rest(&mut self) -> Bytes {
-        self.pending.split().freeze()
+        self.scanner = EventScanner::default();
     }
 }
--- a/crates/radishpin-gateway/src/request/stream.rs
+++ b/crates/radishpin-gateway/src/request/stream.rs
@@ -2,8 +2,7 @@
 
 use super::{
     attempt::{AttemptResult, OpenStream},
-    event_scanner::EventScanner,
-    events::EventBuffer,
+    events::StreamContent,
     forward::{Forward, ForwardOutcome},
     response::{BodyFraming, ResponseBody, ResponseError, remove_connection_headers},
 };
@@ -21,9 +20,7 @@
 struct StreamRelay {
     forward: Forward,
     open: Option<OpenStream>,
-    /// Splits a resumable stream into events; `None` if no other endpoint may resume the stream.
-    events: Option<EventBuffer>,
-    scanner: EventScanner,
+    content: StreamContent,
     timing: StreamTiming,
     ended: bool,
 }
@@ -54,9 +51,8 @@
     let resumable = forward.call.route.semantics == RequestSemantics::ResumableStream;
     let relay = StreamRelay {
         forward,
+        content: StreamContent::of(&open.head.headers, resumable),
         open: Some(open),
-        events: resumable.then(EventBuffer::default),
-        scanner: EventScanner::default(),
         timing: StreamTiming::default(),
         ended: false,
     };
@@ -73,7 +69,10 @@
         while !self.ended {
             let part = match self.receive().await {
                 Ok(Some(part)) => part,
-                Ok(None) => return self.end(),
+                Ok(None) => {
+                    self.end();
+                    return None;
+                }
                 Err(ResponseError::TimedOut) => return Some(Err(self.abort("out_of_time"))),
                 Err(ResponseError::Truncated) => {
                     if self.resume().await {
@@ -82,19 +81,16 @@
                     return Some(Err(self.abort("endpoint_broke_off")));
                 }
             };
-            let complete = match &mut self.events {
-                Some(events) => events.push(&part),
-                None => part,
-            };
-            if !complete.is_empty() {
+            let relayed = self.content.push(part);
+            if !relayed.is_empty() {
                 self.timing.record(self.forward.gateway.clock.now());
-                return Some(Ok(complete));
+                return Some(Ok(relayed));
             }
         }
         None
     }
 
-    /// Reads the next chunk from the endpoint; `None` at the end of the stream.
+    /// Reads the next chunk from the endpoint; `None` at the end of a complete stream.
     async fn receive(&mut self) -> Result<Option<Bytes>, ResponseError> {
         let now = self.forward.gateway.clock.now();
         let remaining = self.forward.call.remaining(now);
@@ -104,11 +100,10 @@
         loop {
             match timeout(remaining, open.body.frame()).await {
                 None => return Err(ResponseError::TimedOut),
-                Some(None) => return Ok(None),
+                Some(None) => return self.check_end(),
                 Some(Some(Err(_))) => return Err(ResponseError::Truncated),
                 Some(Some(Ok(frame))) => {
                     if let Ok(data) = frame.into_data() {
-                        self.scanner.scan(&data);
                         return Ok(Some(data));
                     }
                 }
@@ -116,7 +111,34 @@
         }
     }
 
-    fn end(&mut self) -> Option<Result<Bytes, ResponseError>> {
+    /// Accepts a regular end of the body only if the content is complete.
+    fn check_end(&self) -> Result<Option<Bytes>, ResponseError> {
+        let framing = self.framing();
+        if self.content.is_complete(framing) {
+            return Ok(None);
+        }
+        let scanner = self.content.scanner().unwrap_or_default();
+        log::info!(
+            event = "stream_ended_early", request = self.forward.call.id, endpoint = self.endpoint(),
+            framing = framing.name(), events = scanner.events(), inside_event = scanner.is_inside_event();
+            "the endpoint's response ended before its stream did"
+        );
+        Err(ResponseError::Truncated)
+    }
+
+    fn framing(&self) -> BodyFraming {
+        self.open.as_ref().map_or(BodyFraming::UntilClose, |open| {
+            BodyFraming::of(&open.head.headers)
+        })
+    }
+
+    fn endpoint(&self) -> &str {
+        self.open
+            .as_ref()
+            .map_or("-", |open| &open.assignment.endpoint)
+    }
+
+    fn end(&mut self) {
         self.ended = true;
         self.log_timing();
         if let Some(open) = self.open.take() {
@@ -132,8 +154,6 @@
             assignment.end(served);
         }
         self.forward.finish("answered", StatusCode::OK, "stream");
-        let rest = self.events.as_mut().map(EventBuffer::take_rest);
-        rest.filter(|rest| !rest.is_empty()).map(Ok)
     }
 
     fn log_timing(&self) {
@@ -143,11 +163,11 @@
             .first_at
             .unwrap_or_default()
             .saturating_sub(received_at);
-        let Some(open) = &self.open else { return };
+        let scanner = self.content.scanner().unwrap_or_default();
         log::info!(
-            event = "stream_passed", request = self.forward.call.id, endpoint = open.assignment.endpoint,
-            framing = BodyFraming::of(&open.head.headers).name(), events = self.scanner.events(),
-            inside_event = self.scanner.is_inside_event(), first_event_ms = first.as_millis() as u64,
+            event = "stream_passed", request = self.forward.call.id, endpoint = self.endpoint(),
+            framing = self.framing().name(), events = scanner.events(),
+            inside_event = scanner.is_inside_event(), first_event_ms = first.as_millis() as u64,
             longest_gap_ms = self.timing.longest_gap.as_millis() as u64;
             "stream relayed to its end"
         );
@@ -170,10 +190,10 @@
     /// endpoint accepted that.
     async fn resume(&mut self) -> bool {
         self.end_assignment();
-        let Some(events) = &mut self.events else {
+        let StreamContent::ResumableEvents(events) = &mut self.content else {
             return false;
         };
-        events.drop_partial();
+        events.start_resumed();
         let last_id = events.last_id().map(str::to_owned);
         if !self.forward.may_resume(self.timing.last_at) {
             return false;
--- a/src/command/explain/timeline.rs
+++ b/src/command/explain/timeline.rs
@@ -126,6 +126,13 @@
             f("took_ms"),
         ),
         "stream_resumes" => format!("the stream broke off; goes on after event {}", f("after")),
+        "stream_ended_early" => format!(
+            "the answer of {} ended before its stream did: {} events, framing {}, inside an event: {}",
+            f("endpoint"),
+            f("events"),
+            f("framing"),
+            f("inside_event")
+        ),
         "stream_passed" => format!(
             "stream passed on whole: first event after {} ms, longest gap {} ms",
             f("first_event_ms"),
