Reset the connection of an HTTP/1.0 caller whose response broke off

Callers would see: a response without length to HTTP/1.0 ends with its connection, and a stream that broke off ended it regularly, so it looked whole.

Cause: the server closed the connection in the same way after a whole body and after a failed one. With chunks the missing last chunk tells them apart, with the end of the connection nothing does.

Evidence: a_broken_stream_does_not_look_complete_to_an_http_1_0_caller failed before and passes now; a whole stream still looks whole.

Fix: from the first request in HTTP/1.0 on, closing resets the connection, also if the process is killed; it ends regularly only if no response broke off.

--- a/crates/radishpin-gateway/src/connection.rs
+++ b/crates/radishpin-gateway/src/connection.rs
@@ -3,6 +3,7 @@
 mod client;
 mod link;
 mod pool;
+mod reset;
 mod server;
 
 pub(crate) use client::{Connection, ExchangeError, get, keep_alive, post};
--- a/crates/radishpin-gateway/src/connection/client.rs
+++ b/crates/radishpin-gateway/src/connection/client.rs
@@ -1,5 +1,6 @@
 //! HTTP client connections, to endpoints, sidecars and the store.
 
+use super::reset::reset_on_close;
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, header};
 use http_body_util::{BodyExt, Full, Limited};
@@ -10,7 +11,6 @@
 use quick_error::quick_error;
 use radishpin_protocol::prelude::*;
 use radishpin_runtime::{Runtime, timeout};
-use rustix::net::sockopt::set_socket_linger;
 use smol::{Task, net::TcpStream};
 use smol_hyper::rt::FuturesIo;
 use std::{io, net::SocketAddr};
@@ -68,6 +68,8 @@
             .unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
             .map_err(ExchangeError::Connect)?;
         stream.set_nodelay(true).map_err(ExchangeError::Connect)?;
+        // The server must discard what it has not read of a request that was given up, or it could
+        // still run it.
         reset_on_close(&stream).map_err(ExchangeError::Connect)?;
         let (sender, connection) = http1::Builder::new()
             .handshake(FuturesIo::new(stream))
@@ -112,13 +114,6 @@
     }
 }
 
-/// Makes closing the socket reset the connection, so that the server discards what it has not read.
-/// Otherwise it could still run a request that was given up.
-fn reset_on_close(stream: &TcpStream) -> io::Result<()> {
-    set_socket_linger(stream, Some(Duration::ZERO))?;
-    Ok(())
-}
-
 /// Returns how long a connection can stay idle after a response with these headers; `None` if the
 /// server closes it.
 pub(crate) fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
--- a/crates/radishpin-gateway/src/connection/server.rs
+++ b/crates/radishpin-gateway/src/connection/server.rs
@@ -1,8 +1,9 @@
 //! HTTP listeners and the connections that they accept.
 
+use super::reset::{close_regularly, reset_on_close};
 use crate::process::{GatewayError, Shutdown};
 use futures_lite::future;
-use http::{Request, Response};
+use http::{Request, Response, Version};
 use hyper::{
     body::{Body, Incoming},
     server::conn::http1,
@@ -12,7 +13,17 @@
 use radishpin_runtime::Runtime;
 use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
-use std::{convert::Infallible, error::Error, net::SocketAddr, pin::pin, sync::Arc};
+use std::{
+    convert::Infallible,
+    error::Error,
+    io,
+    net::SocketAddr,
+    pin::pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
 
 /// Pause after a connection could not be accepted, as file descriptors may have run out.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
@@ -106,7 +117,14 @@
         log::debug!(event = "caller_lost", cause:% = cause; "cannot set up a connection");
         return;
     }
-    let service = service_fn(move |request| {
+    let socket = stream.clone();
+    let resets = AtomicBool::new(false);
+    let service = service_fn(|request: Request<Incoming>| {
+        // A response to HTTP/1.0 may end with its connection, which must then end regularly only
+        // after the whole response, even if this process is killed.
+        if request.version() < Version::HTTP_11 && !resets.swap(true, Ordering::Relaxed) {
+            log_failure(reset_on_close(&socket));
+        }
         let response = handler(request);
         async move { Ok::<_, Infallible>(response.await) }
     });
@@ -134,7 +152,17 @@
             connection.await
         }
     };
+    let response_broke_off = result.as_ref().is_err_and(hyper::Error::is_user);
+    if resets.load(Ordering::Relaxed) && !response_broke_off {
+        log_failure(close_regularly(&socket));
+    }
     if let Err(cause) = result {
         log::debug!(event = "caller_lost", cause:% = cause; "connection failed");
     }
 }
+
+fn log_failure(result: io::Result<()>) {
+    if let Err(cause) = result {
+        log::warn!(event = "socket_option_failed", cause:% = cause; "cannot change how a connection closes");
+    }
+}
--- a/crates/radishpin-gateway/tests/serving/framing.rs
+++ b/crates/radishpin-gateway/tests/serving/framing.rs
@@ -120,3 +120,15 @@
     let got = cluster.ask(&ask);
     assert_eq!((got.status, got.complete), (200, false));
 }
+
+#[test]
+fn a_whole_stream_looks_complete_to_an_http_1_0_caller() {
+    let cluster = TestCluster::start();
+    let (_engine, _sidecar) = cluster.start_engine("i1", &["m0"]);
+    cluster.wait_until_ready();
+    let ask = CallerRequest::new("/dictation/2f", "s1")
+        .model("m0")
+        .http_1_0();
+    let got = cluster.ask(&ask);
+    assert_eq!((got.status, got.complete), (200, true));
+}
