Test that a node passes an answer on whole that is no event stream

Found by looking for the cause of the broken-off streams elsewhere: a node that gets another body than an event stream for a request with stream passes its first chunk on and ends the answer there, framed as complete. The engine stand-in gets a fault for it, unstreamed_answers.

--- a/crates/radishpin-local/tests/cluster/streams.rs
+++ b/crates/radishpin-local/tests/cluster/streams.rs
@@ -1,6 +1,7 @@
 //! Streams: whole, in order, each token once, also when what carries them breaks.
 
 use crate::support::{Caller, eventually, loaded_at, with_cluster};
+use http_types::Method;
 use radishpin_local::LocalCluster;
 use radishpin_standin::RunEnd;
 
@@ -94,3 +95,24 @@
         eventually("cancelled at the engine", cancelled).await;
     });
 }
+
+#[test]
+fn a_long_answer_to_a_stream_that_is_no_event_stream_arrives_whole() {
+    with_cluster(|cluster| async move {
+        undisturbed(&cluster).await;
+        for agent in cluster.agents.values() {
+            if let Some(engine) = &agent.engine {
+                engine.change_faults(|faults| faults.unstreamed_answers = 1);
+            }
+        }
+        let body = serde_json::json!({
+            "model": "repair-notes", "prompt": "long", "max_tokens": 4, "stream": true,
+        });
+        let got = Caller::of(&cluster, 0)
+            .call(Method::Post, "/v1/completions", &[], &body.to_string())
+            .await;
+        assert_eq!(got.status, 200);
+        let answer = serde_json::from_str::<serde_json::Value>(&got.body);
+        assert!(answer.is_ok(), "{} bytes came", got.body.len());
+    });
+}
--- a/crates/radishpin-standin/src/engine/faults.rs
+++ b/crates/radishpin-standin/src/engine/faults.rs
@@ -18,6 +18,8 @@
     pub break_replies: u32,
     /// Calls to come that are answered with another request's id and text.
     pub cross_answers: u32,
+    /// Streams to come that are answered as a whole, in a long body that is no event stream.
+    pub unstreamed_answers: u32,
     /// Loads to come that fail.
     pub fail_loads: u32,
     /// Orders to come that take effect and then never answer.
--- a/crates/radishpin-standin/src/engine/http.rs
+++ b/crates/radishpin-standin/src/engine/http.rs
@@ -67,7 +67,8 @@
             Ok(call) => call,
             Err(kind) => return reply::engine_error(kind),
         };
-        if asked.stream {
+        let unstreamed = asked.stream && self.takes_unstreamed();
+        if asked.stream && !unstreamed {
             return completion::streamed(shape, call);
         }
         let tokens = match call.run().await {
@@ -75,6 +76,9 @@
             Err(kind) => return reply::engine_error(kind),
         };
         let mut response = completion::whole(shape, &call, &tokens);
+        if unstreamed {
+            completion::lengthen(&mut response).await;
+        }
         match call.fault {
             AnswerFault::Lost => std::future::pending().await,
             AnswerFault::Broken => response.set_body(broken_body(1)),
@@ -83,6 +87,11 @@
         response
     }
 
+    fn takes_unstreamed(&self) -> bool {
+        let faults = &self.engine.shared.faults;
+        faults.take(|faults| &mut faults.unstreamed_answers)
+    }
+
     /// Carries an order out to its end, also when the peer hangs up.
     async fn order(&self, kind: OrderKind, body: &[u8]) -> Response {
         let Ok(order) = serde_json::from_slice::<Order>(body) else {
--- a/crates/radishpin-standin/src/engine/http/completion.rs
+++ b/crates/radishpin-standin/src/engine/http/completion.rs
@@ -11,6 +11,9 @@
 /// Priority of a request without the header.
 const DEFAULT_PRIORITY: u32 = 5;
 
+/// White space before an answer that is to come in several reads.
+const PADDING_BYTES: usize = 256 * 1024;
+
 /// Which of the two usual forms an answer has.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Shape {
@@ -68,6 +71,17 @@
     response
 }
 
+/// Pads an answer with white space, so that it comes in several reads.
+pub(super) async fn lengthen(response: &mut Response) {
+    let content_type = response.header("content-type").cloned();
+    let body = response.take_body().into_string().await;
+    let padding = " ".repeat(PADDING_BYTES);
+    response.set_body(padding + &body.unwrap_or_default());
+    if let Some(content_type) = content_type {
+        response.insert_header("content-type", &content_type);
+    }
+}
+
 /// An answer as server-sent events.
 pub(super) fn streamed(shape: Shape, call: Call) -> Response {
     let mut response = Response::new(StatusCode::Ok);
