Pass the whole body of an answer on that is no event stream

Callers of a node that asked for a stream and whose endpoint answered with another body got its first chunk, framed as complete.

Cause: the response was built from the first chunk alone; the rest of the attempt was dropped, and the end of that chunk became the end of the answer.

Fix: such an answer takes the path of answers that are not streams, which passes the rest through and breaks the framing where the rest breaks off. The endpoint's media type is kept there too.

--- a/crates/radishpin-server/src/node/request/answer.rs
+++ b/crates/radishpin-server/src/node/request/answer.rs
@@ -126,12 +126,7 @@
     fn into_response(self, call: &Call) -> Response {
         let mut response = response_head(&self.head, call);
         let Some(attempt) = self.rest else {
-            // Setting a body overwrites the endpoint's content type, so that is restored.
-            let content_type = response.header("content-type").cloned();
-            response.set_body(self.body);
-            if let Some(content_type) = content_type {
-                response.insert_header("content-type", &content_type);
-            }
+            set_body(&mut response, Body::from(self.body));
             return response;
         };
         let buffered = stream::once(Ok(self.body));
@@ -147,11 +142,20 @@
             }
         });
         let reader = ChunkReader::new(stream::StreamExt::chain(buffered, rest));
-        response.set_body(Body::from_reader(reader, None));
+        set_body(&mut response, Body::from_reader(reader, None));
         response
     }
 }
 
+/// Sets the body and restores the endpoint's content type, which that overwrites.
+fn set_body(response: &mut Response, body: Body) {
+    let content_type = response.header("content-type").cloned();
+    response.set_body(body);
+    if let Some(content_type) = content_type {
+        response.insert_header("content-type", &content_type);
+    }
+}
+
 fn response_head(head: &Head, call: &Call) -> Response {
     let status = u16::try_from(head.status)
         .ok()
@@ -166,28 +170,20 @@
     response
 }
 
-/// Builds the response to a completion request with `stream`. Of a response that is not an
-/// event stream, such as the endpoint's own error for an invalid field, the head and the first
-/// chunk of the body are forwarded.
+/// Builds the response to a completion request with `stream`. A response that is not an event
+/// stream, such as the endpoint's own error for an invalid field, is forwarded as it is.
 fn event_response(state: RequestState, started: StartedAnswer) -> Response {
     let mut response = response_head(&started.head, &state.call);
-    let is_stream = response
-        .content_type()
-        .is_some_and(|m| m.essence() == "text/event-stream");
-    let content_type = response.header("content-type").cloned();
-    let reader = if is_stream {
-        let relay = EventRelay::new(state, started);
-        ChunkReader::new(stream::unfold(relay, |mut relay| async {
-            let event = relay.next_sse_event().await?;
-            Some((Ok(event), relay))
-        }))
-    } else {
-        ChunkReader::new(stream::once(Ok(started.first_chunk.unwrap_or_default())))
-    };
-    response.set_body(Body::from_reader(reader, None));
-    if let Some(content_type) = content_type {
-        response.insert_header("content-type", &content_type);
+    let content_type = response.content_type();
+    if content_type.is_none_or(|mime| mime.essence() != "text/event-stream") {
+        return Answer::from(started).into_response(&state.call);
     }
+    let relay = EventRelay::new(state, started);
+    let reader = ChunkReader::new(stream::unfold(relay, |mut relay| async {
+        let event = relay.next_sse_event().await?;
+        Some((Ok(event), relay))
+    }));
+    set_body(&mut response, Body::from_reader(reader, None));
     response
 }
 
