Log the software version of endpoints and which stream a request takes up

The lines of the streams that went on at another version tell neither the version of an endpoint nor that a request takes a stream up, so a gateway that ignores versions and one that believes a wrong version look alike. The adapter now decodes an endpoint's software version, and request_sent has software_version and resumes. The version is not known where the sidecar reports a later start of the engine than the list does. No decision changes.

--- a/crates/radishpin-core/src/process/endpoint_list.rs
+++ b/crates/radishpin-core/src/process/endpoint_list.rs
@@ -35,6 +35,8 @@
     pub slots: u32,
     /// Whether it accepts new requests.
     pub phase: EndpointPhase,
+    /// Version of its software; endpoints of several versions may serve side by side.
+    pub software_version: Option<SoftwareVersion>,
     /// Unix time of its start in milliseconds; 0 if unknown.
     pub started_unix_ms: UnixMs,
     /// Models that were loaded when it last wrote its entry.
--- a/crates/radishpin-core/src/process/fleet/endpoint.rs
+++ b/crates/radishpin-core/src/process/fleet/endpoint.rs
@@ -143,13 +143,14 @@
         self.in_use_change = 0;
     }
 
-    /// Load and status version of the endpoint, for the logs.
+    /// State of the endpoint, for the logs.
     pub(super) fn snapshot(&self, now: Duration) -> EndpointSnapshot {
         let status = self.status.as_ref();
         EndpointSnapshot {
             load: self.load(),
             status_version: status.map_or(0, |status| status.version),
             status_age: status.map_or(Duration::ZERO, |_| now.saturating_sub(self.status_at)),
+            software_version: self.software_version().cloned(),
         }
     }
 
@@ -304,6 +305,20 @@
         }
     }
 
+    /// Version of its software; `None` if it is not listed, or if the sidecar reports a later start
+    /// than the listed one, with which the version may have changed.
+    pub(super) fn software_version(&self) -> Option<&SoftwareVersion> {
+        let listed_start = self.entry.started_unix_ms;
+        let restarted = self
+            .status
+            .as_ref()
+            .is_some_and(|status| status.engine_started_unix_ms > listed_start);
+        self.entry
+            .software_version
+            .as_ref()
+            .filter(|_| !restarted && !self.replaced)
+    }
+
     /// Whether the sidecar's status was made since the engine's last listed start.
     fn status_is_current(&self) -> bool {
         self.status
--- a/crates/radishpin-core/src/process/fleet/pick.rs
+++ b/crates/radishpin-core/src/process/fleet/pick.rs
@@ -81,8 +81,8 @@
     Refuse(Refusal),
 }
 
-/// Load and status version of an endpoint when a request was sent to it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// State of an endpoint when a request was sent to it.
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EndpointSnapshot {
     /// Estimated number of requests that the endpoint runs or queues.
     pub load: u32,
@@ -90,6 +90,8 @@
     pub status_version: u64,
     /// Age of that status; zero if there is none.
     pub status_age: Duration,
+    /// Version of its software; `None` if it is not known for the endpoint's last start.
+    pub software_version: Option<SoftwareVersion>,
 }
 
 /// A wait for a load.
--- a/crates/radishpin-core/tests/endpoint_list.rs
+++ b/crates/radishpin-core/tests/endpoint_list.rs
@@ -19,6 +19,7 @@
         zone: "north".into(),
         slots: 8,
         phase,
+        software_version: None,
         started_unix_ms,
         models: BTreeMap::new(),
     }
--- a/crates/radishpin-core/tests/fleet.rs
+++ b/crates/radishpin-core/tests/fleet.rs
@@ -72,6 +72,7 @@
             zone: zone.into(),
             slots,
             phase: EndpointPhase::Ready,
+            software_version: Some("v1".into()),
             started_unix_ms: 100,
             models: BTreeMap::new(),
         };
--- a/crates/radishpin-gateway/src/request/call.rs
+++ b/crates/radishpin-gateway/src/request/call.rs
@@ -29,6 +29,8 @@
     /// Whether the service runs models.
     pub(crate) is_engine: bool,
     pub(crate) target: Option<(ModelId, Option<AdapterId>)>,
+    /// The caller's attempt that brought the first event of the stream which this one takes up.
+    pub(crate) resumes: Option<RequestId>,
     /// Tokens of the prompt; 0 if the caller did not send the number.
     pub(crate) prompt_tokens: u32,
     /// Version of the configuration that the request was routed by.
@@ -87,6 +89,7 @@
             target: header_text(&parts.headers, wire::MODEL)
                 .filter(|_| is_engine)
                 .map(wire::parse_model),
+            resumes: header_text(&parts.headers, wire::RESUMES).map(str::to_owned),
             prompt_tokens: header_text(&parts.headers, wire::TOKEN_COUNTS)
                 .and_then(wire::parse_prompt_size)
                 .map_or(0, |size| size.prompt_tokens),
--- a/crates/radishpin-protocol/src/id.rs
+++ b/crates/radishpin-protocol/src/id.rs
@@ -10,6 +10,8 @@
 pub type ProfileId = String;
 /// Name of an endpoint; endpoints that run models are also called runners.
 pub type EndpointId = String;
+/// Version of the software that an endpoint runs, not of the weights that it serves.
+pub type SoftwareVersion = String;
 /// Name of a host.
 pub type HostId = String;
 /// Name of an availability zone.
--- a/crates/radishpin-protocol/src/prelude.rs
+++ b/crates/radishpin-protocol/src/prelude.rs
@@ -3,7 +3,7 @@
 pub use crate::{
     AdapterId, AgentView, AttemptId, AttemptNumber, AvailabilityZone, ClusterView, EndpointId,
     HostId, Incarnation, ModelId, NodeId, Profile, ProfileId, Ran, RequestId, ResultCode,
-    ServiceId, SizeMb, Version,
+    ServiceId, SizeMb, SoftwareVersion, Version,
 };
 pub use std::{
     collections::{BTreeMap, BTreeSet},
--- a/src/command/explain/timeline.rs
+++ b/src/command/explain/timeline.rs
@@ -87,12 +87,22 @@
     nearby.iter().filter(is_related).collect()
 }
 
+/// The endpoint's software version and the attempt that a resumed stream began as, where the line
+/// tells them.
+fn software_and_origin(line: &LogLine) -> String {
+    let known = |key: &str| line.field(key).filter(|value| *value != "-");
+    let software = known("software_version").map(|version| format!(" of version {version}"));
+    let origin = known("resumes").map(|attempt| format!(", to go on with the stream of {attempt}"));
+    software.unwrap_or_default() + &origin.unwrap_or_default()
+}
+
 fn describe(line: &LogLine) -> String {
     let f = |key: &str| line.field_or_dash(key);
     match line.event() {
         "request_sent" => format!(
-            "sent to {} (load {} by status {} of {} ms ago, configuration {}; waited {} ms, {} ms left, {} endpoints tried before)",
+            "sent to {}{} (load {} by status {} of {} ms ago, configuration {}; waited {} ms, {} ms left, {} endpoints tried before)",
             f("endpoint"),
+            software_and_origin(line),
             f("load"),
             f("status"),
             f("status_age_ms"),
