Test that streams go on only at the software version that began them

The test that a stream of unknown origin goes on while a single version serves passes before and has to after.

Test engines have a software version, and a test cluster may start a second gateway.

--- a/crates/radishpin-gateway/tests/serving/cluster.rs
+++ b/crates/radishpin-gateway/tests/serving/cluster.rs
@@ -134,6 +134,21 @@
     Settings::decode(settings.to_string().as_bytes()).expect("settings are valid")
 }
 
+fn start_gateway(
+    runtime: &Runtime,
+    host: &str,
+    store: SocketAddr,
+    internal_port: u16,
+) -> GatewayProcess {
+    let role = json!({
+        "node_name": host,
+        "listen_addresses": {"front": "127.0.0.1:0", "ready": "127.0.0.1:0"},
+    });
+    let settings = settings(role, store, internal_port);
+    let gateway = smol::block_on(GatewayProcess::start(runtime.clone(), settings, 0));
+    gateway.expect("gateway starts")
+}
+
 impl TestCluster {
     /// Starts a cluster with a configuration and without endpoints.
     pub fn start() -> Self {
@@ -153,19 +168,27 @@
             .local_addr()
             .expect("listener has an address")
             .port();
-        let role = json!({"listen_addresses": {"front": "127.0.0.1:0", "ready": "127.0.0.1:0"}});
-        let settings = settings(role, store_address, internal_port);
-        let gateway = smol::block_on(GatewayProcess::start(gateway_runtime.clone(), settings, 0));
+        let gateway = start_gateway(&gateway_runtime, "host-1", store_address, internal_port);
         Self {
             runtime,
             store,
-            gateway: gateway.expect("gateway starts"),
+            gateway,
             store_address,
             internal_port,
             gateway_runtime,
         }
     }
 
+    /// Starts another gateway, which serves beside the first one.
+    pub fn start_other_gateway(&self) -> GatewayProcess {
+        start_gateway(
+            &self.gateway_runtime,
+            "host-2",
+            self.store_address,
+            self.internal_port,
+        )
+    }
+
     /// Starts an endpoint of the service `shop`, which has no model engine, and lists it in the store.
     pub fn start_plain_endpoint(&self, id: &str) -> Arc<Endpoint> {
         let endpoint = Endpoint::start(&self.runtime, id, "127.0.0.1", &[]);
@@ -182,6 +205,19 @@
         (endpoint, sidecar)
     }
 
+    /// Starts an engine with its sidecar whose software has the given version.
+    pub fn start_engine_of_version(
+        &self,
+        id: &str,
+        models: &[&str],
+        version: &str,
+    ) -> (Arc<Endpoint>, SidecarProcess) {
+        let (endpoint, sidecar) = self.start_engine(id, models);
+        endpoint.set_software_version(version);
+        self.list_endpoint(&endpoint, "drafts", "ready");
+        (endpoint, sidecar)
+    }
+
     pub fn start_sidecar(&self, endpoint: &Endpoint) -> SidecarProcess {
         let ip: IpAddr = endpoint.address.ip();
         let role = json!({
@@ -227,6 +263,11 @@
         })
     }
 
+    /// Sends a request to a gateway other than the cluster's first one.
+    pub fn ask_at(&self, gateway: &GatewayProcess, request: &CallerRequest) -> CallerResponse {
+        smol::block_on(send_request(gateway.caller_address(), request))
+    }
+
     pub fn ask(&self, request: &CallerRequest) -> CallerResponse {
         smol::block_on(send_request(self.gateway.caller_address(), request))
     }
--- a/crates/radishpin-gateway/tests/serving/endpoint.rs
+++ b/crates/radishpin-gateway/tests/serving/endpoint.rs
@@ -60,6 +60,7 @@
     orders: Vec<String>,
     ignored_orders: u32,
     started_unix_ms: u64,
+    software_version: String,
     /// Current id; differs from [`Endpoint::id`] after a restart under another id.
     id: String,
 }
@@ -83,6 +84,7 @@
                 .map(|model| ((*model).to_owned(), BTreeSet::new()))
                 .collect(),
             started_unix_ms: 1_000,
+            software_version: "v1".to_owned(),
             id: id.to_owned(),
             ..State::default()
         };
@@ -144,18 +146,36 @@
         state.started_unix_ms += 5_000;
     }
 
+    /// Restarts under the same id with these models loaded.
+    pub fn restart_with(&self, models: &[&str]) {
+        self.restart();
+        let models = models
+            .iter()
+            .map(|model| ((*model).to_owned(), BTreeSet::new()));
+        self.state.lock().models = models.collect();
+    }
+
     /// Restarts under another id.
     pub fn restart_as(&self, id: &str) {
         self.restart();
         self.state.lock().id = id.to_owned();
     }
 
+    /// Changes the software version that its next entry has.
+    pub fn set_software_version(&self, version: &str) {
+        self.state.lock().software_version = version.to_owned();
+    }
+
+    pub fn software_version(&self) -> String {
+        self.state.lock().software_version.clone()
+    }
+
     /// The endpoint's entry in the list of endpoints.
     pub fn entry(&self, service: &str, phase: &str) -> Value {
         let state = self.state.lock();
         json!({
             "service": service, "address": self.address.to_string(), "zone": "north",
-            "version": "v1", "slots": 8, "state": phase, "cold_remaining_ms": 0, "sequence": 1,
+            "version": state.software_version, "slots": 8, "state": phase, "cold_remaining_ms": 0, "sequence": 1,
             "born": state.started_unix_ms, "models": model_list(&state.models),
         })
     }
--- a/crates/radishpin-gateway/tests/serving/main.rs
+++ b/crates/radishpin-gateway/tests/serving/main.rs
@@ -10,3 +10,4 @@
 mod requests;
 mod store;
 mod streams;
+mod versions;
