Resume a stream within its answer only at the software version that began it

Cause: the choice of an endpoint did not know versions.

Fix: the first event that a caller gets binds its stream to the version of the endpoint that brought it. From then on only endpoints of that version are chosen, waited for and asked to load; callers that wait for a model count by version. Where no endpoint of the version is listed the request is refused at once (version_gone), and a stream whose version is not known is not resumed. Before the first event any version will do.

--- a/crates/radishpin-core/src/process.rs
+++ b/crates/radishpin-core/src/process.rs
@@ -13,7 +13,7 @@
     EndpointChange, EndpointEntry, EndpointList, EndpointPhase, HeldModel, RECOVERY_GRACE,
 };
 pub use fleet::{
-    EndpointSnapshot, FIRST_TOKEN_LATENCY, Fleet, LinkLoss, Pick, PickQuery, Refusal,
+    EndpointSnapshot, FIRST_TOKEN_LATENCY, Fleet, LinkLoss, LoadTarget, Pick, PickQuery, Refusal,
     RefusalReason, RequestOutcome, Wait,
 };
 pub use lease::{
--- a/crates/radishpin-core/src/process/fleet.rs
+++ b/crates/radishpin-core/src/process/fleet.rs
@@ -30,8 +30,16 @@
     endpoint: EndpointId,
 }
 
-/// A model, or an adapter of it.
-type ModelTarget = (ModelId, Option<AdapterId>);
+/// What callers wait for, and which endpoints may load it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct LoadTarget {
+    /// The model to load, or the base model of the adapter.
+    pub model: ModelId,
+    /// The adapter to load; `None` if only the model is needed.
+    pub adapter: Option<AdapterId>,
+    /// Software version of the endpoints that may serve it; `None` if any may.
+    pub software_version: Option<SoftwareVersion>,
+}
 
 /// The endpoints as one gateway sees them, with its own requests and waiting callers.
 ///
@@ -43,7 +51,7 @@
     availability_zone: AvailabilityZone,
     catalog: Arc<Catalog>,
     endpoints: BTreeMap<EndpointId, Endpoint>,
-    waits: BTreeMap<ModelTarget, WaitEntry>,
+    waits: BTreeMap<LoadTarget, WaitEntry>,
     expected_retries: ExpectedRetries,
     rates: BTreeMap<ModelId, Rate>,
     planned_demands: BTreeMap<EndpointId, Vec<Demand>>,
@@ -156,8 +164,7 @@
     /// Counts a caller that waits for a model or adapter.
     ///
     /// If others already wait for it, the caller joins them at their endpoint.
-    pub fn begin_wait(&mut self, model: &str, adapter: Option<&str>, endpoint: &str) {
-        let target = (model.to_owned(), adapter.map(str::to_owned));
+    pub fn begin_wait(&mut self, target: LoadTarget, endpoint: &str) {
         let entry = self.waits.entry(target).or_insert_with(|| WaitEntry {
             callers: 0,
             endpoint: endpoint.to_owned(),
@@ -166,12 +173,11 @@
     }
 
     /// Removes a caller counted by [`Self::begin_wait`].
-    pub fn end_wait(&mut self, model: &str, adapter: Option<&str>) {
-        let target = (model.to_owned(), adapter.map(str::to_owned));
-        if let Some(entry) = self.waits.get_mut(&target) {
+    pub fn end_wait(&mut self, target: &LoadTarget) {
+        if let Some(entry) = self.waits.get_mut(target) {
             entry.callers -= 1;
             if entry.callers == 0 {
-                self.waits.remove(&target);
+                self.waits.remove(target);
             }
         }
     }
@@ -256,9 +262,9 @@
             .waits
             .iter()
             .filter(|(_, wait)| wait.endpoint == endpoint);
-        let waits = waits.map(|((model, adapter), wait)| Demand {
-            model: model.clone(),
-            adapter: adapter.clone(),
+        let waits = waits.map(|(target, wait)| Demand {
+            model: target.model.clone(),
+            adapter: target.adapter.clone(),
             reason: DemandReason::Waiting,
             waiting: wait.callers,
         });
--- a/crates/radishpin-core/src/process/fleet/endpoint.rs
+++ b/crates/radishpin-core/src/process/fleet/endpoint.rs
@@ -319,6 +319,11 @@
             .filter(|_| !restarted && !self.replaced)
     }
 
+    /// Whether it runs the software version that a request needs; `None` if any will do.
+    pub(super) fn may_serve_version(&self, needed: Option<&str>) -> bool {
+        needed.is_none_or(|needed| self.software_version().is_some_and(|own| own == needed))
+    }
+
     /// Whether the sidecar's status was made since the engine's last listed start.
     fn status_is_current(&self) -> bool {
         self.status
--- a/crates/radishpin-core/src/process/fleet/expected_retries.rs
+++ b/crates/radishpin-core/src/process/fleet/expected_retries.rs
@@ -1,6 +1,6 @@
 //! Callers that were refused with a Retry-After and are expected to retry once a load is done.
 
-use super::ModelTarget;
+use super::LoadTarget;
 use crate::process::{Demand, DemandReason};
 use radishpin_protocol::prelude::*;
 
@@ -18,14 +18,14 @@
 /// Expected retries by model or adapter; they keep a load wanted while no caller waits for it.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ExpectedRetries {
-    by_target: BTreeMap<ModelTarget, ExpectedRetry>,
+    by_target: BTreeMap<LoadTarget, ExpectedRetry>,
 }
 
 impl ExpectedRetries {
     /// Records that a caller should retry after `retry_after`, when `endpoint` has loaded `target`.
     pub(super) fn add(
         &mut self,
-        target: ModelTarget,
+        target: LoadTarget,
         endpoint: &str,
         retry_after: Duration,
         now: Duration,
@@ -46,7 +46,7 @@
     }
 
     /// The endpoint that loads `target` for expected retries; `None` once they have expired.
-    pub(super) fn endpoint(&self, target: &ModelTarget, now: Duration) -> Option<&EndpointId> {
+    pub(super) fn endpoint(&self, target: &LoadTarget, now: Duration) -> Option<&EndpointId> {
         let retry = self.by_target.get(target)?;
         (retry.until > now).then_some(&retry.endpoint)
     }
@@ -57,9 +57,9 @@
             .by_target
             .iter()
             .filter(move |(_, retry)| retry.endpoint == endpoint && retry.until > now);
-        expected.map(|((model, adapter), retry)| Demand {
-            model: model.clone(),
-            adapter: adapter.clone(),
+        expected.map(|(target, retry)| Demand {
+            model: target.model.clone(),
+            adapter: target.adapter.clone(),
             reason: DemandReason::Waiting,
             waiting: retry.callers,
         })
--- a/crates/radishpin-core/src/process/fleet/loader.rs
+++ b/crates/radishpin-core/src/process/fleet/loader.rs
@@ -15,21 +15,29 @@
 /// Time until the platform lists an engine that replaced another one at its address.
 const LISTING_LAG: Duration = Duration::from_millis(800);
 
+/// A model that an endpoint is to load, and which endpoints may.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LoadQuery<'a> {
+    pub(super) service: &'a str,
+    pub(super) model: &'a str,
+    pub(super) spec: &'a ModelSpec,
+    /// Software version of the endpoints that may load it; `None` if any may.
+    pub(super) software_version: Option<&'a str>,
+}
+
 impl Fleet {
     /// The endpoint outside `excluded` that could serve a model soonest, with its estimated time.
     pub(super) fn best_loader(
         &self,
-        service: &str,
-        model: &str,
-        spec: &ModelSpec,
+        query: LoadQuery<'_>,
         excluded: &[EndpointId],
         now: Duration,
     ) -> Option<(EndpointId, Duration)> {
         let candidates = self.endpoints.keys().filter(|id| !excluded.contains(id));
         let estimates = candidates.filter_map(|id| {
-            let estimate = self.load_estimate(id, service, model, spec, now)?;
+            let estimate = self.load_estimate(id, query, now)?;
             let step = estimate.as_millis() / ESTIMATE_STEP_MS;
-            Some((step, rendezvous_hash(model, id), id, estimate))
+            Some((step, rendezvous_hash(query.model, id), id, estimate))
         });
         let (_, _, id, estimate) = estimates.min()?;
         Some((id.clone(), estimate))
@@ -40,15 +48,15 @@
     pub(super) fn load_estimate(
         &self,
         id: &str,
-        service: &str,
-        model: &str,
-        spec: &ModelSpec,
+        query: LoadQuery<'_>,
         now: Duration,
     ) -> Option<Duration> {
+        let LoadQuery { model, spec, .. } = query;
         let endpoint = self.endpoints.get(id)?;
         let can_load = endpoint.accepts_loads()
             && endpoint.accepts_requests(now)
-            && endpoint.entry.service == service;
+            && endpoint.entry.service == query.service
+            && endpoint.may_serve_version(query.software_version);
         if !can_load {
             return None;
         }
--- a/crates/radishpin-core/src/process/fleet/pick.rs
+++ b/crates/radishpin-core/src/process/fleet/pick.rs
@@ -1,6 +1,9 @@
 //! Routes a request: it is sent to an endpoint, waits for a load, or is refused.
 
-use super::{Fleet, WaitEntry, endpoint::Endpoint, rendezvous::rendezvous_hash};
+use super::{
+    Fleet, LoadTarget, WaitEntry, endpoint::Endpoint, loader::LoadQuery,
+    rendezvous::rendezvous_hash,
+};
 use radishpin_protocol::prelude::*;
 use std::net::SocketAddr;
 
@@ -43,6 +46,9 @@
     pub service: &'a str,
     /// Model and adapter that it needs; `None` for a plain service.
     pub target: Option<(&'a str, Option<&'a str>)>,
+    /// Software version of the endpoints that may serve it: a stream goes on only at the version
+    /// that began it. `None` if any may.
+    pub software_version: Option<&'a str>,
     /// Priority; 0 is the most urgent.
     pub priority: u8,
     /// Time until its caller leaves if no part of the answer arrives, or until the gateway refuses
@@ -63,6 +69,18 @@
     pub random: u64,
 }
 
+impl PickQuery<'_> {
+    /// What a caller with this request waits for; `None` for a plain service.
+    pub fn load_target(&self) -> Option<LoadTarget> {
+        let (model, adapter) = self.target?;
+        Some(LoadTarget {
+            model: model.to_owned(),
+            adapter: adapter.map(str::to_owned),
+            software_version: self.software_version.map(str::to_owned),
+        })
+    }
+}
+
 /// Routing decision for a request.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Pick {
@@ -116,6 +134,8 @@
     NoLoader,
     /// The service does not offer the model.
     UnknownModel,
+    /// No endpoint runs the software version that began the stream.
+    VersionGone,
     /// The gateway is stopping and cannot serve it in time.
     Stopping,
 }
@@ -129,6 +149,7 @@
             Self::LoadTooLate => "load_too_late",
             Self::NoLoader => "no_loader",
             Self::UnknownModel => "unknown_model",
+            Self::VersionGone => "version_gone",
             Self::Stopping => "stopping",
         }
     }
@@ -185,6 +206,10 @@
     /// A request that is to be sent is counted at its endpoint and must be ended by
     /// [`Self::end_request`].
     pub fn pick(&mut self, query: &PickQuery<'_>, now: Duration) -> Pick {
+        if !self.lists_version(query) {
+            let reason = RefusalReason::VersionGone;
+            return Pick::Refuse(Refusal::new(reason, ABSENT_RETRY, query.random));
+        }
         let best = self.cheapest_endpoint(query, now);
         let Some((endpoint, cost)) = best else {
             return self.pick_without_endpoint(query, now);
@@ -197,14 +222,24 @@
         if cost.load_share >= load_max {
             return Pick::Refuse(Refusal::new(RefusalReason::Busy, BUSY_RETRY, query.random));
         }
-        if let Some((model, Some(adapter))) = query.target
+        if let Some((model, Some(_))) = query.target
             && !cost.has_adapter
         {
-            return self.pick_adapter(query, model, adapter, endpoint, now);
+            return self.pick_adapter(query, model, endpoint, now);
         }
         self.send(endpoint, query, now)
     }
 
+    /// Whether any endpoint of the service runs the software version that the request needs.
+    fn lists_version(&self, query: &PickQuery<'_>) -> bool {
+        let needed = query.software_version;
+        let mut in_service = self
+            .endpoints
+            .values()
+            .filter(|endpoint| endpoint.entry.service == query.service);
+        needed.is_none() || in_service.any(|endpoint| endpoint.may_serve_version(needed))
+    }
+
     fn send(&mut self, id: EndpointId, query: &PickQuery<'_>, now: Duration) -> Pick {
         let Some(endpoint) = self.endpoints.get_mut(&id) else {
             return Pick::Refuse(Refusal::new(
@@ -231,6 +266,7 @@
         let usable = self.endpoints.iter().filter(|(id, endpoint)| {
             endpoint.entry.service == query.service
                 && endpoint.accepts_requests(now)
+                && endpoint.may_serve_version(query.software_version)
                 && !query.tried.contains(*id)
                 && query.target.is_none_or(|(model, _)| endpoint.serves(model))
         });
@@ -273,18 +309,22 @@
         &mut self,
         query: &PickQuery<'_>,
         model: &str,
-        adapter: &str,
         endpoint: EndpointId,
         now: Duration,
     ) -> Pick {
         let can_load_now = |fleet: &Self, id: &str| {
             let endpoint = fleet.endpoints.get(id);
             endpoint.is_some_and(|e| {
-                e.accepts_loads() && e.serves(model) && e.accepts_requests(now) && !e.is_busy()
+                e.accepts_loads()
+                    && e.serves(model)
+                    && e.accepts_requests(now)
+                    && e.may_serve_version(query.software_version)
+                    && !e.is_busy()
             })
         };
-        let target = (model.to_owned(), Some(adapter.to_owned()));
-        let assigned = self.waits.get(&target).map(|wait| wait.endpoint.clone());
+        let target = query.load_target();
+        let assigned = target.as_ref().and_then(|target| self.waits.get(target));
+        let assigned = assigned.map(|wait| wait.endpoint.clone());
         let endpoint = match assigned {
             Some(assigned) if can_load_now(self, &assigned) => assigned,
             _ => endpoint,
@@ -298,7 +338,9 @@
             let reason = RefusalReason::NoLoader;
             return Pick::Refuse(Refusal::new(reason, ABSENT_RETRY, query.random));
         }
-        self.move_waiters(target, &endpoint);
+        if let Some(target) = &target {
+            self.move_waiters(target, &endpoint);
+        }
         Pick::Wait(Wait {
             endpoint,
             estimate: Duration::ZERO,
@@ -307,7 +349,7 @@
 
     fn pick_without_endpoint(&mut self, query: &PickQuery<'_>, now: Duration) -> Pick {
         let refuse = |reason, base| Pick::Refuse(Refusal::new(reason, base, query.random));
-        let Some((model, adapter)) = query.target else {
+        let (Some((model, _)), Some(target)) = (query.target, query.load_target()) else {
             return self.pick_any_ready(query, now);
         };
         let service = self.catalog.services.get(query.service);
@@ -317,24 +359,29 @@
         let Some(spec) = engine.models.get(model) else {
             return refuse(RefusalReason::UnknownModel, ABSENT_RETRY);
         };
-        let target = (model.to_owned(), adapter.map(str::to_owned));
+        let load = LoadQuery {
+            service: query.service,
+            model,
+            spec,
+            software_version: query.software_version,
+        };
         let waiting_at = self.waits.get(&target).map(|wait| wait.endpoint.clone());
         let assigned = waiting_at.or_else(|| self.expected_retries.endpoint(&target, now).cloned());
         let current = assigned.and_then(|id| {
-            let estimate = self.load_estimate(&id, query.service, model, spec, now)?;
+            let estimate = self.load_estimate(&id, load, now)?;
             Some((id, estimate))
         });
         let best = match current {
             Some(current) if !query.reconsider => Some(current),
             current => {
-                let best = self.best_loader(query.service, model, spec, &[], now);
+                let best = self.best_loader(load, &[], now);
                 keep_or_move(current, best)
             }
         };
         let Some((endpoint, estimate)) = best else {
             return refuse(RefusalReason::NoLoader, ABSENT_RETRY);
         };
-        self.move_waiters(target.clone(), &endpoint);
+        self.move_waiters(&target, &endpoint);
         if estimate + FIRST_TOKEN_LATENCY >= query.time_left {
             if query.stopping {
                 return Pick::Refuse(Refusal::stopping(query.random));
@@ -347,10 +394,10 @@
         Pick::Wait(Wait { endpoint, estimate })
     }
 
-    fn move_waiters(&mut self, target: super::ModelTarget, endpoint: &str) {
+    fn move_waiters(&mut self, target: &LoadTarget, endpoint: &str) {
         if let Some(WaitEntry {
             endpoint: current, ..
-        }) = self.waits.get_mut(&target)
+        }) = self.waits.get_mut(target)
             && current != endpoint
         {
             endpoint.clone_into(current);
@@ -363,6 +410,7 @@
         let listed = self.endpoints.iter().filter(|(id, endpoint)| {
             endpoint.entry.service == query.service
                 && endpoint.entry.phase == crate::process::EndpointPhase::Ready
+                && endpoint.may_serve_version(query.software_version)
                 && !query.tried.contains(*id)
         });
         let costs = listed.map(|(id, endpoint)| (id, self.cost(id, endpoint, query, now).total));
--- a/crates/radishpin-core/src/process/fleet/plan.rs
+++ b/crates/radishpin-core/src/process/fleet/plan.rs
@@ -1,6 +1,10 @@
 //! Plans replicas for busy models and prefetches weights that no endpoint has.
 
-use super::{Fleet, loader::FULL_SPEED_LOADS, rendezvous::rendezvous_hash};
+use super::{
+    Fleet,
+    loader::{FULL_SPEED_LOADS, LoadQuery},
+    rendezvous::rendezvous_hash,
+};
 use crate::{
     process::{Demand, DemandReason, Status},
     version::EngineSpec,
@@ -181,7 +185,13 @@
             .filter(|(id, status)| has_model_or_full(id, status))
             .map(|(id, _)| id.clone())
             .collect();
-        let best = self.best_loader(service, model, spec, &excluded, now);
+        let query = LoadQuery {
+            service,
+            model,
+            spec,
+            software_version: None,
+        };
+        let best = self.best_loader(query, &excluded, now);
         let Some((endpoint, _)) = best else {
             return;
         };
--- a/crates/radishpin-core/tests/fleet.rs
+++ b/crates/radishpin-core/tests/fleet.rs
@@ -4,7 +4,7 @@
 use radishpin_core::{
     process::{
         EndpointChange, EndpointEntry, EndpointPhase, Fleet, HeldModel, LinkLoss, LoadStatus,
-        ModelStatus, Pick, PickQuery, RequestOutcome, Status,
+        LoadTarget, ModelStatus, Pick, PickQuery, RequestOutcome, Status,
     },
     request::Tier,
     version::{Catalog, EngineSpec, ModelSpec, Service},
@@ -120,12 +120,21 @@
     }
 }
 
+fn load_target(model: &str) -> LoadTarget {
+    LoadTarget {
+        model: model.to_owned(),
+        adapter: None,
+        software_version: None,
+    }
+}
+
 static NO_ENDPOINTS: BTreeSet<EndpointId> = BTreeSet::new();
 
 fn query<'a>(service: &'a str, target: Option<(&'a str, Option<&'a str>)>) -> PickQuery<'a> {
     PickQuery {
         service,
         target,
+        software_version: None,
         priority: 2,
         time_left: ms(3_000),
         stopping: false,
@@ -508,7 +517,7 @@
     let mut test = TestFleet::new();
     let mut status = test.add_engine("i1", &["a"]);
     assert_snapshot!(test.pick(&query("drafts", Some(("b", None)))), @"wait for i1 1450 ms");
-    test.fleet.begin_wait("b", None, "i1");
+    test.fleet.begin_wait(load_target("b"), "i1");
     test.add_engine("i2", &["a"]);
     assert_snapshot!(test.pick(&query("drafts", Some(("b", None)))), @"wait for i1 1450 ms");
     status.version = 2;
--- a/crates/radishpin-gateway/src/request.rs
+++ b/crates/radishpin-gateway/src/request.rs
@@ -7,5 +7,6 @@
 mod forward;
 mod response;
 mod stream;
+mod stream_version;
 
 pub(crate) use forward::serve_request;
--- a/crates/radishpin-gateway/src/request/assignment.rs
+++ b/crates/radishpin-gateway/src/request/assignment.rs
@@ -4,7 +4,7 @@
 use crate::process::Gateway;
 use futures_lite::future;
 use radishpin_core::process::{
-    FIRST_TOKEN_LATENCY, Pick, PickQuery, Refusal, RequestOutcome, Wait,
+    FIRST_TOKEN_LATENCY, LoadTarget, Pick, PickQuery, Refusal, RequestOutcome, Wait,
 };
 use radishpin_protocol::prelude::*;
 use radishpin_runtime::Runtime;
@@ -21,6 +21,8 @@
     call: Arc<Call>,
     pub(crate) endpoint: EndpointId,
     pub(crate) address: SocketAddr,
+    /// Software version of the endpoint; `None` if it is not known.
+    pub(crate) software_version: Option<SoftwareVersion>,
     pub(crate) started_at: Duration,
     ended: bool,
 }
@@ -58,17 +60,17 @@
 /// A request that waits for its model or adapter to be loaded, counted as demand until dropped.
 struct LoadWait<'a> {
     gateway: &'a Gateway,
-    call: &'a Call,
+    target: Option<LoadTarget>,
     since: Duration,
     endpoint: EndpointId,
 }
 
 impl<'a> LoadWait<'a> {
-    fn begin(gateway: &'a Gateway, call: &'a Call, wait: &Wait) -> Self {
+    fn begin(gateway: &'a Gateway, call: &Call, target: Option<LoadTarget>, wait: &Wait) -> Self {
         let since = gateway.clock.now();
-        if let Some((model, adapter)) = call.target() {
+        if let Some(target) = &target {
             let mut fleet = gateway.fleet.lock();
-            fleet.begin_wait(model, adapter, &wait.endpoint);
+            fleet.begin_wait(target.clone(), &wait.endpoint);
         }
         gateway.notify_demand(&wait.endpoint);
         let (model, adapter) = call.target().unwrap_or_default();
@@ -80,7 +82,7 @@
         );
         Self {
             gateway,
-            call,
+            target,
             since,
             endpoint: wait.endpoint.clone(),
         }
@@ -101,14 +103,15 @@
             .metrics
             .load_wait_s
             .observe(waited.as_secs_f64());
-        if let Some((model, adapter)) = self.call.target() {
-            self.gateway.fleet.lock().end_wait(model, adapter);
+        if let Some(target) = &self.target {
+            self.gateway.fleet.lock().end_wait(target);
         }
     }
 }
 
 /// Assigns a request to an endpoint that it has not been sent to, and waits for a load if the load
-/// can end in time for a response before `next_part_deadline`.
+/// can end in time for a response before `next_part_deadline`. Only endpoints of
+/// `software_version` may serve it; `None` if any may.
 ///
 /// # Errors
 /// The request cannot be served in time; this call has sent it nowhere.
@@ -116,6 +119,7 @@
     gateway: &Arc<Gateway>,
     call: &Arc<Call>,
     tried: &BTreeSet<EndpointId>,
+    software_version: Option<&str>,
     next_part_deadline: Duration,
 ) -> Result<Assignment, Refusal> {
     let mut waiting: Option<LoadWait<'_>> = None;
@@ -130,6 +134,7 @@
         let query = PickQuery {
             service: &call.service,
             target: call.target(),
+            software_version,
             priority: call.route.priority,
             time_left: waits_until.saturating_sub(now),
             stopping,
@@ -164,6 +169,7 @@
                     call: Arc::clone(call),
                     endpoint,
                     address,
+                    software_version: snapshot.software_version,
                     started_at: now,
                     ended: false,
                 });
@@ -179,7 +185,7 @@
         };
         match &mut waiting {
             Some(waiting) => waiting.set_endpoint(&wait),
-            None => waiting = Some(LoadWait::begin(gateway, call, &wait)),
+            None => waiting = Some(LoadWait::begin(gateway, call, query.load_target(), &wait)),
         }
         let recheck_after = query
             .time_left
--- a/crates/radishpin-gateway/src/request/forward.rs
+++ b/crates/radishpin-gateway/src/request/forward.rs
@@ -8,6 +8,7 @@
         ResponseBody, full_body, gateway_response, refusal_response, remove_connection_headers,
     },
     stream::stream_response,
+    stream_version::StreamVersion,
 };
 use crate::process::Gateway;
 use bytes::Bytes;
@@ -63,6 +64,8 @@
     pub(crate) gateway: Arc<Gateway>,
     pub(crate) call: Arc<Call>,
     tried: BTreeSet<EndpointId>,
+    /// Which endpoints may go on with its stream.
+    pub(crate) stream_version: StreamVersion,
     /// Time at which the caller got the last part of its response; initially the arrival of the
     /// request.
     last_part_at: Duration,
@@ -103,6 +106,7 @@
             gateway,
             call,
             tried: BTreeSet::new(),
+            stream_version: StreamVersion::Unbound,
             sends_ran: 0,
             sends_refused: 0,
             failed_response: None,
@@ -143,6 +147,7 @@
                 &self.gateway,
                 &call,
                 &self.tried,
+                self.stream_version.bound(),
                 next_part_deadline,
             )
             .await
--- a/crates/radishpin-gateway/src/request/stream.rs
+++ b/crates/radishpin-gateway/src/request/stream.rs
@@ -5,6 +5,7 @@
     events::StreamContent,
     forward::{Forward, ForwardOutcome},
     response::{BodyFraming, ResponseBody, ResponseError, remove_connection_headers},
+    stream_version::StreamVersion,
 };
 use bytes::Bytes;
 use futures_lite::stream::unfold;
@@ -83,6 +84,7 @@
             };
             let relayed = self.content.push(part);
             if !relayed.is_empty() {
+                self.bind_version();
                 self.timing.record(self.forward.gateway.clock.now());
                 return Some(Ok(relayed));
             }
@@ -111,6 +113,14 @@
         }
     }
 
+    /// Binds the stream to the software version that brings events to its caller.
+    fn bind_version(&mut self) {
+        if let Some(open) = &self.open {
+            let version = open.assignment.software_version.as_ref();
+            self.forward.stream_version.bind(version);
+        }
+    }
+
     /// Accepts a regular end of the body only if the content is complete.
     fn check_end(&self) -> Result<Option<Bytes>, ResponseError> {
         let framing = self.framing();
@@ -186,8 +196,8 @@
         }
     }
 
-    /// Resumes the stream at another endpoint after the last complete event; returns whether an
-    /// endpoint accepted that.
+    /// Resumes the stream at another endpoint of its software version after the last complete event;
+    /// returns whether an endpoint accepted that.
     async fn resume(&mut self) -> bool {
         self.end_assignment();
         let StreamContent::ResumableEvents(events) = &mut self.content else {
@@ -195,11 +205,14 @@
         };
         events.start_resumed();
         let last_id = events.last_id().map(str::to_owned);
-        if !self.forward.may_resume(self.timing.last_at) {
+        if self.forward.stream_version == StreamVersion::Unknown
+            || !self.forward.may_resume(self.timing.last_at)
+        {
             return false;
         }
         log::info!(
-            event = "stream_resumes", request = self.forward.call.id, after = last_id.as_deref().unwrap_or("-");
+            event = "stream_resumes", request = self.forward.call.id,
+            software_version = self.forward.stream_version.bound().unwrap_or("-"), after = last_id.as_deref().unwrap_or("-");
             "stream broke; resuming it at another endpoint"
         );
         match self.forward.forward(last_id.as_deref()).await {
