Let a stream that its caller takes up go on only at the software version that began it

Cause: a request that takes a stream up was routed like a new one. Nothing kept which version had begun the stream, and the header that names the attempt which did was not read.

Fix: a gateway records for each send of a new resumable stream the version of its endpoint (core's StreamOrigins, kept 60 s, 16,384 at most; a later send of the attempt replaces an earlier one). A request with Resumes or Last-Event-Id is bound to that version. Where it is not known, the stream goes on only if all endpoints of the service have had one version for 60 s (SoftwareVersions), as long as the gateway has read their list for 3 s, so that entries which expired in an outage are back; callers that name no attempt come from before versions stood side by side, and need no such wait. Else the request is refused at once, as not run. An engine whose sidecar reports a later start than the list does has no known version.

--- a/crates/radishpin-core/src/process.rs
+++ b/crates/radishpin-core/src/process.rs
@@ -8,6 +8,7 @@
 mod order;
 mod replica_ledger;
 mod residency;
+mod software_versions;
 
 pub use endpoint_list::{
     EndpointChange, EndpointEntry, EndpointList, EndpointPhase, HeldModel, RECOVERY_GRACE,
@@ -35,3 +36,4 @@
     Action, ActionOutcome, Demand, DemandReason, EndpointReport, GATEWAY_TIMEOUT, GatewayReport,
     LoadStatus, ModelStatus, ModelUsage, Residency, Status, StoreLoadShare,
 };
+pub use software_versions::{FULL_LIST_DELAY, SoftwareVersions};
--- a/crates/radishpin-core/src/process/fleet/pick.rs
+++ b/crates/radishpin-core/src/process/fleet/pick.rs
@@ -136,6 +136,8 @@
     UnknownModel,
     /// No endpoint runs the software version that began the stream.
     VersionGone,
+    /// The software version that began the stream is not known.
+    VersionUnknown,
     /// The gateway is stopping and cannot serve it in time.
     Stopping,
 }
@@ -150,6 +152,7 @@
             Self::NoLoader => "no_loader",
             Self::UnknownModel => "unknown_model",
             Self::VersionGone => "version_gone",
+            Self::VersionUnknown => "version_unknown",
             Self::Stopping => "stopping",
         }
     }
@@ -184,6 +187,11 @@
         Self::new(RefusalReason::Stopping, STOPPING_RETRY, random)
     }
 
+    /// Creates the refusal of a stream that began at an unknown software version.
+    pub fn version_unknown(random: u64) -> Self {
+        Self::new(RefusalReason::VersionUnknown, ABSENT_RETRY, random)
+    }
+
     /// Creates a refusal whose caller should retry once the load at `endpoint` is done.
     ///
     /// The jitter is short because the loaded model can serve all waiting callers.
--- a/crates/radishpin-core/src/request.rs
+++ b/crates/radishpin-core/src/request.rs
@@ -15,6 +15,7 @@
 mod routing;
 mod stop_plan;
 mod stream_cursor;
+mod stream_origins;
 mod stream_timeouts;
 mod work_queue;
 
@@ -39,5 +40,6 @@
     plan_stop,
 };
 pub use stream_cursor::{ChunkVerdict, StreamCursor};
+pub use stream_origins::{ORIGIN_LIFETIME, ORIGINS_MAX, StreamOrigin, StreamOrigins};
 pub use stream_timeouts::StreamTimeouts;
 pub use work_queue::{Popped, QueueLimits, QueueRefusal, WorkQueue};
--- a/crates/radishpin-gateway/src/process/gateway.rs
+++ b/crates/radishpin-gateway/src/process/gateway.rs
@@ -17,9 +17,10 @@
 use radishpin_adapter::{READINESS_PATH, Settings};
 use radishpin_core::{
     process::{
-        EndpointChange, EndpointList, EndpointPhase, Fleet, GatewayReport, LinkLoss, Status,
+        EndpointChange, EndpointList, EndpointPhase, Fleet, GatewayReport, LinkLoss,
+        SoftwareVersions, Status,
     },
-    request::RetryBudgets,
+    request::{RetryBudgets, StreamOrigin, StreamOrigins},
     version::{Catalog, Route},
 };
 use radishpin_protocol::prelude::*;
@@ -72,6 +73,8 @@
     pub(crate) fleet_changed: Event,
     pub(crate) pool: Pool,
     pub(crate) retry_budgets: Mutex<RetryBudgets>,
+    pub(crate) software_versions: Mutex<SoftwareVersions>,
+    stream_origins: Mutex<StreamOrigins>,
     pub(crate) shutdown: Arc<Shutdown>,
     pub(crate) metrics: Metrics,
     catalog: Mutex<Option<Arc<Catalog>>>,
@@ -105,6 +108,8 @@
             fleet: Mutex::new(fleet),
             fleet_changed: Event::new(),
             retry_budgets: Mutex::new(RetryBudgets::new(burst * 2, burst)),
+            software_versions: Mutex::default(),
+            stream_origins: Mutex::default(),
             settings: Mutex::new(Arc::new(settings)),
             shutdown: Arc::default(),
             metrics,
@@ -153,6 +158,18 @@
         }
     }
 
+    /// The origin of a stream that this gateway began; `None` if it did not, or long ago.
+    pub(crate) fn own_origin(&self, attempt: &str) -> Option<StreamOrigin> {
+        let origins = self.stream_origins.lock();
+        origins.find(attempt, self.clock.now()).cloned()
+    }
+
+    /// Records the origin of a stream that this gateway begins.
+    pub(crate) fn record_origin(&self, origin: StreamOrigin) {
+        let now = self.clock.now();
+        self.stream_origins.lock().record(origin, now);
+    }
+
     fn apply_catalog(self: &Arc<Self>, catalog: Arc<Catalog>) {
         let version = i64::try_from(catalog.version).unwrap_or(i64::MAX);
         self.metrics.configuration_version.set(version);
@@ -170,6 +187,9 @@
         self.fleet
             .lock()
             .update_endpoints(endpoint_list.entries(), changes);
+        let entries = endpoint_list.entries();
+        let now = self.clock.now();
+        self.software_versions.lock().record(entries, now);
         self.endpoint_list_read.store(true, Ordering::Relaxed);
         self.update_endpoint_gauges(endpoint_list);
         if !changes.is_empty() {
--- a/crates/radishpin-gateway/src/request.rs
+++ b/crates/radishpin-gateway/src/request.rs
@@ -5,6 +5,7 @@
 mod call;
 mod events;
 mod forward;
+mod origin;
 mod response;
 mod stream;
 mod stream_version;
--- a/crates/radishpin-gateway/src/request/forward.rs
+++ b/crates/radishpin-gateway/src/request/forward.rs
@@ -4,6 +4,7 @@
     assignment::assign_endpoint,
     attempt::{AttemptResult, send},
     call::Call,
+    origin::{record_origin, version_of_stream},
     response::{
         ResponseBody, full_body, gateway_response, refusal_response, remove_connection_headers,
     },
@@ -114,6 +115,7 @@
     }
 
     async fn run(mut self) -> Response<ResponseBody> {
+        self.stream_version = version_of_stream(&self.gateway, &self.call);
         match self.forward(None).await {
             ForwardOutcome::Answered(AttemptResult::Stream(open)) => {
                 self.observe_first_byte();
@@ -140,6 +142,10 @@
 
     /// Sends the request to one endpoint after another until one responds or no retry is allowed.
     pub(crate) async fn forward(&mut self, last_event_id: Option<&str>) -> ForwardOutcome {
+        if self.stream_version == StreamVersion::Unknown {
+            let refusal = Refusal::version_unknown(self.call.random);
+            return ForwardOutcome::Refused(Refused::ByGateway(refusal));
+        }
         loop {
             let call = Arc::clone(&self.call);
             let next_part_deadline = call.next_part_deadline(self.last_part_at);
@@ -167,6 +173,13 @@
                 return self.deadline_passed();
             }
             let endpoint = assignment.endpoint.clone();
+            let send_number = u32::try_from(self.tried.len()).unwrap_or(u32::MAX) + 1;
+            record_origin(
+                &self.gateway,
+                &call,
+                send_number,
+                assignment.software_version.as_ref(),
+            );
             let time_limit = self.attempt_timeout(remaining);
             let attempt = send(&self.gateway, &call, assignment, last_event_id, time_limit).await;
             self.tried.insert(endpoint.clone());
