Keep copies of the origins of streams at sidecars

Callers saw: the process that had begun their streams was killed, and no other process knew their version.

Cause: what began a stream was known to one process only, and callers take streams up elsewhere, as that process is gone or their retry reaches another gateway.

Fix: with each send of a new resumable stream, before its first token, the gateway sends the origin to three sidecars, chosen by a hash of the attempt and their addresses, over one connection to each that stands beside the status exchange. A gateway that did not begin a stream asks five, as lists of endpoints differ for a while, for at most 200 ms; the first copy wins, and it refuses as soon as all have answered without one. Sidecars keep origins as gateways do. Nothing waits for a copy to be kept. The store is not used: a write for each stream would not carry 410 gateways, and streams go on while the store is away.

--- a/crates/radishpin-core/src/lib.rs
+++ b/crates/radishpin-core/src/lib.rs
@@ -10,5 +10,6 @@
 #[cfg(not(feature = "mutations"))]
 mod mutation;
 pub mod process;
+mod rendezvous;
 pub mod request;
 pub mod version;
--- a/crates/radishpin-core/src/process/fleet.rs
+++ b/crates/radishpin-core/src/process/fleet.rs
@@ -6,7 +6,6 @@
 mod pick;
 mod plan;
 mod rate;
-mod rendezvous;
 
 pub use endpoint::{LinkLoss, RequestOutcome};
 pub use pick::{
--- a/crates/radishpin-core/src/process/fleet/loader.rs
+++ b/crates/radishpin-core/src/process/fleet/loader.rs
@@ -1,7 +1,7 @@
 //! Estimates of how soon each endpoint could serve a model that it has not loaded.
 
-use super::{Fleet, rendezvous::rendezvous_hash};
-use crate::{request::Tier, version::ModelSpec};
+use super::Fleet;
+use crate::{rendezvous::rendezvous_hash, request::Tier, version::ModelSpec};
 use radishpin_protocol::prelude::*;
 
 /// Concurrent loads that the weight store serves at full speed; with more, each slows down in
--- a/crates/radishpin-core/src/process/fleet/pick.rs
+++ b/crates/radishpin-core/src/process/fleet/pick.rs
@@ -1,9 +1,7 @@
 //! Routes a request: it is sent to an endpoint, waits for a load, or is refused.
 
-use super::{
-    Fleet, LoadTarget, WaitEntry, endpoint::Endpoint, loader::LoadQuery,
-    rendezvous::rendezvous_hash,
-};
+use super::{Fleet, LoadTarget, WaitEntry, endpoint::Endpoint, loader::LoadQuery};
+use crate::rendezvous::rendezvous_hash;
 use radishpin_protocol::prelude::*;
 use std::net::SocketAddr;
 
--- a/crates/radishpin-core/src/process/fleet/plan.rs
+++ b/crates/radishpin-core/src/process/fleet/plan.rs
@@ -3,10 +3,10 @@
 use super::{
     Fleet,
     loader::{FULL_SPEED_LOADS, LoadQuery},
-    rendezvous::rendezvous_hash,
 };
 use crate::{
     process::{Demand, DemandReason, Status},
+    rendezvous::rendezvous_hash,
     version::EngineSpec,
 };
 use radishpin_protocol::prelude::*;
--- a/crates/radishpin-core/src/process/fleet/rendezvous.rs
+++ b/crates/radishpin-core/src/rendezvous.rs
@@ -2,12 +2,12 @@
 
 use radishpin_protocol::engine::stable_hash;
 
-/// Hash of a target and an endpoint; a target prefers endpoints with low hashes.
-pub(super) fn rendezvous_hash(target: &str, endpoint: &str) -> u64 {
-    let mut bytes = Vec::with_capacity(target.len() + endpoint.len() + 1);
+/// Hash of a target and one of its candidates; a target prefers candidates with low hashes.
+pub(crate) fn rendezvous_hash(target: &str, candidate: &str) -> u64 {
+    let mut bytes = Vec::with_capacity(target.len() + candidate.len() + 1);
     bytes.extend_from_slice(target.as_bytes());
     bytes.push(0);
-    bytes.extend_from_slice(endpoint.as_bytes());
+    bytes.extend_from_slice(candidate.as_bytes());
     // FNV barely changes the high bits for short inputs; this finalizer mixes them.
     let hash = stable_hash(&bytes);
     let hash = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
--- a/crates/radishpin-core/src/request/stream_origins.rs
+++ b/crates/radishpin-core/src/request/stream_origins.rs
@@ -1,8 +1,9 @@
 //! Software versions that began streams, so that callers can take their streams up at any gateway.
 
+use crate::rendezvous::rendezvous_hash;
 use radishpin_protocol::prelude::*;
 use serde::{Deserialize, Serialize};
-use std::collections::VecDeque;
+use std::{collections::VecDeque, net::SocketAddr};
 
 /// Time for which the origin of a stream is kept; longer than callers wait for an answer.
 pub const ORIGIN_LIFETIME: Duration = Duration::from_secs(60);
@@ -21,6 +22,31 @@
     pub software_version: Option<SoftwareVersion>,
 }
 
+/// Request of a gateway to a sidecar that keeps copies of origins.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum OriginRequest {
+    /// Keep a copy.
+    Record(StreamOrigin),
+    /// Answer with the copy for this attempt, if there is one.
+    Find(RequestId),
+}
+
+/// Chooses the sidecars that keep copies of an attempt's origin, the first `count` of an order
+/// that depends on the attempt. Gateways with similar lists of sidecars choose alike.
+pub fn copy_holders(
+    attempt: &str,
+    sidecars: impl Iterator<Item = SocketAddr>,
+    count: usize,
+) -> Vec<SocketAddr> {
+    let mut ranked: Vec<(u64, SocketAddr)> = sidecars
+        .map(|sidecar| (rendezvous_hash(attempt, &sidecar.to_string()), sidecar))
+        .collect();
+    ranked.sort_unstable();
+    ranked.truncate(count);
+    ranked.into_iter().map(|(_, sidecar)| sidecar).collect()
+}
+
 /// Origins of recent streams by the attempt that began them.
 #[derive(Clone, Debug, Default)]
 pub struct StreamOrigins {
--- a/crates/radishpin-gateway/src/process/gateway.rs
+++ b/crates/radishpin-gateway/src/process/gateway.rs
@@ -1,26 +1,29 @@
 //! The gateway: receives callers' requests and forwards them to endpoints.
 
+mod origins;
+
 use super::{
     Clock, GatewayError, Metrics, Shutdown, StoreClient, read_settings, serve_metrics,
     wait_for_stop_signal, watch_settings,
 };
 use crate::{
-    connection::{Pool, ServerLimits, run_link, serve},
+    connection::{OriginJob, Pool, ServerLimits, run_link, run_origin_link, serve},
     request::serve_request,
     version::{watch_catalog, watch_endpoint_list},
 };
 use event_listener::Event;
+use futures_lite::future;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
+use origins::OriginDirectory;
 use parking_lot::Mutex;
 use radishpin_adapter::{READINESS_PATH, Settings};
 use radishpin_core::{
     process::{
-        EndpointChange, EndpointList, EndpointPhase, Fleet, GatewayReport, LinkLoss,
-        SoftwareVersions, Status,
+        EndpointChange, EndpointList, EndpointPhase, Fleet, GatewayReport, LinkLoss, Status,
     },
-    request::{RetryBudgets, StreamOrigin, StreamOrigins},
+    request::RetryBudgets,
     version::{Catalog, Route},
 };
 use radishpin_protocol::prelude::*;
@@ -59,6 +62,8 @@
 /// which is for the whole cluster. The quotient is a gateway's retry burst per service; its burst
 /// for all services together is twice that.
 const RETRY_SLACK_DIVISOR: u32 = 20;
+/// Most requests about origins of streams that wait for one sidecar.
+const ORIGIN_JOBS_MAX: usize = 256;
 /// Smallest retry burst of a gateway per service.
 const RETRY_BURST_MIN: u32 = 2;
 
@@ -73,8 +78,7 @@
     pub(crate) fleet_changed: Event,
     pub(crate) pool: Pool,
     pub(crate) retry_budgets: Mutex<RetryBudgets>,
-    pub(crate) software_versions: Mutex<SoftwareVersions>,
-    stream_origins: Mutex<StreamOrigins>,
+    pub(crate) origins: OriginDirectory,
     pub(crate) shutdown: Arc<Shutdown>,
     pub(crate) metrics: Metrics,
     catalog: Mutex<Option<Arc<Catalog>>>,
@@ -83,13 +87,31 @@
     links: Mutex<BTreeMap<EndpointId, Link>>,
 }
 
-/// A task that exchanges reports and statuses with a sidecar; it is cancelled when this is dropped.
+/// A task that exchanges reports, statuses and origins of streams with a sidecar; it is cancelled
+/// when this is dropped.
 #[derive(Debug)]
 struct Link {
     sidecar: SocketAddr,
+    origins: async_channel::Sender<OriginJob>,
     _task: Task<()>,
 }
 
+impl Link {
+    fn start(gateway: &Arc<Gateway>, endpoint: EndpointId, sidecar: SocketAddr) -> Self {
+        let (origins, jobs) = async_channel::bounded(ORIGIN_JOBS_MAX);
+        let statuses = run_link(Arc::clone(gateway), endpoint, sidecar);
+        let copies = run_origin_link(gateway.runtime.clone(), sidecar, jobs);
+        let task = async {
+            future::zip(statuses, copies).await;
+        };
+        Self {
+            sidecar,
+            origins,
+            _task: gateway.runtime.spawn(task),
+        }
+    }
+}
+
 impl Gateway {
     fn new(runtime: Runtime, settings: Settings) -> Result<Self, GatewayError> {
         let clock = Clock::start();
@@ -108,8 +130,7 @@
             fleet: Mutex::new(fleet),
             fleet_changed: Event::new(),
             retry_budgets: Mutex::new(RetryBudgets::new(burst * 2, burst)),
-            software_versions: Mutex::default(),
-            stream_origins: Mutex::default(),
+            origins: OriginDirectory::default(),
             settings: Mutex::new(Arc::new(settings)),
             shutdown: Arc::default(),
             metrics,
@@ -158,18 +179,6 @@
         }
     }
 
-    /// The origin of a stream that this gateway began; `None` if it did not, or long ago.
-    pub(crate) fn own_origin(&self, attempt: &str) -> Option<StreamOrigin> {
-        let origins = self.stream_origins.lock();
-        origins.find(attempt, self.clock.now()).cloned()
-    }
-
-    /// Records the origin of a stream that this gateway begins.
-    pub(crate) fn record_origin(&self, origin: StreamOrigin) {
-        let now = self.clock.now();
-        self.stream_origins.lock().record(origin, now);
-    }
-
     fn apply_catalog(self: &Arc<Self>, catalog: Arc<Catalog>) {
         let version = i64::try_from(catalog.version).unwrap_or(i64::MAX);
         self.metrics.configuration_version.set(version);
@@ -189,7 +198,7 @@
             .update_endpoints(endpoint_list.entries(), changes);
         let entries = endpoint_list.entries();
         let now = self.clock.now();
-        self.software_versions.lock().record(entries, now);
+        self.origins.versions.lock().record(entries, now);
         self.endpoint_list_read.store(true, Ordering::Relaxed);
         self.update_endpoint_gauges(endpoint_list);
         if !changes.is_empty() {
@@ -228,10 +237,8 @@
             .lock()
             .retain(|id, _| sidecars.contains_key(id));
         for (id, sidecar) in sidecars {
-            links.entry(id.clone()).or_insert_with(|| Link {
-                sidecar,
-                _task: self.runtime.spawn(run_link(Arc::clone(self), id, sidecar)),
-            });
+            let start = || Link::start(self, id.clone(), sidecar);
+            links.entry(id.clone()).or_insert_with(start);
         }
     }
 
--- a/crates/radishpin-gateway/src/process/sidecar.rs
+++ b/crates/radishpin-gateway/src/process/sidecar.rs
@@ -1,11 +1,13 @@
 //! The sidecar: the only process that sends orders to the engine on its host.
 
+mod origins;
+
 use super::{
     Clock, GatewayError, Metrics, Shutdown, StoreClient, gateway::internal_limits, read_settings,
     serve_metrics, wait_for_stop_signal, watch_settings,
 };
 use crate::{
-    connection::{Connection, ExchangeError, get, post, serve},
+    connection::{Connection, ExchangeError, ORIGINS_PATH, get, post, serve},
     version::watch_catalog,
 };
 use event_listener::Event;
@@ -13,6 +15,7 @@
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
+use origins::handle_origins;
 use parking_lot::Mutex;
 use radishpin_adapter::{
     EndpointOrder, ORDER_PATH, REPORT_PATH, Settings, decode_order_answer, decode_report,
@@ -20,6 +23,7 @@
 };
 use radishpin_core::{
     process::{Action, ActionOutcome, GatewayReport, Residency},
+    request::StreamOrigins,
     version::Catalog,
 };
 use radishpin_protocol::prelude::*;
@@ -53,6 +57,8 @@
     settings: Mutex<Arc<Settings>>,
     engine: SocketAddr,
     residency: Mutex<Residency>,
+    /// Copies of the origins of streams that gateways began.
+    origins: Mutex<StreamOrigins>,
     /// Notified when the engine should be polled without waiting for the next interval.
     poll_requested: Event,
     /// Notified when the status has changed, which answers the waiting gateways.
@@ -149,11 +155,21 @@
     let shutdown = &sidecar.shutdown;
     let address = SocketAddr::new(settings.ip_address, settings.internal_port);
     let shared_sidecar = Arc::clone(sidecar);
-    let handler = move |request| handle_exchange(Arc::clone(&shared_sidecar), request);
+    let handler = move |request| handle_gateway(Arc::clone(&shared_sidecar), request);
     serve(runtime, address, internal_limits, shutdown, handler).await?;
     Ok(())
 }
 
+async fn handle_gateway(
+    sidecar: Arc<Sidecar>,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    match request.uri().path() {
+        ORIGINS_PATH => handle_origins(&sidecar, request).await,
+        _ => handle_exchange(sidecar, request).await,
+    }
+}
+
 /// Records a gateway's report and responds with the status, as soon as that differs from the one
 /// that the gateway has seen or when its wait ends.
 async fn handle_exchange(
@@ -217,6 +233,7 @@
             clock: Clock::start(),
             engine,
             residency: Mutex::new(Residency::new(rand::random(), store_load_after)),
+            origins: Mutex::default(),
             settings: Mutex::new(Arc::new(settings)),
             poll_requested: Event::new(),
             status_changed: Event::new(),
--- a/crates/radishpin-gateway/src/request/forward.rs
+++ b/crates/radishpin-gateway/src/request/forward.rs
@@ -115,7 +115,7 @@
     }
 
     async fn run(mut self) -> Response<ResponseBody> {
-        self.stream_version = version_of_stream(&self.gateway, &self.call);
+        self.stream_version = version_of_stream(&self.gateway, &self.call).await;
         match self.forward(None).await {
             ForwardOutcome::Answered(AttemptResult::Stream(open)) => {
                 self.observe_first_byte();
--- a/crates/radishpin-gateway/src/request/origin.rs
+++ b/crates/radishpin-gateway/src/request/origin.rs
@@ -10,6 +10,8 @@
 enum Source {
     /// This gateway began the stream.
     Own,
+    /// Another gateway, or an earlier process of this one, began it, and a sidecar had a copy.
+    Copy,
     /// All endpoints of the service have had one version.
     OnlyVersion,
     /// The version is not known.
@@ -20,6 +22,7 @@
     fn name(self) -> &'static str {
         match self {
             Self::Own => "own",
+            Self::Copy => "copy",
             Self::OnlyVersion => "only_version",
             Self::None => "-",
         }
@@ -27,12 +30,12 @@
 }
 
 /// Determines which endpoints may serve a request: all, unless its caller takes up a stream.
-pub(crate) fn version_of_stream(gateway: &Gateway, call: &Call) -> StreamVersion {
+pub(crate) async fn version_of_stream(gateway: &Gateway, call: &Call) -> StreamVersion {
     let resumable = call.route.semantics == RequestSemantics::ResumableStream;
     if !resumable || !call.takes_up_stream {
         return StreamVersion::Unbound;
     }
-    let (source, version) = find_version(gateway, call);
+    let (source, version) = find_version(gateway, call).await;
     log::info!(
         event = "stream_taken_up", request = call.id, resumes = call.resumes.as_deref().unwrap_or("-"),
         software_version = version.as_deref().unwrap_or("-"), source = source.name();
@@ -41,15 +44,18 @@
     version.map_or(StreamVersion::Unknown, StreamVersion::Bound)
 }
 
-fn find_version(gateway: &Gateway, call: &Call) -> (Source, Option<SoftwareVersion>) {
-    if let Some(attempt) = &call.resumes
-        && let Some(origin) = gateway.own_origin(attempt)
-    {
-        return (Source::Own, origin.software_version);
+async fn find_version(gateway: &Gateway, call: &Call) -> (Source, Option<SoftwareVersion>) {
+    if let Some(attempt) = &call.resumes {
+        if let Some(origin) = gateway.own_origin(attempt) {
+            return (Source::Own, origin.software_version);
+        }
+        if let Some(origin) = gateway.find_copy(attempt).await {
+            return (Source::Copy, origin.software_version);
+        }
     }
     // Callers that do not name the attempt come from a platform without versions side by side.
     let now = gateway.clock.now();
-    let versions = gateway.software_versions.lock();
+    let versions = gateway.origins.versions.lock();
     let trusted = call.resumes.is_none() || versions.has_full_list(now);
     match versions.only_version(&call.service).filter(|_| trusted) {
         Some(version) => (Source::OnlyVersion, Some(version.clone())),
