Test that a stream whose events have no ids is not resumed

Found by reading the ways on which a stream is resumed: the second endpoint gets no Last-Event-Id and starts again, so the caller gets both events twice.

--- a/crates/radishpin-gateway/tests/serving/framing.rs
+++ b/crates/radishpin-gateway/tests/serving/framing.rs
@@ -101,6 +101,20 @@
     );
 }
 
+/// A stream that is resumed after an unknown event would start again.
+#[test]
+fn a_stream_whose_events_have_no_ids_is_not_resumed() {
+    let cluster = TestCluster::start();
+    let _endpoints = ["e1", "e2"].map(|id| {
+        let response = RawResponse::closed(UNFRAMED, "data: t1\n\ndata: t2\n\nda");
+        RawEndpoint::start(&cluster, id, move |_| response.clone())
+    });
+    cluster.wait_until_ready();
+    let got = cluster.ask(&CallerRequest::new("/feed/2f", "s1"));
+    assert_eq!((got.status, got.complete), (200, false));
+    assert_eq!(got.body, "data: t1\n\ndata: t2\n\n");
+}
+
 #[test]
 fn an_answer_without_length_that_is_reset_does_not_look_complete() {
     let head = UNFRAMED.replace("text/event-stream", "text/plain");
