Do not resume a stream whose position is not known

Callers would see: events that they had came again, where an endpoint sends events without ids.

Cause: without an id the resuming endpoint gets no Last-Event-Id and begins anew, though events were passed on.

Evidence: a_stream_whose_events_have_no_ids_is_not_resumed failed before (both events came twice) and passes now.

Fix: once a part was passed on, a stream is resumed only after an id; before, it may begin anew as it always did.

--- a/crates/radishpin-gateway/src/request/stream.rs
+++ b/crates/radishpin-gateway/src/request/stream.rs
@@ -205,7 +205,9 @@
         };
         events.start_resumed();
         let last_id = events.last_id().map(str::to_owned);
-        if self.forward.stream_version == StreamVersion::Unknown
+        let unknown_position = self.timing.last_at.is_some() && last_id.is_none();
+        if unknown_position
+            || self.forward.stream_version == StreamVersion::Unknown
             || !self.forward.may_resume(self.timing.last_at)
         {
             return false;
