Tell callers when the version of their stream may be known

A gateway that has just started refuses a stream of which nobody has a copy, as its list of endpoints may lack those whose entries expired in an outage of the store. Where it lists a single version, Retry-After is now the time until the list is full (3 s after its first read), not a fixed second. radishpin_streams_taken_up_total counts streams that callers take up by how their version was found.

--- a/crates/radishpin-core/src/process/fleet/pick.rs
+++ b/crates/radishpin-core/src/process/fleet/pick.rs
@@ -185,9 +185,11 @@
         Self::new(RefusalReason::Stopping, STOPPING_RETRY, random)
     }
 
-    /// Creates the refusal of a stream that began at an unknown software version.
-    pub fn version_unknown(random: u64) -> Self {
-        Self::new(RefusalReason::VersionUnknown, ABSENT_RETRY, random)
+    /// Creates the refusal of a stream that began at an unknown software version, which may be
+    /// known in `known_in`.
+    pub fn version_unknown(known_in: Option<Duration>, random: u64) -> Self {
+        let base = known_in.unwrap_or(ABSENT_RETRY);
+        Self::new(RefusalReason::VersionUnknown, base, random)
     }
 
     /// Creates a refusal whose caller should retry once the load at `endpoint` is done.
--- a/crates/radishpin-core/src/process/software_versions.rs
+++ b/crates/radishpin-core/src/process/software_versions.rs
@@ -44,9 +44,9 @@
         }
     }
 
-    /// Whether the list has been read for long enough to contain all endpoints.
-    pub fn has_full_list(&self, now: Duration) -> bool {
-        self.first_listed_at
-            .is_some_and(|first| now.saturating_sub(first) >= FULL_LIST_DELAY)
+    /// Time until the list has been read for long enough to contain all endpoints; zero if it has.
+    pub fn full_list_in(&self, now: Duration) -> Duration {
+        let first = self.first_listed_at.unwrap_or(now);
+        (first + FULL_LIST_DELAY).saturating_sub(now)
     }
 }
--- a/crates/radishpin-core/tests/software_versions.rs
+++ b/crates/radishpin-core/tests/software_versions.rs
@@ -67,10 +67,10 @@
 #[test]
 fn the_list_is_full_a_while_after_its_first_read() {
     let mut versions = SoftwareVersions::default();
-    assert!(!versions.has_full_list(FULL_LIST_DELAY));
+    assert_eq!(versions.full_list_in(FULL_LIST_DELAY), FULL_LIST_DELAY);
     versions.record(&BTreeMap::new(), ms(700));
-    assert!(!versions.has_full_list(FULL_LIST_DELAY));
-    assert!(versions.has_full_list(ms(700) + FULL_LIST_DELAY));
+    assert_eq!(versions.full_list_in(FULL_LIST_DELAY), ms(700));
+    assert_eq!(versions.full_list_in(ms(700) + FULL_LIST_DELAY), ms(0));
 }
 
 fn catalog() -> Catalog {
--- a/crates/radishpin-gateway/src/request/forward.rs
+++ b/crates/radishpin-gateway/src/request/forward.rs
@@ -142,8 +142,8 @@
 
     /// Sends the request to one endpoint after another until one responds or no retry is allowed.
     pub(crate) async fn forward(&mut self, last_event_id: Option<&str>) -> ForwardOutcome {
-        if self.stream_version == StreamVersion::Unknown {
-            let refusal = Refusal::version_unknown(self.call.random);
+        if let StreamVersion::Unknown { known_in } = self.stream_version {
+            let refusal = Refusal::version_unknown(known_in, self.call.random);
             return ForwardOutcome::Refused(Refused::ByGateway(refusal));
         }
         loop {
--- a/crates/radishpin-gateway/src/request/origin.rs
+++ b/crates/radishpin-gateway/src/request/origin.rs
@@ -5,7 +5,7 @@
 use radishpin_core::{request::StreamOrigin, version::RequestSemantics};
 use radishpin_protocol::prelude::*;
 
-/// How the version of a stream was found, for the log.
+/// How the version of a stream was found; for the log and the metrics.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Source {
     /// This gateway began the stream.
@@ -24,7 +24,7 @@
             Self::Own => "own",
             Self::Copy => "copy",
             Self::OnlyVersion => "only_version",
-            Self::None => "-",
+            Self::None => "none",
         }
     }
 }
@@ -36,30 +36,49 @@
         return StreamVersion::Unbound;
     }
     let (source, version) = find_version(gateway, call).await;
+    let taken_up = &gateway.metrics.streams_taken_up;
+    taken_up.with_label_values(&[source.name()]).inc();
     log::info!(
         event = "stream_taken_up", request = call.id, resumes = call.resumes.as_deref().unwrap_or("-"),
-        software_version = version.as_deref().unwrap_or("-"), source = source.name();
+        software_version = version.bound().unwrap_or("-"), source = source.name();
         "the caller takes a stream up"
     );
-    version.map_or(StreamVersion::Unknown, StreamVersion::Bound)
+    version
 }
 
-async fn find_version(gateway: &Gateway, call: &Call) -> (Source, Option<SoftwareVersion>) {
-    if let Some(attempt) = &call.resumes {
-        if let Some(origin) = gateway.own_origin(attempt) {
-            return (Source::Own, origin.software_version);
-        }
-        if let Some(origin) = gateway.find_copy(attempt).await {
-            return (Source::Copy, origin.software_version);
-        }
+async fn find_version(gateway: &Gateway, call: &Call) -> (Source, StreamVersion) {
+    let Some(attempt) = &call.resumes else {
+        return only_version(gateway, call);
+    };
+    if let Some(origin) = gateway.own_origin(attempt) {
+        return (Source::Own, origin_version(&origin));
+    }
+    match gateway.find_copy(attempt).await {
+        Some(origin) => (Source::Copy, origin_version(&origin)),
+        None => only_version(gateway, call),
     }
-    // Callers that do not name the attempt come from a platform without versions side by side.
-    let now = gateway.clock.now();
+}
+
+fn origin_version(origin: &StreamOrigin) -> StreamVersion {
+    let mut version = StreamVersion::Unbound;
+    version.bind(origin.software_version.as_ref());
+    version
+}
+
+/// The version of all endpoints that could have begun the stream, if it is the same. Callers that do
+/// not name the attempt come from a platform without versions side by side; for others the list
+/// must be full.
+fn only_version(gateway: &Gateway, call: &Call) -> (Source, StreamVersion) {
     let versions = gateway.origins.versions.lock();
-    let trusted = call.resumes.is_none() || versions.has_full_list(now);
-    match versions.only_version(&call.service).filter(|_| trusted) {
-        Some(version) => (Source::OnlyVersion, Some(version.clone())),
-        None => (Source::None, None),
+    let full_list_in = versions.full_list_in(gateway.clock.now());
+    match versions.only_version(&call.service) {
+        Some(version) if call.resumes.is_none() || full_list_in.is_zero() => {
+            (Source::OnlyVersion, StreamVersion::Bound(version.clone()))
+        }
+        only => {
+            let known_in = only.map(|_| full_list_in);
+            (Source::None, StreamVersion::Unknown { known_in })
+        }
     }
 }
 
--- a/crates/radishpin-gateway/src/request/stream.rs
+++ b/crates/radishpin-gateway/src/request/stream.rs
@@ -5,7 +5,6 @@
     events::StreamContent,
     forward::{Forward, ForwardOutcome},
     response::{BodyFraming, ResponseBody, ResponseError, remove_connection_headers},
-    stream_version::StreamVersion,
 };
 use bytes::Bytes;
 use futures_lite::stream::unfold;
@@ -207,7 +206,7 @@
         let last_id = events.last_id().map(str::to_owned);
         let unknown_position = self.timing.last_at.is_some() && last_id.is_none();
         if unknown_position
-            || self.forward.stream_version == StreamVersion::Unknown
+            || self.forward.stream_version.is_unknown()
             || !self.forward.may_resume(self.timing.last_at)
         {
             return false;
--- a/crates/radishpin-gateway/src/request/stream_version.rs
+++ b/crates/radishpin-gateway/src/request/stream_version.rs
@@ -10,7 +10,10 @@
     /// Endpoints of the version that brought the first event.
     Bound(SoftwareVersion),
     /// None, as the version that brought the first event is not known.
-    Unknown,
+    Unknown {
+        /// Time until it may be known; `None` if it stays unknown.
+        known_in: Option<Duration>,
+    },
 }
 
 impl StreamVersion {
@@ -18,15 +21,23 @@
     /// known; a bound stream stays as it is.
     pub(crate) fn bind(&mut self, version: Option<&SoftwareVersion>) {
         if *self == Self::Unbound {
-            *self = version.cloned().map_or(Self::Unknown, Self::Bound);
+            *self = match version {
+                Some(version) => Self::Bound(version.clone()),
+                None => Self::Unknown { known_in: None },
+            };
         }
     }
 
+    /// Whether no endpoint may go on with the stream.
+    pub(crate) fn is_unknown(&self) -> bool {
+        matches!(self, Self::Unknown { .. })
+    }
+
     /// The only version that may serve the request; `None` if any may.
     pub(crate) fn bound(&self) -> Option<&str> {
         match self {
             Self::Bound(version) => Some(version),
-            Self::Unbound | Self::Unknown => None,
+            Self::Unbound | Self::Unknown { .. } => None,
         }
     }
 }
