--- a/crates/radishpin-core/src/process/fleet.rs
+++ b/crates/radishpin-core/src/process/fleet.rs
@@ -6,11 +6,11 @@
 mod pick;
 mod plan;
 mod rate;
+mod refusal;
 
 pub use endpoint::{LinkLoss, RequestOutcome};
-pub use pick::{
-    EndpointSnapshot, FIRST_TOKEN_LATENCY, Pick, PickQuery, Refusal, RefusalReason, Wait,
-};
+pub use pick::{EndpointSnapshot, FIRST_TOKEN_LATENCY, Pick, PickQuery, Wait};
+pub use refusal::{Refusal, RefusalReason};
 
 use super::{
     Demand, DemandReason, EndpointChange, EndpointEntry, GatewayReport, ModelUsage, Status,
--- /dev/null
+++ b/crates/radishpin-core/src/process/fleet/refusal.rs
@@ -0,0 +1,98 @@
+//! Refusals of requests that have not run, with the time after which their callers may retry.
+
+use super::FIRST_TOKEN_LATENCY;
+use radishpin_protocol::prelude::*;
+
+/// Retry-After base when the gateway is stopping: by then callers should reach another one.
+const STOPPING_RETRY: Duration = Duration::from_millis(300);
+/// Retry-After base when no endpoint can take the request: by then one may be back.
+pub(super) const ABSENT_RETRY: Duration = Duration::from_millis(1_000);
+
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RefusalReason {
+    /// The service has no endpoint that can be reached.
+    NoEndpoint,
+    /// The cheapest endpoint that could serve it is full.
+    Busy,
+    /// No load would finish before the caller leaves.
+    LoadTooLate,
+    /// No endpoint can load the model or adapter, or the wait for an adapter was too long.
+    NoLoader,
+    /// The service does not offer the model.
+    UnknownModel,
+    /// No endpoint runs the software version that began the stream.
+    VersionGone,
+    /// The software version that began the stream is not known.
+    VersionUnknown,
+    /// The gateway is stopping and cannot serve it in time.
+    Stopping,
+}
+
+impl RefusalReason {
+    /// Name for log fields and metric labels.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NoEndpoint => "no_endpoint",
+            Self::Busy => "busy",
+            Self::LoadTooLate => "load_too_late",
+            Self::NoLoader => "no_loader",
+            Self::UnknownModel => "unknown_model",
+            Self::VersionGone => "version_gone",
+            Self::VersionUnknown => "version_unknown",
+            Self::Stopping => "stopping",
+        }
+    }
+}
+
+/// Refusal of a request that has not run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why the request is refused.
+    pub reason: RefusalReason,
+    /// Time after which the caller may retry, with jitter.
+    pub retry_after: Duration,
+    /// Endpoint that meanwhile loads what the request needs, if any.
+    pub loads_at: Option<EndpointId>,
+}
+
+impl Refusal {
+    pub(super) fn new(reason: RefusalReason, base: Duration, random: u64) -> Self {
+        /// Divisor of the base that gives the largest jitter.
+        const JITTER_DIVISOR: u64 = 2;
+        let base_ms = u64::try_from(base.as_millis()).unwrap_or(u64::MAX);
+        let jitter_ms = random % (base_ms / JITTER_DIVISOR).max(1);
+        Self {
+            reason,
+            retry_after: base + Duration::from_millis(jitter_ms),
+            loads_at: None,
+        }
+    }
+
+    /// Creates the refusal of a gateway that is stopping.
+    pub fn stopping(random: u64) -> Self {
+        Self::new(RefusalReason::Stopping, STOPPING_RETRY, random)
+    }
+
+    /// Creates the refusal of a stream that began at an unknown software version, which may be
+    /// known in `known_in`.
+    pub fn version_unknown(known_in: Option<Duration>, random: u64) -> Self {
+        let base = known_in.unwrap_or(ABSENT_RETRY);
+        Self::new(RefusalReason::VersionUnknown, base, random)
+    }
+
+    /// Creates a refusal whose caller should retry once the load at `endpoint` is done.
+    ///
+    /// The jitter is short because the loaded model can serve all waiting callers.
+    pub(super) fn until_loaded(endpoint: EndpointId, estimate: Duration, random: u64) -> Self {
+        /// Largest jitter in milliseconds.
+        const MAX_JITTER_MS: u64 = 250;
+        Self {
+            reason: RefusalReason::LoadTooLate,
+            retry_after: estimate
+                + FIRST_TOKEN_LATENCY
+                + Duration::from_millis(random % MAX_JITTER_MS),
+            loads_at: Some(endpoint),
+        }
+    }
+}
