--- a/crates/radishpin-gateway/src/process/gateway.rs
+++ b/crates/radishpin-gateway/src/process/gateway.rs
@@ -1,5 +1,7 @@
 //! The gateway: receives callers' requests and forwards them to endpoints.
 
+mod links;
+mod listeners;
 mod origins;
 
 use super::{
@@ -7,18 +9,15 @@
     wait_for_stop_signal, watch_settings,
 };
 use crate::{
-    connection::{OriginJob, Pool, ServerLimits, run_link, run_origin_link, serve},
-    request::serve_request,
+    connection::{Pool, ServerLimits},
     version::{watch_catalog, watch_endpoint_list},
 };
 use event_listener::Event;
-use futures_lite::future;
-use http::{Request, Response, StatusCode};
-use http_body_util::Full;
-use hyper::body::{Bytes, Incoming};
+use links::Link;
+use listeners::{serve_callers, serve_readiness};
 use origins::OriginDirectory;
 use parking_lot::Mutex;
-use radishpin_adapter::{READINESS_PATH, Settings};
+use radishpin_adapter::Settings;
 use radishpin_core::{
     process::{
         EndpointChange, EndpointList, EndpointPhase, Fleet, GatewayReport, LinkLoss, Status,
@@ -28,7 +27,6 @@
 };
 use radishpin_protocol::prelude::*;
 use radishpin_runtime::{Runtime, timeout};
-use smol::Task;
 use std::{
     net::SocketAddr,
     path::{Path, PathBuf},
@@ -62,8 +60,6 @@
 /// which is for the whole cluster. The quotient is a gateway's retry burst per service; its burst
 /// for all services together is twice that.
 const RETRY_SLACK_DIVISOR: u32 = 20;
-/// Most requests about origins of streams that wait for one sidecar.
-const ORIGIN_JOBS_MAX: usize = 256;
 /// Smallest retry burst of a gateway per service.
 const RETRY_BURST_MIN: u32 = 2;
 
@@ -87,31 +83,6 @@
     links: Mutex<BTreeMap<EndpointId, Link>>,
 }
 
-/// A task that exchanges reports, statuses and origins of streams with a sidecar; it is cancelled
-/// when this is dropped.
-#[derive(Debug)]
-struct Link {
-    sidecar: SocketAddr,
-    origins: async_channel::Sender<OriginJob>,
-    _task: Task<()>,
-}
-
-impl Link {
-    fn start(gateway: &Arc<Gateway>, endpoint: EndpointId, sidecar: SocketAddr) -> Self {
-        let (origins, jobs) = async_channel::bounded(ORIGIN_JOBS_MAX);
-        let statuses = run_link(Arc::clone(gateway), endpoint, sidecar);
-        let copies = run_origin_link(gateway.runtime.clone(), sidecar, jobs);
-        let task = async {
-            future::zip(statuses, copies).await;
-        };
-        Self {
-            sidecar,
-            origins,
-            _task: gateway.runtime.spawn(task),
-        }
-    }
-}
-
 impl Gateway {
     fn new(runtime: Runtime, settings: Settings) -> Result<Self, GatewayError> {
         let clock = Clock::start();
@@ -221,27 +192,6 @@
         }
     }
 
-    /// Opens links to the sidecars of new engines, and closes those of engines that were removed or
-    /// have another address.
-    fn update_links(self: &Arc<Self>) {
-        let port = self.settings.lock().internal_port;
-        let fleet = self.fleet.lock();
-        let engines = fleet.engines();
-        let sidecars: BTreeMap<EndpointId, SocketAddr> = engines
-            .map(|(id, entry)| (id.clone(), SocketAddr::new(entry.address.ip(), port)))
-            .collect();
-        drop(fleet);
-        let mut links = self.links.lock();
-        links.retain(|id, link| sidecars.get(id) == Some(&link.sidecar));
-        self.demand_events
-            .lock()
-            .retain(|id, _| sidecars.contains_key(id));
-        for (id, sidecar) in sidecars {
-            let start = || Link::start(self, id.clone(), sidecar);
-            links.entry(id.clone()).or_insert_with(start);
-        }
-    }
-
     /// When requests that still wait for an endpoint are refused, so that the others can finish
     /// before the process exits. `None` before the drain starts.
     pub(crate) fn waiting_deadline(&self) -> Option<Duration> {
@@ -421,52 +371,6 @@
         .spawn_detached(async move { watch_settings(&path, &watcher.settings).await });
 }
 
-async fn serve_callers(
-    gateway: &Arc<Gateway>,
-    address: SocketAddr,
-) -> Result<SocketAddr, GatewayError> {
-    let limits_gateway = Arc::clone(gateway);
-    let limits = move || limits_gateway.caller_limits();
-    let shared_gateway = Arc::clone(gateway);
-    let handler = move |request| serve_request(Arc::clone(&shared_gateway), request);
-    serve(
-        &gateway.runtime,
-        address,
-        limits,
-        &gateway.shutdown,
-        handler,
-    )
-    .await
-}
-
-async fn serve_readiness(
-    gateway: &Arc<Gateway>,
-    address: SocketAddr,
-) -> Result<SocketAddr, GatewayError> {
-    let probed_gateway = Arc::clone(gateway);
-    let handler = move |request| std::future::ready(readiness(&probed_gateway, &request));
-    // A shutdown that never starts: probes are answered while the gateway drains.
-    let no_shutdown = Arc::default();
-    serve(
-        &gateway.runtime,
-        address,
-        internal_limits,
-        &no_shutdown,
-        handler,
-    )
-    .await
-}
-
-fn readiness(gateway: &Gateway, request: &Request<Incoming>) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
-    *response.status_mut() = match request.uri().path() {
-        READINESS_PATH if gateway.is_ready() => StatusCode::OK,
-        READINESS_PATH => StatusCode::SERVICE_UNAVAILABLE,
-        _ => StatusCode::NOT_FOUND,
-    };
-    response
-}
-
 fn spawn_store_watches(gateway: &Arc<Gateway>, address: SocketAddr) {
     let client = || StoreClient::new(gateway.runtime.clone(), gateway.clock, address);
     let watching_gateway = Arc::clone(gateway);
--- a/crates/radishpin-gateway/src/request/forward.rs
+++ b/crates/radishpin-gateway/src/request/forward.rs
@@ -1,13 +1,13 @@
 //! Forwarding a request: attempts at endpoints, retries, and the response to the caller.
 
+mod ending;
+
 use super::{
     assignment::assign_endpoint,
     attempt::{AttemptResult, send},
     call::Call,
     origin::{record_origin, version_of_stream},
-    response::{
-        ResponseBody, full_body, gateway_response, refusal_response, remove_connection_headers,
-    },
+    response::{ResponseBody, full_body, remove_connection_headers},
     stream::stream_response,
     stream_version::StreamVersion,
 };
@@ -23,8 +23,6 @@
 const IDEMPOTENT_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time that a response may arrive after the deadline that was sent to the endpoint.
 const DEADLINE_SLACK: Duration = Duration::from_millis(60);
-/// Retry-After of a request that was refused by endpoints or ran out of time before it ran.
-const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Most sends of a request that endpoints refuse or that reach no endpoint.
 const REFUSED_SENDS_MAX: usize = 3;
 
@@ -347,69 +345,4 @@
         let retries = &self.gateway.metrics.retries;
         retries.with_label_values(&[reason]).inc();
     }
-
-    fn refuse(&self, refused: &Refused) -> Response<ResponseBody> {
-        let (reason, retry_after) = match refused {
-            Refused::ByGateway(refusal) => (refusal.reason.name(), refusal.retry_after),
-            Refused::ByEndpoints => ("refused_by_endpoints", REFUSED_RETRY_AFTER),
-            Refused::TimedOut => ("out_of_time", REFUSED_RETRY_AFTER),
-        };
-        self.gateway
-            .metrics
-            .refusals
-            .with_label_values(&[reason])
-            .inc();
-        self.finish("refused", StatusCode::SERVICE_UNAVAILABLE, reason);
-        refusal_response(reason, retry_after)
-    }
-
-    fn fail(&self, cause: &str, status: StatusCode) -> Response<ResponseBody> {
-        self.finish("failed", status, cause);
-        gateway_response(
-            status,
-            "the endpoint gave no answer; the request may have run",
-        )
-    }
-
-    fn observe_first_byte(&self) {
-        let took = self
-            .gateway
-            .clock
-            .now()
-            .saturating_sub(self.call.received_at);
-        self.gateway
-            .metrics
-            .first_byte_s
-            .observe(took.as_secs_f64());
-    }
-
-    fn log_attempt(&self, endpoint: &str, outcome: &str, cause: &str, took: Duration) {
-        log::info!(
-            event = "attempt_failed", request = self.call.id, endpoint = endpoint, outcome = outcome,
-            cause = cause, took_ms = took.as_millis() as u64, sends_refused = self.sends_refused, sends_ran = self.sends_ran;
-            "attempt failed"
-        );
-    }
-
-    /// Records the end of the request in the metrics and the log.
-    pub(crate) fn finish(&self, outcome: &str, status: StatusCode, reason: &str) {
-        let took = self
-            .gateway
-            .clock
-            .now()
-            .saturating_sub(self.call.received_at);
-        self.gateway.metrics.answer_s.observe(took.as_secs_f64());
-        self.gateway
-            .metrics
-            .requests
-            .with_label_values(&[outcome])
-            .inc();
-        let model = self.call.target.as_ref().map_or("-", |(model, _)| model);
-        log::info!(
-            event = "request_ended", request = self.call.id, route = self.call.route.name, model = model,
-            outcome = outcome, status = status.as_u16(), reason = reason, took_ms = took.as_millis() as u64,
-            sends_ran = self.sends_ran, sends_refused = self.sends_refused, configuration = self.call.catalog_version;
-            "request ended"
-        );
-    }
 }
