--- a/crates/radishpin-core/src/rendezvous.rs
+++ b/crates/radishpin-core/src/rendezvous.rs
@@ -8,8 +8,12 @@
     bytes.extend_from_slice(target.as_bytes());
     bytes.push(0);
     bytes.extend_from_slice(candidate.as_bytes());
-    // FNV barely changes the high bits for short inputs; this finalizer mixes them.
-    let hash = stable_hash(&bytes);
+    // FNV barely changes the high bits for short inputs.
+    mix(stable_hash(&bytes))
+}
+
+/// Spreads each bit of a hash over all bits.
+pub(crate) fn mix(hash: u64) -> u64 {
     let hash = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
     let hash = (hash ^ (hash >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
     hash ^ (hash >> 33)
--- a/crates/radishpin-core/tests/request_stream_origins.rs
+++ b/crates/radishpin-core/tests/request_stream_origins.rs
@@ -62,16 +62,13 @@
     let mut copies_by_sidecar = [0_usize; 40];
     for n in 0..1_000 {
         let attempt = format!("attempt-{n}");
-        let holders = copy_holders(&attempt, all.iter().copied(), 3);
+        let holders = copy_holders(&attempt, all.iter().map(|one| (*one, *one)), 3);
         assert_eq!(holders.len(), 3);
         for holder in &holders {
             copies_by_sidecar[all.iter().position(|one| one == holder).unwrap()] += 1;
         }
-        let without_two = all
-            .iter()
-            .copied()
-            .filter(|one| !holders[..2].contains(one));
-        let asked = copy_holders(&attempt, without_two, 5);
+        let left = all.iter().filter(|one| !holders[..2].contains(one));
+        let asked = copy_holders(&attempt, left.map(|one| (*one, *one)), 5);
         assert!(asked.contains(&holders[2]), "a list without two of them");
     }
     let even = 1_000 * 3 / 40;
@@ -80,3 +77,14 @@
         .all(|copies| (even / 2..=even * 2).contains(copies));
     assert!(spread, "{copies_by_sidecar:?}");
 }
+
+/// While an engine restarts under a new id, its sidecar's address is listed twice.
+#[test]
+fn a_sidecar_that_is_listed_twice_holds_one_copy() {
+    let listed = [1, 1, 2, 2, 3].map(|n| (SocketAddr::from(([10, 0, 0, n], 7_380)), n));
+    for n in 0..100 {
+        let mut holders = copy_holders(&format!("attempt-{n}"), listed, 3);
+        holders.sort_unstable();
+        assert_eq!(holders, [1, 2, 3]);
+    }
+}
--- a/crates/radishpin-gateway/src/process/gateway/origins.rs
+++ b/crates/radishpin-gateway/src/process/gateway/origins.rs
@@ -77,12 +77,8 @@
     /// The links to the sidecars that hold copies of an attempt's origin, the first one first.
     fn origin_links(&self, attempt: &str, count: usize) -> Vec<async_channel::Sender<OriginJob>> {
         let links = self.links.lock();
-        let by_sidecar: BTreeMap<_, _> = links
-            .values()
-            .map(|link| (link.sidecar, &link.origins))
-            .collect();
-        let holders = copy_holders(attempt, by_sidecar.keys().copied(), count);
-        let senders = holders.iter().filter_map(|sidecar| by_sidecar.get(sidecar));
-        senders.map(|sender| (*sender).clone()).collect()
+        let senders = links.values().map(|link| (link.sidecar, &link.origins));
+        let holders = copy_holders(attempt, senders, count);
+        holders.into_iter().cloned().collect()
     }
 }
--- a/src/command/explain/timeline.rs
+++ b/src/command/explain/timeline.rs
@@ -136,6 +136,12 @@
             f("took_ms"),
         ),
         "stream_resumes" => format!("the stream broke off; goes on after event {}", f("after")),
+        "stream_taken_up" => format!(
+            "its caller takes up the stream of {}, which began at software version {} (known from: {})",
+            f("resumes"),
+            f("software_version"),
+            f("source"),
+        ),
         "stream_ended_early" => format!(
             "the answer of {} ended before its stream did: {} events, framing {}, inside an event: {}",
             f("endpoint"),
@@ -199,6 +205,12 @@
         "no_loader" => "it did not run: no endpoint held its model, and none could load it",
         "busy" => "it did not run: the endpoints that hold its model had no place",
         "no_endpoint" => "it did not run: its service had no endpoint that takes requests",
+        "version_gone" => {
+            "it did not run: no endpoint runs the software version that began its stream"
+        }
+        "version_unknown" => {
+            "it did not run: no one knew the software version that began its stream, and several may serve"
+        }
         "unknown_model" => "it did not run: the configuration in force offers no such model",
         "refused_by_endpoints" => "it did not run: each endpoint that it was sent to refused it",
         "out_of_time" => "it did not run: its time was over before it could be sent",
