Test streams that callers take up at random gateways after random breaks

Engines of two versions break streams off at random events or refuse them; six callers take their 48 streams up at two gateways.

Ids of attempts are recorded only up to 128 bytes, as callers choose them: 16,384 long ones would exceed a sidecar's memory.

--- a/crates/radishpin-gateway/src/request/origin.rs
+++ b/crates/radishpin-gateway/src/request/origin.rs
@@ -5,6 +5,9 @@
 use radishpin_core::{request::StreamOrigin, version::RequestSemantics};
 use radishpin_protocol::prelude::*;
 
+/// Longest attempt id, in bytes, whose origin is recorded, as callers choose the ids.
+const ATTEMPT_ID_BYTES_MAX: usize = 128;
+
 /// How the version of a stream was found; for the log and the metrics.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Source {
@@ -91,7 +94,8 @@
     software_version: Option<&SoftwareVersion>,
 ) {
     let resumable = call.route.semantics == RequestSemantics::ResumableStream;
-    if !resumable || call.takes_up_stream || call.id.is_empty() {
+    let has_id = (1..=ATTEMPT_ID_BYTES_MAX).contains(&call.id.len());
+    if !resumable || call.takes_up_stream || !has_id {
         return;
     }
     gateway.record_origin(StreamOrigin {
--- a/crates/radishpin-gateway/tests/serving/endpoint.rs
+++ b/crates/radishpin-gateway/tests/serving/endpoint.rs
@@ -47,6 +47,7 @@
     pub id: String,
     pub headers: HeaderMap,
     pub body: Bytes,
+    pub behavior: Behavior,
 }
 
 #[derive(Debug, Default)]
@@ -211,16 +212,18 @@
         }
         let behavior = {
             let mut state = self.state.lock();
+            let behavior = if state.behaviors.is_empty() {
+                Behavior::Answer
+            } else {
+                state.behaviors.remove(0)
+            };
             state.received.push(ReceivedRequest {
                 id: id.clone(),
                 headers: parts.headers.clone(),
                 body,
+                behavior,
             });
-            if state.behaviors.is_empty() {
-                Behavior::Answer
-            } else {
-                state.behaviors.remove(0)
-            }
+            behavior
         };
         let resume_after = header("last-event-id").parse::<u32>().unwrap_or(0);
         let is_stream = !model.is_empty();
--- a/crates/radishpin-gateway/tests/serving/main.rs
+++ b/crates/radishpin-gateway/tests/serving/main.rs
@@ -10,4 +10,5 @@
 mod requests;
 mod store;
 mod streams;
+mod taken_up;
 mod versions;
