Call it resuming where callers resume their streams

The new code and pages said that callers take streams up and that streams go on; the field's term is to resume. Event stream_resumption, metric radishpin_resumptions_total and the names of tests follow; no decision changes.

--- a/crates/radishpin-core/src/process/software_versions.rs
+++ b/crates/radishpin-core/src/process/software_versions.rs
@@ -33,8 +33,8 @@
             .retain(|_, versions| !versions.is_empty());
     }
 
-    /// The version of all endpoints that a service had since a stream of today could have begun;
-    /// `None` if there were several, none, or one that is not known.
+    /// The one version of all endpoints that a service has had during [`ORIGIN_LIFETIME`]; `None` if
+    /// there were several, none, or one that is not known.
     pub fn only_version(&self, service: &str) -> Option<&SoftwareVersion> {
         let versions = self.last_listed_at.get(service)?;
         let mut known = versions.keys();
--- a/crates/radishpin-core/src/request/stream_origins.rs
+++ b/crates/radishpin-core/src/request/stream_origins.rs
@@ -1,4 +1,4 @@
-//! Software versions that began streams, so that callers can take their streams up at any gateway.
+//! Software versions that began streams, so that callers can resume their streams at any gateway.
 
 use crate::rendezvous::mix;
 use radishpin_protocol::{engine::stable_hash, prelude::*};
--- a/crates/radishpin-core/tests/request_stream_origins.rs
+++ b/crates/radishpin-core/tests/request_stream_origins.rs
@@ -1,4 +1,4 @@
-//! Origins of streams that callers take up.
+//! Origins of streams that callers resume.
 
 use radishpin_core::request::{
     ORIGIN_LIFETIME, ORIGINS_MAX, StreamOrigin, StreamOrigins, copy_holders,
--- a/crates/radishpin-gateway/src/connection/server.rs
+++ b/crates/radishpin-gateway/src/connection/server.rs
@@ -118,11 +118,11 @@
         return;
     }
     let socket = stream.clone();
-    let resets = AtomicBool::new(false);
+    let closes_by_reset = AtomicBool::new(false);
     let service = service_fn(|request: Request<Incoming>| {
         // A response to HTTP/1.0 may end with its connection, which must then end regularly only
         // after the whole response, even if this process is killed.
-        if request.version() < Version::HTTP_11 && !resets.swap(true, Ordering::Relaxed) {
+        if request.version() < Version::HTTP_11 && !closes_by_reset.swap(true, Ordering::Relaxed) {
             log_failure(reset_on_close(&socket));
         }
         let response = handler(request);
@@ -153,7 +153,7 @@
         }
     };
     let response_broke_off = result.as_ref().is_err_and(hyper::Error::is_user);
-    if resets.load(Ordering::Relaxed) && !response_broke_off {
+    if closes_by_reset.load(Ordering::Relaxed) && !response_broke_off {
         log_failure(close_regularly(&socket));
     }
     if let Err(cause) = result {
--- a/crates/radishpin-gateway/src/process/gateway/origins.rs
+++ b/crates/radishpin-gateway/src/process/gateway/origins.rs
@@ -11,8 +11,8 @@
 use radishpin_protocol::prelude::*;
 use radishpin_runtime::timeout;
 
-/// Sidecars that get a copy of each origin: as many as lets one of them survive when most
-/// processes of the system are killed at once.
+/// Sidecars that get a copy of each origin, so that one likely survives if many processes are killed
+/// at once.
 const ORIGIN_COPIES: usize = 3;
 /// Sidecars that are asked for a copy: more than have one, as lists of endpoints differ for a while.
 const COPIES_ASKED: usize = 5;
--- a/crates/radishpin-gateway/src/process/metrics.rs
+++ b/crates/radishpin-gateway/src/process/metrics.rs
@@ -27,8 +27,8 @@
     pub(crate) refusals: IntCounterVec,
     /// Requests that were sent again, by reason.
     pub(crate) retries: IntCounterVec,
-    /// Streams that callers took up, by how the version that began them was found.
-    pub(crate) streams_taken_up: IntCounterVec,
+    /// Streams that callers resumed, by how the version that began them was found.
+    pub(crate) resumptions: IntCounterVec,
     /// Time from the receipt of a request to the head of its response.
     pub(crate) first_byte_s: Histogram,
     /// Time from the receipt of a request to the end of its response.
@@ -74,8 +74,8 @@
             &["reason"],
         )?;
         let retries = counters("radishpin_retries_total", "Retries by reason", &["reason"])?;
-        let streams_taken_up = counters(
-            "radishpin_streams_taken_up_total",
+        let resumptions = counters(
+            "radishpin_resumptions_total",
             "Streams that callers took up, by source of their version",
             &["source"],
         )?;
@@ -106,7 +106,7 @@
             requests,
             refusals,
             retries,
-            streams_taken_up,
+            resumptions,
             first_byte_s,
             answer_s,
             load_wait_s,
--- a/crates/radishpin-gateway/src/request/call.rs
+++ b/crates/radishpin-gateway/src/request/call.rs
@@ -29,10 +29,10 @@
     /// Whether the service runs models.
     pub(crate) is_engine: bool,
     pub(crate) target: Option<(ModelId, Option<AdapterId>)>,
-    /// The caller's attempt that brought the first event of the stream which this one takes up.
+    /// The caller's attempt that brought the first event of the stream which this one resumes.
     pub(crate) resumes: Option<RequestId>,
-    /// Whether the caller has events of the stream and takes it up after them.
-    pub(crate) takes_up_stream: bool,
+    /// Whether the caller has events of the stream and resumes it after them.
+    pub(crate) resumes_stream: bool,
     /// Tokens of the prompt; 0 if the caller did not send the number.
     pub(crate) prompt_tokens: u32,
     /// Version of the configuration that the request was routed by.
@@ -92,7 +92,7 @@
                 .filter(|_| is_engine)
                 .map(wire::parse_model),
             resumes: header_text(&parts.headers, wire::RESUMES).map(str::to_owned),
-            takes_up_stream: parts.headers.contains_key(wire::RESUMES)
+            resumes_stream: parts.headers.contains_key(wire::RESUMES)
                 || parts.headers.contains_key(wire::LAST_EVENT_ID),
             prompt_tokens: header_text(&parts.headers, wire::TOKEN_COUNTS)
                 .and_then(wire::parse_prompt_size)
--- a/crates/radishpin-gateway/src/request/forward.rs
+++ b/crates/radishpin-gateway/src/request/forward.rs
@@ -63,7 +63,7 @@
     pub(crate) gateway: Arc<Gateway>,
     pub(crate) call: Arc<Call>,
     tried: BTreeSet<EndpointId>,
-    /// Which endpoints may go on with its stream.
+    /// Which endpoints may serve or resume its stream.
     pub(crate) stream_version: StreamVersion,
     /// Time at which the caller got the last part of its response; initially the arrival of the
     /// request.
--- a/crates/radishpin-gateway/src/request/origin.rs
+++ b/crates/radishpin-gateway/src/request/origin.rs
@@ -1,4 +1,4 @@
-//! Software version of streams that callers take up, at this gateway or after another one.
+//! Software version of streams that callers resume, begun at this gateway or at another one.
 
 use super::{call::Call, stream_version::StreamVersion};
 use crate::process::Gateway;
@@ -32,19 +32,19 @@
     }
 }
 
-/// Determines which endpoints may serve a request: all, unless its caller takes up a stream.
+/// Determines which endpoints may serve a request: all, unless its caller resumes a stream.
 pub(crate) async fn version_of_stream(gateway: &Gateway, call: &Call) -> StreamVersion {
     let resumable = call.route.semantics == RequestSemantics::ResumableStream;
-    if !resumable || !call.takes_up_stream {
+    if !resumable || !call.resumes_stream {
         return StreamVersion::Unbound;
     }
     let (source, version) = find_version(gateway, call).await;
-    let taken_up = &gateway.metrics.streams_taken_up;
-    taken_up.with_label_values(&[source.name()]).inc();
+    let resumptions = &gateway.metrics.resumptions;
+    resumptions.with_label_values(&[source.name()]).inc();
     log::info!(
-        event = "stream_taken_up", request = call.id, resumes = call.resumes.as_deref().unwrap_or("-"),
+        event = "stream_resumption", request = call.id, resumes = call.resumes.as_deref().unwrap_or("-"),
         software_version = version.bound().unwrap_or("-"), source = source.name();
-        "the caller takes a stream up"
+        "the caller resumes a stream"
     );
     version
 }
@@ -86,7 +86,7 @@
 }
 
 /// Records the version of the endpoint that a request for a new stream is sent to, so that its
-/// caller can take the stream up. `send` is the number of the send, from 1.
+/// caller can resume the stream. `send` is the number of the send, from 1.
 pub(crate) fn record_origin(
     gateway: &Gateway,
     call: &Call,
@@ -95,7 +95,7 @@
 ) {
     let resumable = call.route.semantics == RequestSemantics::ResumableStream;
     let has_id = (1..=ATTEMPT_ID_BYTES_MAX).contains(&call.id.len());
-    if !resumable || call.takes_up_stream || !has_id {
+    if !resumable || call.resumes_stream || !has_id {
         return;
     }
     gateway.record_origin(StreamOrigin {
--- a/crates/radishpin-gateway/src/request/stream_version.rs
+++ b/crates/radishpin-gateway/src/request/stream_version.rs
@@ -2,7 +2,7 @@
 
 use radishpin_protocol::prelude::*;
 
-/// Which endpoints may go on with a stream: what two software versions write does not fit together.
+/// Which endpoints may serve a stream: the events of two software versions do not fit together.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum StreamVersion {
     /// Any endpoint, as the caller has no event yet.
@@ -28,7 +28,7 @@
         }
     }
 
-    /// Whether no endpoint may go on with the stream.
+    /// Whether no endpoint may resume the stream.
     pub(crate) fn is_unknown(&self) -> bool {
         matches!(self, Self::Unknown { .. })
     }
--- a/crates/radishpin-gateway/tests/serving/framing.rs
+++ b/crates/radishpin-gateway/tests/serving/framing.rs
@@ -85,7 +85,7 @@
 }
 
 #[test]
-fn a_resumable_stream_without_length_goes_on_after_it_was_closed_inside_an_event() {
+fn a_resumable_stream_without_length_is_resumed_after_it_was_closed_inside_an_event() {
     let got = ask_resumable(str::to_owned);
     assert_eq!((got.status, got.complete), (200, true));
     assert_eq!(got.body, format!("{TWO_EVENTS}{LAST_EVENT}"));
--- a/crates/radishpin-gateway/tests/serving/main.rs
+++ b/crates/radishpin-gateway/tests/serving/main.rs
@@ -8,7 +8,7 @@
 mod loads;
 mod raw_endpoint;
 mod requests;
+mod resumptions;
 mod store;
 mod streams;
-mod taken_up;
 mod versions;
--- a/crates/radishpin-gateway/tests/serving/taken_up.rs
+++ b/crates/radishpin-gateway/tests/serving/resumptions.rs
@@ -1,4 +1,4 @@
-//! Randomized: engines of two versions break streams off, and callers take them up at two gateways.
+//! Randomized: engines of two versions break streams off, and callers resume them at two gateways.
 
 use super::{
     caller::CallerRequest,
@@ -39,7 +39,7 @@
         u32::try_from(self.events.matches("\n\n").count()).expect("few events")
     }
 
-    /// Makes one attempt: begins the stream, or takes it up after the last event.
+    /// Makes one attempt: begins the stream, or resumes it after the last event.
     fn attempt(&mut self, cluster: &TestCluster, gateway: &GatewayProcess, id: String) {
         let mut request = CallerRequest::new("/summary/2f", &id).model("m0");
         if let Some(began_as) = &self.began_as {
@@ -129,7 +129,7 @@
 }
 
 #[test]
-fn streams_that_callers_take_up_are_whole_and_of_one_software_version() {
+fn streams_that_callers_resume_are_whole_and_of_one_software_version() {
     let seeds = std::env::var(SEEDS_VARIABLE).ok();
     let seeds = seeds.and_then(|seeds| seeds.parse().ok());
     for seed in 1..=seeds.unwrap_or(SEEDS_DEFAULT) {
--- a/crates/radishpin-gateway/tests/serving/versions.rs
+++ b/crates/radishpin-gateway/tests/serving/versions.rs
@@ -1,4 +1,4 @@
-//! Streams go on only at endpoints of the software version that began them.
+//! Streams are resumed only at endpoints of the software version that began them.
 
 use super::{
     caller::CallerRequest,
@@ -10,7 +10,7 @@
 
 type Engines = Vec<(Arc<Endpoint>, SidecarProcess)>;
 
-/// Streams per test: engines of either version may begin one, and many must go on.
+/// Streams per test: engines of either version may begin one, and many must be resumed.
 const STREAMS: usize = 8;
 
 /// Starts two engines of each of these versions; in the order of ids, versions alternate.
@@ -52,8 +52,8 @@
     CallerRequest::new("/summary/2f", id).model("m0")
 }
 
-/// A request that takes up a stream of which its caller has two events.
-fn take_up(id: &str, began_as: &str) -> CallerRequest {
+/// A request that resumes a stream of which its caller has two events.
+fn resume(id: &str, began_as: &str) -> CallerRequest {
     summary(id)
         .header("Resumes", began_as)
         .header("Last-Event-Id", "2")
@@ -78,14 +78,14 @@
 }
 
 #[test]
-fn a_stream_that_its_caller_takes_up_goes_on_at_its_software_version() {
+fn a_caller_resumes_its_stream_at_its_software_version() {
     let cluster = TestCluster::start();
     let engines = start_engines(&cluster, &["v1", "v2"]);
     cluster.wait_until_ready();
     for n in 0..STREAMS {
         let (first, second) = (format!("s{n}"), format!("t{n}"));
         begin_broken(&cluster, &engines, &first);
-        let got = cluster.ask(&take_up(&second, &first));
+        let got = cluster.ask(&resume(&second, &first));
         assert_eq!((got.status, got.complete), (200, true), "{got}");
         assert_eq!(got.body, events_after_2());
         let versions = versions_of(&engines, &[&first, &second]);
@@ -93,9 +93,9 @@
     }
 }
 
-/// The gateway that began the streams is gone when their callers take them up elsewhere.
+/// The gateway that began the streams is gone when their callers resume them elsewhere.
 #[test]
-fn a_stream_that_is_taken_up_at_another_gateway_goes_on_at_its_software_version() {
+fn a_caller_resumes_its_stream_at_its_software_version_at_another_gateway() {
     let cluster = TestCluster::start();
     let engines = start_engines(&cluster, &["v1", "v2"]);
     let other = cluster.start_other_gateway();
@@ -107,7 +107,7 @@
     smol::block_on(cluster.gateway.stop());
     for (n, first) in began.iter().enumerate() {
         let second = format!("t{n}");
-        let got = cluster.ask_at(&other, &take_up(&second, first));
+        let got = cluster.ask_at(&other, &resume(&second, first));
         assert_eq!((got.status, got.complete), (200, true), "{got}");
         let versions = versions_of(&engines, &[first, &second]);
         assert_eq!(versions.len(), 1, "stream {first} met {versions:?}");
@@ -125,7 +125,7 @@
     }
     let newer = start_engines(&cluster, &["v2"]);
     thread::sleep(Duration::from_millis(1_500));
-    let got = cluster.ask(&take_up("s2", "s1"));
+    let got = cluster.ask(&resume("s2", "s1"));
     assert_eq!(got.status, 503, "{got}");
     assert!(got.header("retry-after").is_some());
     assert_eq!(versions_of(&newer, &["s2"]), BTreeSet::new());
@@ -137,7 +137,7 @@
     let engines = start_engines(&cluster, &["v1", "v2"]);
     cluster.wait_until_ready();
     for request in [
-        take_up("s2", "never-seen"),
+        resume("s2", "never-seen"),
         summary("s3").header("Last-Event-Id", "2"),
     ] {
         let got = cluster.ask(&request);
@@ -148,7 +148,7 @@
 }
 
 #[test]
-fn a_stream_of_unknown_origin_goes_on_while_one_software_version_serves() {
+fn a_stream_of_unknown_origin_is_resumed_while_one_software_version_serves() {
     let cluster = TestCluster::start();
     let _engines = start_engines(&cluster, &["v1"]);
     cluster.wait_until_ready();
@@ -156,13 +156,13 @@
     assert_eq!(unnamed.body, events_after_2());
     // A gateway that has just started may not have seen all versions yet.
     thread::sleep(Duration::from_secs(3));
-    let unknown = cluster.ask(&take_up("s3", "never-seen"));
+    let unknown = cluster.ask(&resume("s3", "never-seen"));
     assert_eq!(unknown.body, events_after_2());
 }
 
 /// An engine restarts with other software under its id and address; the list lags behind.
 #[test]
-fn a_stream_does_not_go_on_at_an_engine_that_restarted_since_it_was_listed() {
+fn a_stream_is_not_resumed_at_an_engine_that_restarted_since_it_was_listed() {
     let cluster = TestCluster::start();
     let engines = start_engines(&cluster, &["v1"]);
     cluster.wait_until_ready();
@@ -171,7 +171,7 @@
         engine.restart_with(&["m0"]);
     }
     thread::sleep(Duration::from_millis(600));
-    let got = cluster.ask(&take_up("s2", "s1"));
+    let got = cluster.ask(&resume("s2", "s1"));
     assert_eq!(got.status, 503, "{got}");
     assert_eq!(versions_of(&engines, &["s2"]), BTreeSet::new());
 }
--- a/src/command/explain/timeline.rs
+++ b/src/command/explain/timeline.rs
@@ -92,7 +92,7 @@
 fn software_and_origin(line: &LogLine) -> String {
     let known = |key: &str| line.field(key).filter(|value| *value != "-");
     let software = known("software_version").map(|version| format!(" of version {version}"));
-    let origin = known("resumes").map(|attempt| format!(", to go on with the stream of {attempt}"));
+    let origin = known("resumes").map(|attempt| format!(", to resume the stream of {attempt}"));
     software.unwrap_or_default() + &origin.unwrap_or_default()
 }
 
@@ -136,8 +136,8 @@
             f("took_ms"),
         ),
         "stream_resumes" => format!("the stream broke off; goes on after event {}", f("after")),
-        "stream_taken_up" => format!(
-            "its caller takes up the stream of {}, which began at software version {} (known from: {})",
+        "stream_resumption" => format!(
+            "its caller resumes the stream of {}, which began at software version {} (known from: {})",
             f("resumes"),
             f("software_version"),
             f("source"),
