Log the shared parts of a request's prompt

Cause: no line tells which parts a prompt has, so the logs cannot tell a part that crashes each engine which serves it from engines that end of overload, nor from the first part that all requests of a route share.

Change: request_sent has shared_parts: the ids of the parts of the prompt but the last, which belongs to the request or its session. With the endpoint on the same line, with request_ended outcome=cut and with the sidecars' engine_lost, the parts in flight at each end of an engine can be set beside the parts of answered requests. No routing changes.

--- a/crates/radishpin-core/src/request.rs
+++ b/crates/radishpin-core/src/request.rs
@@ -28,7 +28,7 @@
 };
 pub use load_limit::LoadLimit;
 pub use prefix_hints::{CacheEvent, PrefixHash, PrefixHints};
-pub use prompt::PromptSize;
+pub use prompt::{PromptPartId, PromptSize, SHARED_PARTS_MAX, SharedParts};
 pub use retry::{
     AttemptOutcome, MAX_ATTEMPTS, RetryContext, RetryDecision, RetryReason, TOMBSTONE_TIMEOUT,
     decide_retry,
--- a/crates/radishpin-gateway/src/request/call.rs
+++ b/crates/radishpin-gateway/src/request/call.rs
@@ -11,7 +11,10 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use radishpin_adapter::header as wire;
-use radishpin_core::version::{Catalog, Route};
+use radishpin_core::{
+    request::SharedParts,
+    version::{Catalog, Route},
+};
 use radishpin_protocol::prelude::*;
 use radishpin_runtime::timeout;
 use std::sync::Arc;
@@ -35,6 +38,8 @@
     pub(crate) resumes_stream: bool,
     /// Tokens of the prompt; 0 if the caller did not send the number.
     pub(crate) prompt_tokens: u32,
+    /// Parts of the prompt that other requests may share; empty for a plain service.
+    pub(crate) shared_parts: SharedParts,
     /// Version of the configuration that the request was routed by.
     pub(crate) catalog_version: u64,
     pub(crate) received_at: Duration,
@@ -97,6 +102,10 @@
             prompt_tokens: header_text(&parts.headers, wire::TOKEN_COUNTS)
                 .and_then(wire::parse_prompt_size)
                 .map_or(0, |size| size.prompt_tokens),
+            shared_parts: header_text(&parts.headers, wire::PROMPT_PREFIX)
+                .filter(|_| is_engine)
+                .map(wire::parse_shared_parts)
+                .unwrap_or_default(),
             route,
             service,
             is_engine,
--- a/src/command/explain/timeline.rs
+++ b/src/command/explain/timeline.rs
@@ -87,13 +87,14 @@
     nearby.iter().filter(is_related).collect()
 }
 
-/// The endpoint's software version and the attempt that a resumed stream began as, where the line
-/// tells them.
-fn software_and_origin(line: &LogLine) -> String {
+/// The endpoint's software version, the attempt that a resumed stream began as and the shared parts
+/// of the prompt, where the line tells them.
+fn software_origin_and_parts(line: &LogLine) -> String {
     let known = |key: &str| line.field(key).filter(|value| *value != "-");
     let software = known("software_version").map(|version| format!(" of version {version}"));
     let origin = known("resumes").map(|attempt| format!(", to resume the stream of {attempt}"));
-    software.unwrap_or_default() + &origin.unwrap_or_default()
+    let parts = known("shared_parts").map(|parts| format!(", its prompt shares the parts {parts}"));
+    [software, origin, parts].into_iter().flatten().collect()
 }
 
 fn describe(line: &LogLine) -> String {
@@ -102,7 +103,7 @@
         "request_sent" => format!(
             "sent to {}{} (load {} by status {} of {} ms ago, configuration {}; waited {} ms, {} ms left, {} endpoints tried before)",
             f("endpoint"),
-            software_and_origin(line),
+            software_origin_and_parts(line),
             f("load"),
             f("status"),
             f("status_age_ms"),
