--- a/crates/radishpin-gateway/tests/serving/cluster.rs
+++ b/crates/radishpin-gateway/tests/serving/cluster.rs
@@ -5,6 +5,8 @@
     endpoint::Endpoint,
     store::Store,
 };
+use event_listener::Event;
+use futures_lite::future;
 use http::{Request, Response};
 use hyper::{
     body::{Body, Incoming},
@@ -49,9 +51,13 @@
     pub gateway_runtime: Runtime,
 }
 
+/// Time for which a crashed server refuses connections.
+pub const DOWNTIME: Duration = Duration::from_millis(500);
+
 /// Serves a handler on an address. If the handler fails, the connection is closed without a
-/// response.
-pub fn serve<B, H, F>(runtime: &Runtime, address: &str, handler: H) -> SocketAddr
+/// response. Whenever `crash` is notified, all connections are closed, and new ones refused for
+/// [`DOWNTIME`].
+pub fn serve<B, H, F>(runtime: &Runtime, address: &str, crash: Arc<Event>, handler: H) -> SocketAddr
 where
     B: Body + Send + 'static,
     B::Data: Send,
@@ -59,25 +65,50 @@
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = std::io::Result<Response<B>>> + Send + 'static,
 {
-    let listener =
+    let mut listener =
         smol::block_on(TcpListener::bind(address)).expect("can bind to the loopback address");
     let address = listener.local_addr().expect("listener has an address");
-    let runtime = runtime.clone();
-    let connections = runtime.clone();
+    let server_runtime = runtime.clone();
     runtime.spawn_detached(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            let handler = handler.clone();
-            connections.spawn_detached(async move {
-                let service = service_fn(handler);
-                let connection =
-                    http1::Builder::new().serve_connection(FuturesIo::new(stream), service);
-                let _ = connection.await;
-            });
+        loop {
+            let crashed = crash.listen();
+            let accepting = accept_connections(&server_runtime, listener, &crash, &handler);
+            future::or(accepting, crashed).await;
+            Runtime::sleep(DOWNTIME).await;
+            let rebound = TcpListener::bind(address).await;
+            listener = rebound.expect("the address is free again");
         }
     });
     address
 }
 
+async fn accept_connections<B, H, F>(
+    runtime: &Runtime,
+    listener: TcpListener,
+    crash: &Arc<Event>,
+    handler: &H,
+) where
+    B: Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = std::io::Result<Response<B>>> + Send + 'static,
+{
+    while let Ok((stream, _)) = listener.accept().await {
+        let handler = handler.clone();
+        let crashed = crash.listen();
+        runtime.spawn_detached(async move {
+            let service = service_fn(handler);
+            let connection =
+                http1::Builder::new().serve_connection(FuturesIo::new(stream), service);
+            let served = async {
+                let _ = connection.await;
+            };
+            future::or(served, crashed).await;
+        });
+    }
+}
+
 /// Returns the configuration of a test cluster with the given version.
 pub fn configuration(version: u64) -> Value {
     let route = |name: &str, kind: &str, service: &str, attempts: u32, resumable: bool| {
@@ -181,9 +212,14 @@
 
     /// Starts another gateway, which serves beside the first one.
     pub fn start_other_gateway(&self) -> GatewayProcess {
+        self.start_gateway_on("host-2")
+    }
+
+    /// Starts another gateway on a host with this name.
+    pub fn start_gateway_on(&self, host: &str) -> GatewayProcess {
         start_gateway(
             &self.gateway_runtime,
-            "host-2",
+            host,
             self.store_address,
             self.internal_port,
         )
--- a/crates/radishpin-gateway/tests/serving/endpoint.rs
+++ b/crates/radishpin-gateway/tests/serving/endpoint.rs
@@ -1,6 +1,7 @@
 //! A stand-in for an endpoint: a plain service, or a model engine for requests that name a model.
 
 use bytes::Bytes;
+use event_listener::Event;
 use futures_lite::{StreamExt, stream};
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody, combinators::UnsyncBoxBody};
@@ -62,6 +63,9 @@
     ignored_orders: u32,
     started_unix_ms: u64,
     software_version: String,
+    /// Part of a prompt under which the engine crashes once it has sent the first event.
+    crashing_part: Option<String>,
+    crashes: u32,
     /// Current id; differs from [`Endpoint::id`] after a restart under another id.
     id: String,
 }
@@ -73,6 +77,7 @@
     pub address: SocketAddr,
     state: Mutex<State>,
     load_duration: Duration,
+    crash: Arc<Event>,
 }
 
 type Body = UnsyncBoxBody<Bytes, io::Error>;
@@ -91,15 +96,19 @@
         };
         let shared: Arc<Mutex<Option<Arc<Self>>>> = Arc::default();
         let handling = Arc::clone(&shared);
-        let address = super::cluster::serve(runtime, &format!("{ip}:0"), move |request| {
+        let crash: Arc<Event> = Arc::default();
+        let handler = move |request| {
             let endpoint = handling.lock().clone().expect("endpoint is set");
             async move { endpoint.handle(request).await }
-        });
+        };
+        let listen_on = format!("{ip}:0");
+        let address = super::cluster::serve(runtime, &listen_on, Arc::clone(&crash), handler);
         let endpoint = Arc::new(Self {
             id: id.to_owned(),
             address,
             state: Mutex::new(state),
             load_duration: Duration::from_millis(120),
+            crash,
         });
         *shared.lock() = Some(Arc::clone(&endpoint));
         endpoint
@@ -156,6 +165,33 @@
         self.state.lock().models = models.collect();
     }
 
+    /// Crashes under each request whose prompt has this part, in any place but the last, once it has
+    /// sent the first event.
+    pub fn crash_on_part(&self, part: &str) {
+        self.state.lock().crashing_part = Some(part.to_owned());
+    }
+
+    /// Closes all connections, refuses new ones for a while, and restarts with the same models.
+    pub fn crash(&self) {
+        let models = self.models();
+        let models: Vec<&str> = models.iter().map(String::as_str).collect();
+        self.restart_with(&models);
+        self.state.lock().crashes += 1;
+        self.crash.notify(usize::MAX);
+    }
+
+    /// Number of times that it has crashed.
+    pub fn crashes(&self) -> u32 {
+        self.state.lock().crashes
+    }
+
+    fn crashes_under(&self, prefix: &str) -> bool {
+        let shared = prefix.rsplit_once(',').map_or("", |(shared, _)| shared);
+        let mut ids = shared.split(',').filter_map(|part| part.split(':').next());
+        let crashing_part = self.state.lock().crashing_part.clone();
+        crashing_part.is_some_and(|crashing| ids.any(|id| id == crashing))
+    }
+
     /// Restarts under another id.
     pub fn restart_as(&self, id: &str) {
         self.restart();
@@ -181,7 +217,7 @@
         })
     }
 
-    async fn handle(&self, request: Request<Incoming>) -> io::Result<Response<Body>> {
+    async fn handle(self: &Arc<Self>, request: Request<Incoming>) -> io::Result<Response<Body>> {
         let (parts, body) = request.into_parts();
         let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
         match parts.uri.path() {
@@ -239,6 +275,9 @@
                 .body(text_body(format!("answer of {}", self.id)))
                 .expect("response is valid")
         };
+        if self.crashes_under(&header("radishpin-prompt-prefix")) {
+            return Ok(self.crashing_response(&id));
+        }
         match behavior {
             Behavior::Answer if is_stream => Ok(self.stream_response(&id, resume_after, None)),
             Behavior::BreakAfter(events) => {
@@ -255,6 +294,27 @@
         }
     }
 
+    /// Streams one event and crashes.
+    fn crashing_response(self: &Arc<Self>, id: &str) -> Response<Body> {
+        let endpoint = Arc::clone(self);
+        let first = stream::once(Ok(Frame::data(Bytes::from("id: 1\ndata: t1\n\n"))));
+        let crash = stream::once_future(async move {
+            smol::Timer::after(Duration::from_millis(20)).await;
+            endpoint.crash();
+            std::future::pending().await
+        });
+        self.event_stream(id, StreamBody::new(first.chain(crash)).boxed_unsync())
+    }
+
+    fn event_stream(&self, id: &str, body: Body) -> Response<Body> {
+        Response::builder()
+            .header("radishpin-attempt-id", id)
+            .header("radishpin-response-signature", format!("sig-{}", self.id))
+            .header("content-type", "text/event-stream")
+            .body(body)
+            .expect("response is valid")
+    }
+
     fn stream_response(&self, id: &str, after: u32, break_after: Option<u32>) -> Response<Body> {
         let last = break_after.unwrap_or(EVENTS);
         let events = (after + 1..=last).map(|n| Ok(format!("id: {n}\ndata: t{n}\n\n")));
@@ -269,12 +329,7 @@
             smol::Timer::after(Duration::from_millis(5)).await;
             part.map(|text| Frame::data(Bytes::from(text)))
         });
-        Response::builder()
-            .header("radishpin-attempt-id", id)
-            .header("radishpin-response-signature", format!("sig-{}", self.id))
-            .header("content-type", "text/event-stream")
-            .body(StreamBody::new(frames).boxed_unsync())
-            .expect("response is valid")
+        self.event_stream(id, StreamBody::new(frames).boxed_unsync())
     }
 
     fn has_loaded(&self, target: &str) -> bool {
--- a/crates/radishpin-gateway/tests/serving/store.rs
+++ b/crates/radishpin-gateway/tests/serving/store.rs
@@ -52,10 +52,11 @@
             changed: Event::new(),
         });
         let shared_store = Arc::clone(&store);
-        let address = super::cluster::serve(runtime, "127.0.0.1:0", move |request| {
-            let store = Arc::clone(&shared_store);
-            async move { Ok(store.respond(request).await) }
-        });
+        let address =
+            super::cluster::serve(runtime, "127.0.0.1:0", Arc::default(), move |request| {
+                let store = Arc::clone(&shared_store);
+                async move { Ok(store.respond(request).await) }
+            });
         (store, address)
     }
 
