--- a/crates/radishpin-core/examples/stream_origins.rs
+++ b/crates/radishpin-core/examples/stream_origins.rs
@@ -2,7 +2,10 @@
 //!
 //! Run with `cargo run --release -p radishpin-core --example stream_origins`.
 
-use radishpin_core::request::{OriginRequest, StreamOrigin, StreamOrigins, copy_holders};
+use radishpin_core::{
+    process::{SharedRequest, choose_holders},
+    request::{StreamOrigin, StreamOrigins},
+};
 use std::{
     hint::black_box,
     net::{Ipv4Addr, SocketAddr},
@@ -18,7 +21,7 @@
         send: 1,
         software_version: Some("v1.2".to_owned()),
     };
-    let message = serde_json::to_vec(&OriginRequest::Record(origin(1))).unwrap_or_default();
+    let message = serde_json::to_vec(&SharedRequest::RecordOrigin(origin(1))).unwrap_or_default();
     println!("message of one copy: {} bytes", message.len());
     let mut origins = StreamOrigins::default();
     let started = Instant::now();
@@ -33,7 +36,7 @@
         let started = Instant::now();
         for n in 0..STREAMS {
             let holders = addresses.iter().map(|address| (*address, address));
-            black_box(copy_holders(&format!("{n:016x}"), holders, 3));
+            black_box(choose_holders(&format!("{n:016x}"), holders, 3));
         }
         let took = started.elapsed() / STREAMS;
         println!("choose 3 of {sidecars} sidecars: {took:?} a stream");
--- a/crates/radishpin-core/src/process.rs
+++ b/crates/radishpin-core/src/process.rs
@@ -6,8 +6,11 @@
 mod membership;
 mod memory;
 mod order;
+mod prompt_crashes;
+mod prompt_exposures;
 mod replica_ledger;
 mod residency;
+mod shared_state;
 mod software_versions;
 
 pub use endpoint_list::{
@@ -31,9 +34,15 @@
     DEFAULT_ORDER_LIFE, EngineReport, FENCE_MODEL, Fencing, Order, OrderKind, OrderNumber,
     OrderOutcome, Target,
 };
+pub use prompt_crashes::{
+    CRASH_LIFETIME, CRASHES_PER_PART_MAX, CRASHES_TO_REFUSE, CrashId, PARTS_MAX, PartCrash,
+    PartCrashes, PromptCrashes, PromptVerdict,
+};
+pub use prompt_exposures::{Exposure, ExposureEnd, ExposureNews, PromptExposures};
 pub use replica_ledger::{LoadDecision, LoadRefusal, ReplicaLedger, ReplicaState, ReplicaStatus};
 pub use residency::{
     Action, ActionOutcome, Demand, DemandReason, EndpointReport, GATEWAY_TIMEOUT, GatewayReport,
     LoadStatus, ModelStatus, ModelUsage, Residency, Status, StoreLoadShare,
 };
+pub use shared_state::{SharedReply, SharedRequest, choose_holders};
 pub use software_versions::{FULL_LIST_DELAY, SoftwareVersions};
--- a/crates/radishpin-core/src/process/fleet/endpoint.rs
+++ b/crates/radishpin-core/src/process/fleet/endpoint.rs
@@ -2,7 +2,7 @@
 
 use super::EndpointSnapshot;
 use crate::process::{EndpointEntry, EndpointPhase, Status};
-use radishpin_protocol::prelude::*;
+use radishpin_protocol::{UnixMs, prelude::*};
 
 /// Backoff after the first failure to connect to an endpoint; doubles with each further one.
 const UNREACHABLE_BACKOFF_MIN: Duration = Duration::from_millis(300);
@@ -28,7 +28,9 @@
     /// The endpoint did not run the request because it has not loaded the model, or because
     /// another endpoint now has its address.
     Misdirected,
-    /// The request failed, its connection broke, or the answer was invalid.
+    /// The connection broke before the whole answer arrived.
+    Broken,
+    /// The request failed otherwise, or the answer was invalid.
     Failed,
     /// No connection could be made, or it ended before the request was sent.
     Unreachable,
@@ -151,9 +153,17 @@
             status_version: status.map_or(0, |status| status.version),
             status_age: status.map_or(Duration::ZERO, |_| now.saturating_sub(self.status_at)),
             software_version: self.software_version().cloned(),
+            started_unix_ms: self.started_unix_ms(),
         }
     }
 
+    /// Latest known start of its process.
+    fn started_unix_ms(&self) -> UnixMs {
+        let listed = self.entry.started_unix_ms;
+        let status = self.status.as_ref();
+        status.map_or(listed, |status| status.engine_started_unix_ms.max(listed))
+    }
+
     /// Estimated number of requests that it runs or queues, at least those of this gateway.
     pub(super) fn load(&self) -> u32 {
         let in_use = i64::from(self.reported_in_use) + self.in_use_change;
@@ -202,7 +212,7 @@
                 self.connect_failures = 0;
                 self.update_failure_rate(0.0);
             }
-            RequestOutcome::Failed => self.update_failure_rate(1.0),
+            RequestOutcome::Broken | RequestOutcome::Failed => self.update_failure_rate(1.0),
             RequestOutcome::Unreachable => self.back_off(now),
             RequestOutcome::Misdirected => {
                 if let Some((model, _)) = target {
--- a/crates/radishpin-core/src/process/fleet/pick.rs
+++ b/crates/radishpin-core/src/process/fleet/pick.rs
@@ -5,7 +5,7 @@
     refusal::ABSENT_RETRY,
 };
 use crate::rendezvous::rendezvous_hash;
-use radishpin_protocol::prelude::*;
+use radishpin_protocol::{UnixMs, prelude::*};
 use std::net::SocketAddr;
 
 /// Cost of an endpoint in another availability zone. Costs are in units of endpoint load: 1.0 is
@@ -107,6 +107,8 @@
     pub status_age: Duration,
     /// Version of its software; `None` if it is not known for the endpoint's last start.
     pub software_version: Option<SoftwareVersion>,
+    /// Unix time of its last known start in milliseconds; 0 if unknown.
+    pub started_unix_ms: UnixMs,
 }
 
 /// A wait for a load.
--- a/crates/radishpin-core/src/process/fleet/refusal.rs
+++ b/crates/radishpin-core/src/process/fleet/refusal.rs
@@ -25,6 +25,8 @@
     VersionGone,
     /// The software version that began the stream is not known.
     VersionUnknown,
+    /// Engines crashed under a part of its prompt.
+    CrashingPrompt,
     /// The gateway is stopping and cannot serve it in time.
     Stopping,
 }
@@ -40,6 +42,7 @@
             Self::UnknownModel => "unknown_model",
             Self::VersionGone => "version_gone",
             Self::VersionUnknown => "version_unknown",
+            Self::CrashingPrompt => "crashing_prompt",
             Self::Stopping => "stopping",
         }
     }
@@ -81,6 +84,13 @@
         Self::new(RefusalReason::VersionUnknown, base, random)
     }
 
+    /// Creates the refusal of a request with a prompt part that crashes engines, which may be tried
+    /// again in `trial_in`.
+    pub fn crashing_prompt(trial_in: Duration, random: u64) -> Self {
+        let base = trial_in.max(ABSENT_RETRY);
+        Self::new(RefusalReason::CrashingPrompt, base, random)
+    }
+
     /// Creates a refusal whose caller should retry once the load at `endpoint` is done.
     ///
     /// The jitter is short because the loaded model can serve all waiting callers.
--- /dev/null
+++ b/crates/radishpin-core/src/process/prompt_crashes.rs
@@ -0,0 +1,358 @@
+//! Which prompt parts crash engines, as far as gateways and sidecars have told each other.
+//!
+//! A part may crash each engine that generates an answer for it, so requests with such a part must
+//! not go from engine to engine. A crash is held against all parts that the engine was serving, and
+//! the table below sorts out which of them is to blame: a part whose request was answered elsewhere is
+//! cleared, and so is one whose crashes another, refused part explains.
+//!
+//! Processes merge each other's tables. A record is only ever added or cleared, so the order in which
+//! tables are merged does not matter.
+
+use crate::request::{PromptPartId, SharedParts};
+use radishpin_protocol::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// Crashes without any answered request after which requests with a part are refused.
+pub const CRASHES_TO_REFUSE: usize = 3;
+/// Time after which a crash is forgotten.
+pub const CRASH_LIFETIME: Duration = Duration::from_secs(3_600);
+/// Largest number of parts that are kept; beyond it those with the fewest crashes are dropped.
+pub const PARTS_MAX: usize = 256;
+/// Largest number of crashes that are kept of one part; beyond it the oldest are dropped.
+pub const CRASHES_PER_PART_MAX: usize = 8;
+/// Crashes within this time of each other may have one cause, such as the loss of a rack.
+const COMMON_CAUSE_WINDOW: Duration = Duration::from_millis(500);
+
+/// Shortest time from the last crash or trial to the next trial.
+const TRIAL_DELAY_MIN: Duration = Duration::from_secs(1);
+
+/// Id of the crash of one engine, the same at all gateways that saw it.
+pub type CrashId = u64;
+
+/// A crash that is held against a prompt part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct PartCrash {
+    /// The crash.
+    pub crash: CrashId,
+    /// Time since the crash, in milliseconds.
+    pub age_ms: u64,
+    /// Whether the part is known not to have caused it.
+    pub cleared: bool,
+}
+
+/// All crashes that are held against one prompt part.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct PartCrashes {
+    /// The part.
+    pub part: PromptPartId,
+    /// The crashes while engines served the part.
+    pub crashes: Vec<PartCrash>,
+}
+
+/// Whether a request may be sent to an engine, as far as its prompt is concerned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PromptVerdict {
+    /// It may.
+    Allowed,
+    /// It may not, unless it is granted as a trial.
+    Refused {
+        /// The refused part whose next trial is the latest.
+        part: PromptPartId,
+        /// Time until that trial; zero if it is due.
+        trial_in: Duration,
+    },
+}
+
+/// Crashes by prompt part.
+#[derive(Clone, Debug, Default)]
+pub struct PromptCrashes {
+    parts: BTreeMap<PromptPartId, BTreeMap<CrashId, Crash>>,
+    /// When this process last granted or requested a trial of a refused part.
+    trials: BTreeMap<PromptPartId, Duration>,
+    version: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Crash {
+    at: Duration,
+    cleared: bool,
+}
+
+impl PromptCrashes {
+    /// Adds what another process knows, or what this one saw; returns whether that was news.
+    pub fn merge(&mut self, received: Vec<PartCrashes>, now: Duration) -> bool {
+        let before = self.summary();
+        for entry in received.into_iter().take(PARTS_MAX) {
+            let crashes = self.parts.entry(entry.part).or_default();
+            for received in entry.crashes.into_iter().take(CRASHES_PER_PART_MAX) {
+                merge_crash(crashes, received, now);
+            }
+        }
+        self.expire(now);
+        self.drop_excess();
+        self.clear_explained();
+        let changed = before != self.summary();
+        self.version += u64::from(changed);
+        changed
+    }
+
+    /// Clears a part one of whose requests was answered; returns what to tell other processes, `None`
+    /// if nothing was held against it.
+    pub fn clear(&mut self, part: PromptPartId, now: Duration) -> Option<PartCrashes> {
+        let crashes = self.parts.get_mut(&part)?;
+        if crashes.values().all(|crash| crash.cleared) {
+            return None;
+        }
+        for crash in crashes.values_mut() {
+            crash.cleared = true;
+        }
+        self.version += 1;
+        self.trials.remove(&part);
+        Some(message(part, &self.parts[&part], now))
+    }
+
+    /// Whether a request whose prompt has these parts may be sent to an engine.
+    pub fn verdict(&self, parts: &SharedParts, now: Duration) -> PromptVerdict {
+        let refused = parts.ids().filter_map(|part| {
+            let crashes = self.parts.get(&part)?;
+            is_refused(crashes).then_some((part, crashes))
+        });
+        let trials = refused.map(|(part, crashes)| {
+            let trial_at = self.trial_at(part, crashes, parts);
+            (trial_at.saturating_sub(now), part)
+        });
+        match trials.max() {
+            None => PromptVerdict::Allowed,
+            Some((trial_in, part)) => PromptVerdict::Refused { part, trial_in },
+        }
+    }
+
+    /// Grants one request with a refused part, to find out whether it is still to be refused. `false`
+    /// if none is due, or the parts are not refused here.
+    pub fn grant_trial(&mut self, parts: &SharedParts, now: Duration) -> bool {
+        match self.verdict(parts, now) {
+            PromptVerdict::Refused { trial_in, .. } if trial_in.is_zero() => {
+                let Self {
+                    parts: known,
+                    trials,
+                    ..
+                } = self;
+                let tried = parts.ids().filter(|part| known.contains_key(part));
+                trials.extend(tried.map(|part| (part, now)));
+                true
+            }
+            PromptVerdict::Refused { .. } | PromptVerdict::Allowed => false,
+        }
+    }
+
+    /// When a request with these parts, of which `part` is refused, may be tried.
+    fn trial_at(
+        &self,
+        part: PromptPartId,
+        crashes: &BTreeMap<CrashId, Crash>,
+        parts: &SharedParts,
+    ) -> Duration {
+        let held = crashes.values().filter(|crash| !crash.cleared);
+        let last_crash = held.map(|crash| crash.at).max().unwrap_or_default();
+        let last_trial = self.trials.get(&part).copied().unwrap_or_default();
+        let delay = match self.may_be_innocent(part, crashes, parts) {
+            true => TRIAL_DELAY_MIN,
+            false => trial_delay(occasions(crashes)),
+        };
+        last_crash.max(last_trial) + delay
+    }
+
+    /// Whether a refused part that this request lacks explains all crashes that are held against
+    /// `part`: then the request tells which of the two is to blame.
+    fn may_be_innocent(
+        &self,
+        part: PromptPartId,
+        crashes: &BTreeMap<CrashId, Crash>,
+        parts: &SharedParts,
+    ) -> bool {
+        let others = self
+            .parts
+            .iter()
+            .filter(|(other, _)| **other != part && !parts.contains(**other));
+        let mut explained = others.map(|(_, other)| {
+            let held = crashes.iter().filter(|(_, crash)| !crash.cleared);
+            held.clone().count() > 0
+                && held.into_iter().all(|(id, _)| {
+                    let crash = other.get(id);
+                    crash.is_some_and(|crash| !crash.cleared)
+                })
+        });
+        explained.any(|explained| explained)
+    }
+
+    /// Parts that are refused.
+    pub fn refused(&self) -> BTreeSet<PromptPartId> {
+        let refused = self.parts.iter().filter(|(_, crashes)| is_refused(crashes));
+        refused.map(|(part, _)| *part).collect()
+    }
+
+    /// Parts against which any crash is held.
+    pub fn suspects(&self) -> impl Iterator<Item = PromptPartId> {
+        let parts = self.parts.iter();
+        let held = parts.filter(|(_, crashes)| crashes.values().any(|crash| !crash.cleared));
+        held.map(|(part, _)| *part)
+    }
+
+    /// Number of crashes that are held against a part.
+    pub fn count(&self, part: PromptPartId) -> usize {
+        self.parts.get(&part).map_or(0, held_count)
+    }
+
+    /// All that is known, for another process.
+    pub fn messages(&self, now: Duration) -> Vec<PartCrashes> {
+        let parts = self.parts.iter();
+        parts
+            .map(|(part, crashes)| message(*part, crashes, now))
+            .collect()
+    }
+
+    /// Increases with each change.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Number of parts that are kept.
+    pub fn len(&self) -> usize {
+        self.parts.len()
+    }
+
+    /// Whether no crash is known.
+    pub fn is_empty(&self) -> bool {
+        self.parts.is_empty()
+    }
+
+    /// Identifies the state regardless of the age of its crashes.
+    fn summary(&self) -> Vec<(PromptPartId, CrashId, bool)> {
+        let parts = self.parts.iter();
+        let records = parts.flat_map(|(part, crashes)| {
+            let crashes = crashes.iter();
+            crashes.map(|(id, crash)| (*part, *id, crash.cleared))
+        });
+        records.collect()
+    }
+
+    fn expire(&mut self, now: Duration) {
+        for crashes in self.parts.values_mut() {
+            crashes.retain(|_, crash| now.saturating_sub(crash.at) < CRASH_LIFETIME);
+        }
+        self.parts.retain(|_, crashes| !crashes.is_empty());
+        let Self { parts, trials, .. } = self;
+        trials.retain(|part, _| parts.contains_key(part));
+    }
+
+    fn drop_excess(&mut self) {
+        for crashes in self.parts.values_mut() {
+            while crashes.len() > CRASHES_PER_PART_MAX {
+                let first = crashes
+                    .iter()
+                    .min_by_key(|(id, crash)| (!crash.cleared, crash.at, **id));
+                let Some(id) = first.map(|(id, _)| *id) else {
+                    break;
+                };
+                crashes.remove(&id);
+            }
+        }
+        if self.parts.len() <= PARTS_MAX {
+            return;
+        }
+        let mut ranked: Vec<(usize, Duration, PromptPartId)> = self
+            .parts
+            .iter()
+            .map(|(part, crashes)| {
+                let last = crashes.values().map(|crash| crash.at).max();
+                (held_count(crashes), last.unwrap_or_default(), *part)
+            })
+            .collect();
+        ranked.sort_unstable();
+        for (_, _, part) in &ranked[..self.parts.len() - PARTS_MAX] {
+            self.parts.remove(part);
+        }
+    }
+
+    /// Clears crashes that a refused part explains from the parts that were served beside it.
+    fn clear_explained(&mut self) {
+        let refused = self.refused();
+        let explained: BTreeSet<CrashId> = refused
+            .iter()
+            .filter_map(|part| self.parts.get(part))
+            .flat_map(|crashes| crashes.iter())
+            .filter(|(_, crash)| !crash.cleared)
+            .map(|(id, _)| *id)
+            .collect();
+        for (part, crashes) in &mut self.parts {
+            if refused.contains(part) {
+                continue;
+            }
+            for (id, crash) in crashes.iter_mut() {
+                crash.cleared |= explained.contains(id);
+            }
+        }
+    }
+}
+
+fn merge_crash(crashes: &mut BTreeMap<CrashId, Crash>, received: PartCrash, now: Duration) {
+    let age = Duration::from_millis(received.age_ms);
+    if age >= CRASH_LIFETIME {
+        return;
+    }
+    let at = now.saturating_sub(age);
+    let crash = crashes.entry(received.crash).or_insert(Crash {
+        at,
+        cleared: received.cleared,
+    });
+    crash.at = crash.at.min(at);
+    crash.cleared |= received.cleared;
+}
+
+fn message(part: PromptPartId, crashes: &BTreeMap<CrashId, Crash>, now: Duration) -> PartCrashes {
+    let crashes = crashes.iter().map(|(id, crash)| PartCrash {
+        crash: *id,
+        age_ms: u64::try_from(now.saturating_sub(crash.at).as_millis()).unwrap_or(u64::MAX),
+        cleared: crash.cleared,
+    });
+    PartCrashes {
+        part,
+        crashes: crashes.collect(),
+    }
+}
+
+fn held_count(crashes: &BTreeMap<CrashId, Crash>) -> usize {
+    crashes.values().filter(|crash| !crash.cleared).count()
+}
+
+fn is_refused(crashes: &BTreeMap<CrashId, Crash>) -> bool {
+    held_count(crashes) >= CRASHES_TO_REFUSE
+}
+
+/// Number of times at which crashes are held against a part, where those of one time may have one cause.
+fn occasions(crashes: &BTreeMap<CrashId, Crash>) -> usize {
+    let held = crashes.values().filter(|crash| !crash.cleared);
+    let mut times: Vec<Duration> = held.map(|crash| crash.at).collect();
+    times.sort_unstable();
+    let mut began_at: Option<Duration> = None;
+    let mut count = 0;
+    for at in times {
+        if began_at.is_none_or(|began_at| at - began_at >= COMMON_CAUSE_WINDOW) {
+            began_at = Some(at);
+            count += 1;
+        }
+    }
+    count
+}
+
+/// Time from the last crash or trial to the next trial. The more often engines crashed, the less
+/// likely the part was only served beside the cause, and a trial costs an engine.
+fn trial_delay(occasions: usize) -> Duration {
+    match occasions {
+        0..=2 => TRIAL_DELAY_MIN,
+        3..=4 => Duration::from_secs(30),
+        _ => Duration::from_secs(600),
+    }
+}
--- /dev/null
+++ b/crates/radishpin-core/src/process/shared_state.rs
@@ -0,0 +1,86 @@
+//! What gateways tell each other: sidecars keep it, and each gateway asks them for it.
+//!
+//! Gateways do not know each other. Each fact has a few holders among the sidecars, which all gateways
+//! choose alike, so that it outlives the gateway that learned it and most of its holders.
+
+use super::PartCrashes;
+use crate::{
+    rendezvous::mix,
+    request::{SharedParts, StreamOrigin},
+};
+use radishpin_protocol::{engine::stable_hash, prelude::*};
+use serde::{Deserialize, Serialize};
+use std::net::{IpAddr, SocketAddr};
+
+/// Request of a gateway to a sidecar that holds shared state.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum SharedRequest {
+    /// Keep a copy of the origin of a stream.
+    RecordOrigin(StreamOrigin),
+    /// Answer with the origin of the stream that this attempt began, if there is a copy.
+    FindOrigin(RequestId),
+    /// Merge these crashes into those that are held against prompt parts.
+    MergeCrashes(Vec<PartCrashes>),
+    /// Answer with all crashes once they differ from the version that the gateway has seen, or after a
+    /// while.
+    WatchCrashes {
+        /// Incarnation of the sidecar that sent that version; 0 before the first.
+        seen_incarnation: Incarnation,
+        /// The version.
+        seen_version: u64,
+    },
+    /// Answer whether one request with these prompt parts, some of them refused, may be sent now.
+    TryPrompt(SharedParts),
+}
+
+/// Answer of a sidecar to a [`SharedRequest`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum SharedReply {
+    /// It keeps what it was told.
+    Kept,
+    /// The origin of a stream; `None` if it has no copy.
+    Origin(Option<StreamOrigin>),
+    /// Crashes that are held against prompt parts.
+    Crashes {
+        /// Incarnation of the sidecar.
+        incarnation: Incarnation,
+        /// Version of its table of crashes.
+        version: u64,
+        /// The whole table.
+        parts: Vec<PartCrashes>,
+    },
+    /// Whether the gateway may send the request that it asked for.
+    Permit(bool),
+}
+
+/// Chooses the holders of a fact, each at the address of its sidecar: the first `count` of an order
+/// that depends on the key of the fact. Gateways with similar lists choose alike.
+pub fn choose_holders<T>(
+    key: &str,
+    sidecars: impl IntoIterator<Item = (SocketAddr, T)>,
+    count: usize,
+) -> Vec<T> {
+    let key = stable_hash(key.as_bytes());
+    let mut first: Vec<(u64, SocketAddr, T)> = Vec::with_capacity(count + 1);
+    for (address, sidecar) in sidecars {
+        let rank = rank(key, address);
+        let position = first.partition_point(|(other, at, _)| (*other, *at) < (rank, address));
+        let listed_twice = first.get(position).is_some_and(|(_, at, _)| *at == address);
+        if position < count && !listed_twice {
+            first.insert(position, (rank, address, sidecar));
+            first.truncate(count);
+        }
+    }
+    first.into_iter().map(|(_, _, sidecar)| sidecar).collect()
+}
+
+/// Rank of a sidecar for a fact whose key has this hash.
+fn rank(key: u64, address: SocketAddr) -> u64 {
+    let ip = match address.ip() {
+        IpAddr::V4(ip) => u64::from(ip.to_bits()),
+        IpAddr::V6(ip) => stable_hash(&ip.octets()),
+    };
+    mix(key ^ mix(ip.rotate_left(u16::BITS) ^ u64::from(address.port())))
+}
--- a/crates/radishpin-core/src/request.rs
+++ b/crates/radishpin-core/src/request.rs
@@ -40,8 +40,6 @@
     plan_stop,
 };
 pub use stream_cursor::{ChunkVerdict, StreamCursor};
-pub use stream_origins::{
-    ORIGIN_LIFETIME, ORIGINS_MAX, OriginRequest, StreamOrigin, StreamOrigins, copy_holders,
-};
+pub use stream_origins::{ORIGIN_LIFETIME, ORIGINS_MAX, StreamOrigin, StreamOrigins};
 pub use stream_timeouts::StreamTimeouts;
 pub use work_queue::{Popped, QueueLimits, QueueRefusal, WorkQueue};
--- a/crates/radishpin-core/src/request/prompt.rs
+++ b/crates/radishpin-core/src/request/prompt.rs
@@ -1,5 +1,6 @@
 //! What a request tells of its prompt before it runs.
 
+use serde::{Deserialize, Serialize};
 use std::{collections::BTreeSet, fmt};
 
 /// Id of a part of a prompt; requests whose prompts hold the same part name the same id.
@@ -19,6 +20,8 @@
 
 /// Parts of one prompt that other requests may share, at most [`SHARED_PARTS_MAX`].
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(from = "Vec<PromptPartId>", into = "Vec<PromptPartId>")]
 pub struct SharedParts(BTreeSet<PromptPartId>);
 
 impl SharedParts {
@@ -27,12 +30,29 @@
         self.0.is_empty()
     }
 
+    /// Whether the prompt has this part.
+    pub fn contains(&self, part: PromptPartId) -> bool {
+        self.0.contains(&part)
+    }
+
     /// Ids of the parts.
     pub fn ids(&self) -> impl Iterator<Item = PromptPartId> {
         self.0.iter().copied()
     }
 }
 
+impl From<Vec<PromptPartId>> for SharedParts {
+    fn from(parts: Vec<PromptPartId>) -> Self {
+        parts.into_iter().collect()
+    }
+}
+
+impl From<SharedParts> for Vec<PromptPartId> {
+    fn from(parts: SharedParts) -> Self {
+        parts.ids().collect()
+    }
+}
+
 impl FromIterator<PromptPartId> for SharedParts {
     fn from_iter<I: IntoIterator<Item = PromptPartId>>(parts: I) -> Self {
         let mut ids = BTreeSet::new();
--- a/crates/radishpin-core/src/request/stream_origins.rs
+++ b/crates/radishpin-core/src/request/stream_origins.rs
@@ -1,12 +1,8 @@
 //! Software versions that began streams, so that callers can resume their streams at any gateway.
 
-use crate::rendezvous::mix;
-use radishpin_protocol::{engine::stable_hash, prelude::*};
+use radishpin_protocol::prelude::*;
 use serde::{Deserialize, Serialize};
-use std::{
-    collections::VecDeque,
-    net::{IpAddr, SocketAddr},
-};
+use std::collections::VecDeque;
 
 /// Time for which the origin of a stream is kept; longer than callers wait for an answer.
 pub const ORIGIN_LIFETIME: Duration = Duration::from_secs(60);
@@ -25,46 +21,6 @@
     pub software_version: Option<SoftwareVersion>,
 }
 
-/// Request of a gateway to a sidecar that keeps copies of origins.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub enum OriginRequest {
-    /// Keep a copy.
-    Record(StreamOrigin),
-    /// Answer with the copy for this attempt, if there is one.
-    Find(RequestId),
-}
-
-/// Chooses the holders of the copies of an attempt's origin, each at the address of its sidecar: the
-/// first `count` of an order that depends on the attempt. Gateways with similar lists choose alike.
-pub fn copy_holders<T>(
-    attempt: &str,
-    holders: impl IntoIterator<Item = (SocketAddr, T)>,
-    count: usize,
-) -> Vec<T> {
-    let attempt = stable_hash(attempt.as_bytes());
-    let mut first: Vec<(u64, SocketAddr, T)> = Vec::with_capacity(count + 1);
-    for (address, holder) in holders {
-        let rank = rank(attempt, address);
-        let position = first.partition_point(|(other, at, _)| (*other, *at) < (rank, address));
-        let listed_twice = first.get(position).is_some_and(|(_, at, _)| *at == address);
-        if position < count && !listed_twice {
-            first.insert(position, (rank, address, holder));
-            first.truncate(count);
-        }
-    }
-    first.into_iter().map(|(_, _, holder)| holder).collect()
-}
-
-/// Rank of a sidecar for an attempt with this hash.
-fn rank(attempt: u64, address: SocketAddr) -> u64 {
-    let ip = match address.ip() {
-        IpAddr::V4(ip) => u64::from(ip.to_bits()),
-        IpAddr::V6(ip) => stable_hash(&ip.octets()),
-    };
-    mix(attempt ^ mix(ip.rotate_left(u16::BITS) ^ u64::from(address.port())))
-}
-
 /// Origins of recent streams by the attempt that began them.
 #[derive(Clone, Debug, Default)]
 pub struct StreamOrigins {
--- a/crates/radishpin-core/tests/request_stream_origins.rs
+++ b/crates/radishpin-core/tests/request_stream_origins.rs
@@ -1,7 +1,8 @@
 //! Origins of streams that callers resume.
 
-use radishpin_core::request::{
-    ORIGIN_LIFETIME, ORIGINS_MAX, StreamOrigin, StreamOrigins, copy_holders,
+use radishpin_core::{
+    process::choose_holders,
+    request::{ORIGIN_LIFETIME, ORIGINS_MAX, StreamOrigin, StreamOrigins},
 };
 use std::{net::SocketAddr, time::Duration};
 
@@ -62,13 +63,13 @@
     let mut copies_by_sidecar = [0_usize; 40];
     for n in 0..1_000 {
         let attempt = format!("attempt-{n}");
-        let holders = copy_holders(&attempt, all.iter().map(|one| (*one, *one)), 3);
+        let holders = choose_holders(&attempt, all.iter().map(|one| (*one, *one)), 3);
         assert_eq!(holders.len(), 3);
         for holder in &holders {
             copies_by_sidecar[all.iter().position(|one| one == holder).unwrap()] += 1;
         }
         let left = all.iter().filter(|one| !holders[..2].contains(one));
-        let asked = copy_holders(&attempt, left.map(|one| (*one, *one)), 5);
+        let asked = choose_holders(&attempt, left.map(|one| (*one, *one)), 5);
         assert!(asked.contains(&holders[2]), "a list without two of them");
     }
     let even = 1_000 * 3 / 40;
@@ -83,7 +84,7 @@
 fn a_sidecar_that_is_listed_twice_holds_one_copy() {
     let listed = [1, 1, 2, 2, 3].map(|n| (SocketAddr::from(([10, 0, 0, n], 7_380)), n));
     for n in 0..100 {
-        let mut holders = copy_holders(&format!("attempt-{n}"), listed, 3);
+        let mut holders = choose_holders(&format!("attempt-{n}"), listed, 3);
         holders.sort_unstable();
         assert_eq!(holders, [1, 2, 3]);
     }
--- a/crates/radishpin-gateway/src/connection.rs
+++ b/crates/radishpin-gateway/src/connection.rs
@@ -2,13 +2,15 @@
 
 mod client;
 mod link;
-mod origin_link;
 mod pool;
 mod reset;
 mod server;
+mod shared_link;
 
 pub(crate) use client::{Connection, ExchangeError, get, keep_alive, post};
 pub(crate) use link::run_link;
-pub(crate) use origin_link::{ORIGINS_PATH, OriginJob, run_origin_link};
 pub(crate) use pool::{Pool, PooledConnection};
 pub(crate) use server::{ServerLimits, serve};
+pub(crate) use shared_link::{
+    SHARED_BYTES_MAX, SHARED_STATE_PATH, SharedJob, exchange_shared, run_shared_link,
+};
--- a/crates/radishpin-gateway/src/process.rs
+++ b/crates/radishpin-gateway/src/process.rs
@@ -11,11 +11,12 @@
 
 pub(crate) use clock::Clock;
 pub use error::GatewayError;
-pub(crate) use gateway::Gateway;
+pub(crate) use gateway::{Gateway, PromptTrial};
 pub use gateway::{GatewayProcess, run_gateway};
 pub(crate) use metrics::{Metrics, serve_metrics};
 pub use settings::read_settings;
 pub(crate) use settings::watch_settings;
 pub(crate) use shutdown::{Shutdown, wait_for_stop_signal};
+pub(crate) use sidecar::CRASH_WATCH_TIMEOUT;
 pub use sidecar::{SidecarProcess, run_sidecar};
 pub(crate) use store::{StoreClient, StoreError};
--- a/crates/radishpin-gateway/src/process/gateway.rs
+++ b/crates/radishpin-gateway/src/process/gateway.rs
@@ -3,6 +3,7 @@
 mod links;
 mod listeners;
 mod origins;
+mod prompts;
 
 use super::{
     Clock, GatewayError, Metrics, Shutdown, StoreClient, read_settings, serve_metrics,
@@ -17,6 +18,8 @@
 use listeners::{serve_callers, serve_readiness};
 use origins::OriginDirectory;
 use parking_lot::Mutex;
+pub(crate) use prompts::PromptTrial;
+use prompts::{CRASH_HOLDERS, PromptGuard};
 use radishpin_adapter::Settings;
 use radishpin_core::{
     process::{
@@ -75,6 +78,7 @@
     pub(crate) pool: Pool,
     pub(crate) retry_budgets: Mutex<RetryBudgets>,
     pub(crate) origins: OriginDirectory,
+    pub(crate) prompts: PromptGuard,
     pub(crate) shutdown: Arc<Shutdown>,
     pub(crate) metrics: Metrics,
     catalog: Mutex<Option<Arc<Catalog>>>,
@@ -102,6 +106,7 @@
             fleet_changed: Event::new(),
             retry_budgets: Mutex::new(RetryBudgets::new(burst * 2, burst)),
             origins: OriginDirectory::default(),
+            prompts: PromptGuard::default(),
             settings: Mutex::new(Arc::new(settings)),
             shutdown: Arc::default(),
             metrics,
@@ -133,6 +138,7 @@
     }
 
     pub(crate) fn record_status(&self, endpoint: &str, status: Status) {
+        self.observe_engine(endpoint, &status);
         if self
             .fleet
             .lock()
@@ -240,6 +246,7 @@
         loop {
             Runtime::sleep(PLAN_INTERVAL).await;
             self.fleet.lock().plan(self.clock.now());
+            self.settle_exposures();
         }
     }
 }
@@ -288,6 +295,11 @@
         let planner = Arc::clone(&gateway);
         let planning = async move { planner.plan_periodically().await };
         gateway.runtime.spawn_detached(planning);
+        for rank in 0..CRASH_HOLDERS {
+            let watcher = Arc::clone(&gateway);
+            let watching = async move { watcher.watch_crashes(rank).await };
+            gateway.runtime.spawn_detached(watching);
+        }
         let process = Self {
             gateway,
             caller_address,
--- a/crates/radishpin-gateway/src/process/gateway/links.rs
+++ b/crates/radishpin-gateway/src/process/gateway/links.rs
@@ -1,35 +1,36 @@
 //! Links to the sidecars of the listed engines.
 
 use super::Gateway;
-use crate::connection::{OriginJob, run_link, run_origin_link};
+use crate::connection::{SharedJob, run_link, run_shared_link};
 use futures_lite::future;
+use radishpin_core::process::choose_holders;
 use radishpin_protocol::prelude::*;
 use smol::Task;
 use std::{net::SocketAddr, sync::Arc};
 
-/// Most requests about origins of streams that wait for one sidecar.
-const ORIGIN_JOBS_MAX: usize = 256;
+/// Most requests about shared state that wait for one sidecar.
+const SHARED_JOBS_MAX: usize = 256;
 
-/// A task that exchanges reports, statuses and origins of streams with a sidecar; it is cancelled
-/// when this is dropped.
+/// A task that exchanges reports, statuses and shared state with a sidecar; it is cancelled when this
+/// is dropped.
 #[derive(Debug)]
 pub(super) struct Link {
     pub(super) sidecar: SocketAddr,
-    pub(super) origins: async_channel::Sender<OriginJob>,
+    pub(super) shared: async_channel::Sender<SharedJob>,
     _task: Task<()>,
 }
 
 impl Link {
     fn start(gateway: &Arc<Gateway>, endpoint: EndpointId, sidecar: SocketAddr) -> Self {
-        let (origins, jobs) = async_channel::bounded(ORIGIN_JOBS_MAX);
+        let (shared, jobs) = async_channel::bounded(SHARED_JOBS_MAX);
         let statuses = run_link(Arc::clone(gateway), endpoint, sidecar);
-        let copies = run_origin_link(gateway.runtime.clone(), sidecar, jobs);
+        let sharing = run_shared_link(gateway.runtime.clone(), sidecar, jobs);
         let task = async {
-            future::zip(statuses, copies).await;
+            future::zip(statuses, sharing).await;
         };
         Self {
             sidecar,
-            origins,
+            shared,
             _task: gateway.runtime.spawn(task),
         }
     }
@@ -56,4 +57,19 @@
             links.entry(id.clone()).or_insert_with(start);
         }
     }
+
+    /// The holders of the fact with this key, each with the queue of requests to it, the first one
+    /// first.
+    pub(super) fn holders(
+        &self,
+        key: &str,
+        count: usize,
+    ) -> Vec<(SocketAddr, async_channel::Sender<SharedJob>)> {
+        let links = self.links.lock();
+        let sidecars = links.values().map(|link| (link.sidecar, link));
+        let holders = choose_holders(key, sidecars, count).into_iter();
+        holders
+            .map(|link| (link.sidecar, link.shared.clone()))
+            .collect()
+    }
 }
--- a/crates/radishpin-gateway/src/process/gateway/origins.rs
+++ b/crates/radishpin-gateway/src/process/gateway/origins.rs
@@ -2,11 +2,11 @@
 //! sidecars, and the versions that were listed.
 
 use super::Gateway;
-use crate::connection::OriginJob;
+use crate::connection::SharedJob;
 use parking_lot::Mutex;
 use radishpin_core::{
-    process::SoftwareVersions,
-    request::{OriginRequest, StreamOrigin, StreamOrigins, copy_holders},
+    process::{SharedReply, SharedRequest, SoftwareVersions},
+    request::{StreamOrigin, StreamOrigins},
 };
 use radishpin_protocol::prelude::*;
 use radishpin_runtime::timeout;
@@ -30,9 +30,9 @@
     /// Records the origin of a stream that this gateway begins, and sends copies to sidecars.
     pub(crate) fn record_origin(&self, origin: StreamOrigin) {
         let now = self.clock.now();
-        for jobs in self.origin_links(&origin.attempt, ORIGIN_COPIES) {
-            let request = OriginRequest::Record(origin.clone());
-            let job = OriginJob {
+        for (_, jobs) in self.holders(&origin.attempt, ORIGIN_COPIES) {
+            let request = SharedRequest::RecordOrigin(origin.clone());
+            let job = SharedJob {
                 request,
                 reply: None,
             };
@@ -53,9 +53,9 @@
     /// one, began; `None` if no copy was found in time.
     pub(crate) async fn find_copy(&self, attempt: &str) -> Option<StreamOrigin> {
         let (reply, replies) = async_channel::bounded(COPIES_ASKED);
-        for jobs in self.origin_links(attempt, COPIES_ASKED) {
-            let job = OriginJob {
-                request: OriginRequest::Find(attempt.to_owned()),
+        for (_, jobs) in self.holders(attempt, COPIES_ASKED) {
+            let job = SharedJob {
+                request: SharedRequest::FindOrigin(attempt.to_owned()),
                 reply: Some(reply.clone()),
             };
             // A sidecar whose queue is full does not answer in time either.
@@ -64,21 +64,13 @@
         drop(reply);
         let first = async {
             // The channel closes when all sidecars have answered or failed.
-            while let Ok(found) = replies.recv().await {
-                if found.is_some() {
-                    return found;
+            while let Ok(answer) = replies.recv().await {
+                if let SharedReply::Origin(Some(origin)) = answer {
+                    return Some(origin);
                 }
             }
             None
         };
         timeout(FIND_TIMEOUT, first).await.flatten()
     }
-
-    /// The links to the sidecars that hold copies of an attempt's origin, the first one first.
-    fn origin_links(&self, attempt: &str, count: usize) -> Vec<async_channel::Sender<OriginJob>> {
-        let links = self.links.lock();
-        let senders = links.values().map(|link| (link.sidecar, &link.origins));
-        let holders = copy_holders(attempt, senders, count);
-        holders.into_iter().cloned().collect()
-    }
 }
--- /dev/null
+++ b/crates/radishpin-gateway/src/process/gateway/prompts.rs
@@ -0,0 +1,315 @@
+//! Keeps requests with prompt parts that crash engines from reaching more of them.
+
+use super::Gateway;
+use crate::{
+    connection::{Connection, SharedJob, exchange_shared},
+    process::CRASH_WATCH_TIMEOUT,
+    request::Call,
+};
+use parking_lot::Mutex;
+use radishpin_core::{
+    process::{
+        Exposure, ExposureEnd, PartCrashes, PromptCrashes, PromptExposures, PromptVerdict, Refusal,
+        RequestOutcome, SharedReply, SharedRequest, Status,
+    },
+    request::{PromptPartId, SharedParts},
+};
+use radishpin_protocol::{UnixMs, prelude::*};
+use radishpin_runtime::{Runtime, timeout};
+use std::{net::SocketAddr, sync::Arc};
+
+/// Key of the crashes, by which their holders are chosen. They are rare, so all have the same holders.
+const CRASHES_KEY: &str = "prompt-crashes";
+/// Sidecars that hold the crashes, so that one likely survives if many processes are killed at once.
+pub(super) const CRASH_HOLDERS: usize = 3;
+/// Time that a watch may take in addition to its wait for news.
+const WATCH_SLACK: Duration = Duration::from_millis(600);
+/// Pause after a watch that failed or had no holder.
+const WATCH_BACKOFF: Duration = Duration::from_millis(400);
+/// Longest time to ask a holder whether a refused part may be tried; its caller waits meanwhile.
+const TRIAL_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// What this gateway knows of prompt parts that crash engines.
+#[derive(Debug, Default)]
+pub(crate) struct PromptGuard {
+    exposures: Mutex<PromptExposures>,
+    crashes: Mutex<PromptCrashes>,
+}
+
+/// Whether a request may be sent although parts of its prompt are refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PromptTrial {
+    /// It may not.
+    No,
+    /// It may, to find out whether engines still crash under them.
+    Granted,
+}
+
+/// A sidecar that this gateway watches for crashes.
+#[derive(Debug, Default)]
+struct Watch {
+    connection: Option<Connection>,
+    holder: Option<SocketAddr>,
+    seen_incarnation: Incarnation,
+    seen_version: u64,
+}
+
+impl Gateway {
+    /// Records that a request is sent to an engine that started at this time.
+    pub(crate) fn begin_exposure(
+        &self,
+        endpoint: &str,
+        started_unix_ms: UnixMs,
+        parts: &SharedParts,
+    ) -> Option<Exposure> {
+        let mut exposures = self.prompts.exposures.lock();
+        exposures.begin(endpoint, started_unix_ms, parts)
+    }
+
+    /// Records how a request at an engine ended.
+    pub(crate) fn end_exposure(&self, exposure: Exposure, outcome: RequestOutcome) {
+        let end = match outcome {
+            RequestOutcome::Served { .. } => ExposureEnd::Served,
+            RequestOutcome::Broken => ExposureEnd::Broken,
+            RequestOutcome::Refused | RequestOutcome::Misdirected | RequestOutcome::Unreachable => {
+                ExposureEnd::NotRun
+            }
+            RequestOutcome::Failed | RequestOutcome::Canceled => ExposureEnd::Other,
+        };
+        let now = self.clock.now();
+        self.prompts.exposures.lock().end(exposure, end, now);
+        if end == ExposureEnd::Broken {
+            self.settle_exposures();
+        }
+    }
+
+    /// Records that an engine accepts no connections.
+    pub(crate) fn engine_unreachable(&self, endpoint: &str) {
+        let now = self.clock.now();
+        self.prompts.exposures.lock().engine_down(endpoint, now);
+        self.settle_exposures();
+    }
+
+    /// Records what a sidecar's status tells about the life of its engine.
+    pub(super) fn observe_engine(&self, endpoint: &str, status: &Status) {
+        let now = self.clock.now();
+        let replaced = status.engine_id.as_ref().is_some_and(|id| id != endpoint);
+        let mut exposures = self.prompts.exposures.lock();
+        if exposures.is_settled() {
+            return;
+        }
+        match status.engine_up {
+            false => exposures.engine_down(endpoint, now),
+            true if replaced => exposures.engine_started(endpoint, UnixMs::MAX, now),
+            true => exposures.engine_started(endpoint, status.engine_started_unix_ms, now),
+        }
+        drop(exposures);
+        self.settle_exposures();
+    }
+
+    /// Draws the conclusions from requests that have ended, and tells the holders.
+    pub(super) fn settle_exposures(&self) {
+        let now = self.clock.now();
+        let news = self.prompts.exposures.lock().settle(now);
+        let mut messages = news.crashes;
+        if !messages.is_empty() {
+            self.merge_crashes(messages.clone());
+        }
+        messages.extend(self.clear_sound(&news.sound));
+        self.send_crashes(messages);
+    }
+
+    /// Clears parts that are sound; returns what to tell the holders.
+    fn clear_sound(&self, sound: &BTreeSet<PromptPartId>) -> Vec<PartCrashes> {
+        let now = self.clock.now();
+        let mut crashes = self.prompts.crashes.lock();
+        if crashes.is_empty() {
+            return Vec::new();
+        }
+        let mut cleared = Vec::new();
+        for part in sound {
+            if let Some(message) = crashes.clear(*part, now) {
+                log::info!(event = "prompt_part_cleared", part:% = format_args!("{part:x}"); "a request with a suspected prompt part was answered");
+                cleared.push(message);
+            }
+        }
+        cleared
+    }
+
+    fn merge_crashes(&self, parts: Vec<PartCrashes>) {
+        let now = self.clock.now();
+        let mut crashes = self.prompts.crashes.lock();
+        let before = crashes.refused();
+        if !crashes.merge(parts, now) {
+            return;
+        }
+        let after = crashes.refused();
+        for part in after.difference(&before) {
+            log::warn!(event = "prompt_part_refused", part:% = format_args!("{part:x}"), crashes = crashes.count(*part); "engines crashed under a prompt part; its requests are refused");
+        }
+        for part in before.difference(&after) {
+            log::info!(event = "prompt_part_allowed", part:% = format_args!("{part:x}"); "a refused prompt part is no longer suspected");
+        }
+        let refused = i64::try_from(after.len()).unwrap_or(i64::MAX);
+        self.metrics.refused_prompt_parts.set(refused);
+    }
+
+    fn send_crashes(&self, messages: Vec<PartCrashes>) {
+        if messages.is_empty() {
+            return;
+        }
+        for (_, jobs) in self.holders(CRASHES_KEY, CRASH_HOLDERS) {
+            let request = SharedRequest::MergeCrashes(messages.clone());
+            let job = SharedJob {
+                request,
+                reply: None,
+            };
+            if jobs.try_send(job).is_err() {
+                log::warn!(event = "crashes_not_shared"; "too many requests wait for a sidecar");
+            }
+        }
+    }
+
+    /// Why a request may not be sent to an engine now; `None` if it may.
+    pub(crate) fn refused_prompt(&self, parts: &SharedParts, random: u64) -> Option<Refusal> {
+        let now = self.clock.now();
+        match self.prompts.crashes.lock().verdict(parts, now) {
+            PromptVerdict::Allowed => None,
+            PromptVerdict::Refused { trial_in, .. } => {
+                Some(Refusal::crashing_prompt(trial_in, random))
+            }
+        }
+    }
+
+    /// Decides whether a request may be sent to an engine as far as its prompt is concerned. Of all
+    /// gateways one gets the permit for a trial.
+    ///
+    /// # Errors
+    /// Engines crashed under a part of the prompt, and no trial is due.
+    pub(crate) async fn admit_prompt(&self, call: &Call) -> Result<PromptTrial, Refusal> {
+        let now = self.clock.now();
+        let parts = &call.shared_parts;
+        let (part, trial_in, due) = {
+            let mut crashes = self.prompts.crashes.lock();
+            match crashes.verdict(parts, now) {
+                PromptVerdict::Allowed => return Ok(PromptTrial::No),
+                PromptVerdict::Refused { part, trial_in } => {
+                    (part, trial_in, crashes.grant_trial(parts, now))
+                }
+            }
+        };
+        let granted = due && self.ask_for_trial(parts).await;
+        log::info!(
+            event = "prompt_refused", request = call.id, part:% = format_args!("{part:x}"),
+            trial_in_ms = trial_in.as_millis() as u64, tried = granted;
+            "engines crashed under a part of the prompt"
+        );
+        match granted {
+            true => Ok(PromptTrial::Granted),
+            false => Err(Refusal::crashing_prompt(trial_in, call.random)),
+        }
+    }
+
+    /// Asks the holders, one after the other, until one answers.
+    async fn ask_for_trial(&self, parts: &SharedParts) -> bool {
+        for (_, jobs) in self.holders(CRASHES_KEY, CRASH_HOLDERS) {
+            let (reply, replies) = async_channel::bounded(1);
+            let job = SharedJob {
+                request: SharedRequest::TryPrompt(parts.clone()),
+                reply: Some(reply),
+            };
+            if jobs.try_send(job).is_err() {
+                continue;
+            }
+            let answer = timeout(TRIAL_TIMEOUT, replies.recv()).await;
+            if let Some(Ok(SharedReply::Permit(granted))) = answer {
+                return granted;
+            }
+        }
+        false
+    }
+
+    /// Follows the crashes at the holder of this rank until the process exits.
+    pub(super) async fn watch_crashes(self: &Arc<Self>, rank: usize) {
+        let mut watch = Watch::default();
+        loop {
+            let holders = self.holders(CRASHES_KEY, CRASH_HOLDERS);
+            let holder = holders.get(rank).map(|(address, _)| *address);
+            let answered = match holder {
+                Some(holder) => watch.next(self, holder).await,
+                None => false,
+            };
+            if !answered {
+                watch = Watch::default();
+                Runtime::sleep(WATCH_BACKOFF).await;
+            }
+        }
+    }
+
+    /// Merges what a holder knows, and clears parts that are sound here.
+    fn learn_crashes(&self, parts: Vec<PartCrashes>) {
+        self.merge_crashes(parts);
+        let now = self.clock.now();
+        let exposures = self.prompts.exposures.lock();
+        let suspects = self.prompts.crashes.lock();
+        let sound = suspects
+            .suspects()
+            .filter(|part| exposures.is_sound(*part, now));
+        let sound: BTreeSet<PromptPartId> = sound.collect();
+        drop((exposures, suspects));
+        let cleared = self.clear_sound(&sound);
+        self.send_crashes(cleared);
+    }
+}
+
+impl Watch {
+    /// Waits for news from a holder, or for its timeout; returns whether it answered.
+    async fn next(&mut self, gateway: &Arc<Gateway>, holder: SocketAddr) -> bool {
+        if self.holder != Some(holder) {
+            *self = Self {
+                holder: Some(holder),
+                ..Self::default()
+            };
+        }
+        let request = SharedRequest::WatchCrashes {
+            seen_incarnation: self.seen_incarnation,
+            seen_version: self.seen_version,
+        };
+        let time_limit = CRASH_WATCH_TIMEOUT + WATCH_SLACK;
+        let Some(SharedReply::Crashes {
+            incarnation,
+            version,
+            parts,
+        }) = self.exchange(gateway, holder, &request, time_limit).await
+        else {
+            return false;
+        };
+        gateway.learn_crashes(parts);
+        let is_new = incarnation != self.seen_incarnation;
+        (self.seen_incarnation, self.seen_version) = (incarnation, version);
+        !is_new || self.tell_all(gateway, holder).await
+    }
+
+    /// Tells a holder, which may have just started, all that this gateway knows.
+    async fn tell_all(&mut self, gateway: &Arc<Gateway>, holder: SocketAddr) -> bool {
+        let now = gateway.clock.now();
+        let messages = gateway.prompts.crashes.lock().messages(now);
+        if messages.is_empty() {
+            return true;
+        }
+        let request = SharedRequest::MergeCrashes(messages);
+        let answer = self.exchange(gateway, holder, &request, WATCH_SLACK).await;
+        answer.is_some()
+    }
+
+    async fn exchange(
+        &mut self,
+        gateway: &Arc<Gateway>,
+        holder: SocketAddr,
+        request: &SharedRequest,
+        time_limit: Duration,
+    ) -> Option<SharedReply> {
+        let exchange = exchange_shared(&gateway.runtime, holder, &mut self.connection, request);
+        timeout(time_limit, exchange).await?.ok()
+    }
+}
--- a/crates/radishpin-gateway/src/process/metrics.rs
+++ b/crates/radishpin-gateway/src/process/metrics.rs
@@ -41,6 +41,8 @@
     pub(crate) order_s: Histogram,
     /// Listed endpoints, by state.
     pub(crate) endpoints: IntGaugeVec,
+    /// Prompt parts whose requests are refused because engines crashed under them.
+    pub(crate) refused_prompt_parts: IntGauge,
     /// Version of the configuration in force; 0 before the first one.
     pub(crate) configuration_version: IntGauge,
 }
@@ -96,11 +98,19 @@
             &["state"],
         )?;
         registry.register(Box::new(endpoints.clone()))?;
-        let configuration_version = IntGauge::new(
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, prometheus::Error>(gauge)
+        };
+        let refused_prompt_parts = gauge(
+            "radishpin_refused_prompt_parts",
+            "Prompt parts that are refused because engines crashed under them",
+        )?;
+        let configuration_version = gauge(
             "radishpin_configuration_version",
             "Version of the configuration in force",
         )?;
-        registry.register(Box::new(configuration_version.clone()))?;
         Ok(Self {
             registry,
             requests,
@@ -113,6 +123,7 @@
             orders,
             order_s,
             endpoints,
+            refused_prompt_parts,
             configuration_version,
         })
     }
--- a/crates/radishpin-gateway/src/process/sidecar.rs
+++ b/crates/radishpin-gateway/src/process/sidecar.rs
@@ -1,14 +1,14 @@
 //! The sidecar: the only process that sends orders to the engine on its host.
 
 mod orders;
-mod origins;
+mod shared_state;
 
 use super::{
     Clock, GatewayError, Metrics, Shutdown, StoreClient, gateway::internal_limits, read_settings,
     serve_metrics, wait_for_stop_signal, watch_settings,
 };
 use crate::{
-    connection::{Connection, ExchangeError, ORIGINS_PATH, get, serve},
+    connection::{Connection, ExchangeError, SHARED_STATE_PATH, get, serve},
     version::watch_catalog,
 };
 use event_listener::Event;
@@ -16,16 +16,16 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
-use origins::handle_origins;
 use parking_lot::Mutex;
 use radishpin_adapter::{REPORT_PATH, Settings, decode_report};
 use radishpin_core::{
     process::{GatewayReport, Residency},
-    request::StreamOrigins,
     version::Catalog,
 };
 use radishpin_protocol::prelude::*;
 use radishpin_runtime::{Runtime, timeout};
+pub(crate) use shared_state::CRASH_WATCH_TIMEOUT;
+use shared_state::{SharedState, handle_shared_state};
 use std::{net::SocketAddr, path::PathBuf, sync::Arc};
 
 /// Time between two polls of the engine while it is busy or an eviction or a demand is pending.
@@ -50,8 +50,8 @@
     settings: Mutex<Arc<Settings>>,
     engine: SocketAddr,
     residency: Mutex<Residency>,
-    /// Copies of the origins of streams that gateways began.
-    origins: Mutex<StreamOrigins>,
+    incarnation: Incarnation,
+    shared: SharedState,
     /// Notified when the engine should be polled without waiting for the next interval.
     poll_requested: Event,
     /// Notified when the status has changed, which answers the waiting gateways.
@@ -158,7 +158,7 @@
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     match request.uri().path() {
-        ORIGINS_PATH => handle_origins(&sidecar, request).await,
+        SHARED_STATE_PATH => handle_shared_state(&sidecar, request).await,
         _ => handle_exchange(sidecar, request).await,
     }
 }
@@ -221,12 +221,14 @@
         } else {
             settings.platform_limits.load_window
         };
+        let incarnation = rand::random();
         Ok(Self {
             runtime,
             clock: Clock::start(),
             engine,
-            residency: Mutex::new(Residency::new(rand::random(), store_load_after)),
-            origins: Mutex::default(),
+            incarnation,
+            residency: Mutex::new(Residency::new(incarnation, store_load_after)),
+            shared: SharedState::default(),
             settings: Mutex::new(Arc::new(settings)),
             poll_requested: Event::new(),
             status_changed: Event::new(),
--- a/crates/radishpin-gateway/src/request.rs
+++ b/crates/radishpin-gateway/src/request.rs
@@ -10,4 +10,5 @@
 mod stream;
 mod stream_version;
 
+pub(crate) use call::Call;
 pub(crate) use forward::serve_request;
--- a/crates/radishpin-gateway/src/request/assignment.rs
+++ b/crates/radishpin-gateway/src/request/assignment.rs
@@ -1,10 +1,10 @@
 //! Assigns a request to an endpoint and records how it ended there.
 
 use super::call::Call;
-use crate::process::Gateway;
+use crate::process::{Gateway, PromptTrial};
 use futures_lite::future;
 use radishpin_core::process::{
-    FIRST_TOKEN_LATENCY, LoadTarget, Pick, PickQuery, Refusal, RequestOutcome, Wait,
+    Exposure, FIRST_TOKEN_LATENCY, LoadTarget, Pick, PickQuery, Refusal, RequestOutcome, Wait,
 };
 use radishpin_protocol::prelude::*;
 use radishpin_runtime::Runtime;
@@ -24,6 +24,7 @@
     /// Software version of the endpoint; `None` if it is not known.
     pub(crate) software_version: Option<SoftwareVersion>,
     pub(crate) started_at: Duration,
+    exposure: Option<Exposure>,
     ended: bool,
 }
 
@@ -40,6 +41,13 @@
         let now = self.gateway.clock.now();
         let mut fleet = self.gateway.fleet.lock();
         fleet.end_request(&self.endpoint, self.call.target(), outcome, now);
+        drop(fleet);
+        if outcome == RequestOutcome::Unreachable {
+            self.gateway.engine_unreachable(&self.endpoint);
+        }
+        if let Some(exposure) = self.exposure.take() {
+            self.gateway.end_exposure(exposure, outcome);
+        }
     }
 
     /// Returns the outcome of a response that is complete now.
@@ -109,24 +117,34 @@
     }
 }
 
-/// Assigns a request to an endpoint that it has not been sent to, and waits for a load if the load
-/// can end in time for a response before `next_part_deadline`. Only endpoints of
-/// `software_version` may serve it; `None` if any may.
+/// What limits the choice of an endpoint for a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Limits<'a> {
+    /// Endpoints that the request was sent to before.
+    pub(crate) tried: &'a BTreeSet<EndpointId>,
+    /// Software version of the endpoints that may serve it; `None` if any may.
+    pub(crate) software_version: Option<&'a str>,
+    /// Time by which its caller must get the next part of the response.
+    pub(crate) next_part_deadline: Duration,
+    /// Whether it may be sent although engines crashed under its prompt.
+    pub(crate) prompt_trial: PromptTrial,
+}
+
+/// Assigns a request to an endpoint, and waits for a load if the load can end in time for a response.
 ///
 /// # Errors
 /// The request cannot be served in time; this call has sent it nowhere.
 pub(crate) async fn assign_endpoint(
     gateway: &Arc<Gateway>,
     call: &Arc<Call>,
-    tried: &BTreeSet<EndpointId>,
-    software_version: Option<&str>,
-    next_part_deadline: Duration,
+    limits: Limits<'_>,
 ) -> Result<Assignment, Refusal> {
     let mut waiting: Option<LoadWait<'_>> = None;
     let mut reconsidered_at = Duration::ZERO;
     loop {
         let listener = gateway.fleet_changed.listen();
         let now = gateway.clock.now();
+        let next_part_deadline = limits.next_part_deadline;
         let waits_until = gateway.waiting_deadline();
         let stopping = waits_until.is_some_and(|until| until < next_part_deadline);
         let waits_until =
@@ -134,7 +152,7 @@
         let query = PickQuery {
             service: &call.service,
             target: call.target(),
-            software_version,
+            software_version: limits.software_version,
             priority: call.route.priority,
             time_left: waits_until.saturating_sub(now),
             stopping,
@@ -143,12 +161,18 @@
                 .map_or(Duration::ZERO, |w| now.saturating_sub(w.since)),
             reconsider: now.saturating_sub(reconsidered_at) >= RECHECK_INTERVAL,
             prompt_tokens: call.prompt_tokens,
-            tried,
+            tried: limits.tried,
             random: call.random,
         };
         if query.reconsider {
             reconsidered_at = now;
         }
+        if limits.prompt_trial == PromptTrial::No
+            && let Some(refusal) = gateway.refused_prompt(&call.shared_parts, call.random)
+        {
+            log_refusal(call, &refusal, &query);
+            return Err(refusal);
+        }
         let pick = gateway.fleet.lock().pick(&query, now);
         let wait = match pick {
             Pick::Send {
@@ -160,11 +184,14 @@
                     event = "request_sent", request = call.id, route = call.route.name, endpoint = endpoint,
                     software_version = snapshot.software_version.as_deref().unwrap_or("-"),
                     resumes = call.resumes.as_deref().unwrap_or("-"), shared_parts:% = call.shared_parts, load = snapshot.load, status = snapshot.status_version,
-                    status_age_ms = snapshot.status_age.as_millis() as u64, configuration = call.catalog_version, tried = tried.len(),
+                    status_age_ms = snapshot.status_age.as_millis() as u64, configuration = call.catalog_version, tried = limits.tried.len(),
                     waited_ms = query.waited.as_millis() as u64, left_ms = call.remaining(now).as_millis() as u64;
                     "request sent to an endpoint"
                 );
+                let exposure =
+                    gateway.begin_exposure(&endpoint, snapshot.started_unix_ms, &call.shared_parts);
                 return Ok(Assignment {
+                    exposure,
                     gateway: Arc::clone(gateway),
                     call: Arc::clone(call),
                     endpoint,
--- a/crates/radishpin-gateway/src/request/attempt.rs
+++ b/crates/radishpin-gateway/src/request/attempt.rs
@@ -127,7 +127,7 @@
                 };
             }
             Err(cause) => {
-                assignment.end(RequestOutcome::Failed);
+                assignment.end(RequestOutcome::Broken);
                 return AttemptResult::Unknown {
                     cause: cause.to_string(),
                 };
@@ -192,7 +192,7 @@
         // The head alone proves that the request did not run; the body isn't needed.
         Err(_) if not_run || misdirected => Bytes::new(),
         Err(cause) => {
-            assignment.end(RequestOutcome::Failed);
+            assignment.end(RequestOutcome::Broken);
             return AttemptResult::Unknown {
                 cause: cause.to_string(),
             };
--- a/crates/radishpin-gateway/src/request/forward.rs
+++ b/crates/radishpin-gateway/src/request/forward.rs
@@ -3,7 +3,7 @@
 mod ending;
 
 use super::{
-    assignment::assign_endpoint,
+    assignment::{Assignment, Limits, assign_endpoint},
     attempt::{AttemptResult, send},
     call::Call,
     origin::{record_origin, version_of_stream},
@@ -146,16 +146,7 @@
         }
         loop {
             let call = Arc::clone(&self.call);
-            let next_part_deadline = call.next_part_deadline(self.last_part_at);
-            let assignment = match assign_endpoint(
-                &self.gateway,
-                &call,
-                &self.tried,
-                self.stream_version.bound(),
-                next_part_deadline,
-            )
-            .await
-            {
+            let assignment = match self.assign(&call).await {
                 Ok(assignment) => assignment,
                 Err(refusal) if self.sends_ran == 0 => {
                     return ForwardOutcome::Refused(Refused::ByGateway(refusal));
@@ -187,6 +178,19 @@
         }
     }
 
+    /// Assigns the request to an endpoint, unless engines crash under its prompt.
+    async fn assign(&self, call: &Arc<Call>) -> Result<Assignment, Refusal> {
+        let gateway = &self.gateway;
+        let prompt_trial = gateway.admit_prompt(call).await?;
+        let limits = Limits {
+            tried: &self.tried,
+            software_version: self.stream_version.bound(),
+            next_part_deadline: call.next_part_deadline(self.last_part_at),
+            prompt_trial,
+        };
+        assign_endpoint(gateway, call, limits).await
+    }
+
     fn attempt_timeout(&self, remaining: Duration) -> Duration {
         let may_retry = self.call.route.semantics == RequestSemantics::Idempotent
             && self.sends_ran + 1 < self.call.route.max_attempts
--- a/crates/radishpin-gateway/src/request/stream.rs
+++ b/crates/radishpin-gateway/src/request/stream.rs
@@ -75,6 +75,7 @@
                 }
                 Err(ResponseError::TimedOut) => return Some(Err(self.abort("out_of_time"))),
                 Err(ResponseError::Truncated) => {
+                    self.end_assignment(RequestOutcome::Broken);
                     if self.resume().await {
                         continue;
                     }
@@ -184,21 +185,20 @@
 
     fn abort(&mut self, reason: &str) -> ResponseError {
         self.ended = true;
-        self.end_assignment();
+        self.end_assignment(RequestOutcome::Failed);
         self.forward.finish("cut", StatusCode::OK, reason);
         ResponseError::Truncated
     }
 
-    fn end_assignment(&mut self) {
+    fn end_assignment(&mut self, outcome: RequestOutcome) {
         if let Some(open) = self.open.take() {
-            open.assignment.end(RequestOutcome::Failed);
+            open.assignment.end(outcome);
         }
     }
 
     /// Resumes the stream at another endpoint of its software version after the last complete event;
     /// returns whether an endpoint accepted that.
     async fn resume(&mut self) -> bool {
-        self.end_assignment();
         let StreamContent::ResumableEvents(events) = &mut self.content else {
             return false;
         };
--- a/crates/radishpin-gateway/tests/serving/prompt_crashes.rs
+++ b/crates/radishpin-gateway/tests/serving/prompt_crashes.rs
@@ -65,6 +65,7 @@
         let gateway = gateways[n % gateways.len()];
         cluster.ask_at(gateway, &request(path, &format!("bad{n}"), BAD_PART));
         thread::sleep(PAUSE);
+        cluster.ask_at(gateway, &request(path, &format!("5e{n}"), "c1"));
         if crashes(engines) >= CRASHES_MAX {
             break;
         }
@@ -149,6 +150,32 @@
     assert!(is_whole(&sound), "{sound}");
 }
 
+/// The first part of the prompts has only been seen beside the one that crashes engines.
+#[test]
+fn sound_requests_are_served_though_their_first_part_was_in_every_crash() {
+    let cluster = TestCluster::start();
+    let engines = start_engines(&cluster, 6);
+    let second = cluster.start_gateway_on("host-2");
+    let gateways = [&cluster.gateway, &second];
+    cluster.wait_until_ready();
+    for n in 0..6 {
+        cluster.ask_at(gateways[n % 2], &bad(&format!("bad{n}")));
+        thread::sleep(PAUSE);
+    }
+    thread::sleep(CONTACT);
+    let before = bad_arrivals(&engines);
+    let mut whole = 0;
+    for n in 0..40 {
+        cluster.ask_at(gateways[n % 2], &bad(&format!("bad-late{n}")));
+        let sound = request("/dictation/2f", &format!("50{n}"), "c1");
+        whole += usize::from(is_whole(&cluster.ask_at(gateways[n % 2], &sound)));
+        thread::sleep(Duration::from_millis(100));
+    }
+    let late = bad_arrivals(&engines) - before;
+    assert!(late <= LATE_MAX, "{late} reached engines");
+    assert!(whole >= 20, "{whole} of 40 sound requests were served");
+}
+
 /// Engines crash together before any request has succeeded, so nothing tells a sound part from one
 /// that crashes them.
 #[test]
