Take the end of a listed engine as news of its crash, and test amid other trouble

A sidecar that goes down with its engine brings no news; the list of endpoints does, if late. It counts like the sidecar's: only for requests whose connection broke.

The randomized test sends requests under which engines crash to three gateways among sound ones, while engines crash for other reasons and sidecars restart: at most 3 requests reach engines later than 3 s after the fifth crash, and half of the sound ones are served once the other trouble is over.

--- a/crates/radishpin-gateway/src/process/gateway.rs
+++ b/crates/radishpin-gateway/src/process/gateway.rs
@@ -179,6 +179,7 @@
         self.endpoint_list_read.store(true, Ordering::Relaxed);
         self.update_endpoint_gauges(endpoint_list);
         if !changes.is_empty() {
+            self.observe_changes(changes);
             self.update_links();
             self.pool
                 .prune(|id| endpoint_list.entries().contains_key(id));
--- a/crates/radishpin-gateway/src/process/gateway/prompts.rs
+++ b/crates/radishpin-gateway/src/process/gateway/prompts.rs
@@ -9,8 +9,8 @@
 use parking_lot::Mutex;
 use radishpin_core::{
     process::{
-        Exposure, ExposureEnd, PartCrashes, PromptCrashes, PromptExposures, PromptVerdict, Refusal,
-        RequestOutcome, SharedReply, SharedRequest, Status,
+        EndpointChange, Exposure, ExposureEnd, PartCrashes, PromptCrashes, PromptExposures,
+        PromptVerdict, Refusal, RequestOutcome, SharedReply, SharedRequest, Status,
     },
     request::{PromptPartId, SharedParts},
 };
@@ -83,7 +83,7 @@
         }
     }
 
-    /// Records that an engine accepts no connections.
+    /// Records that an engine accepts no connections, or is no longer listed.
     pub(crate) fn engine_unreachable(&self, endpoint: &str) {
         let now = self.clock.now();
         self.prompts.exposures.lock().engine_down(endpoint, now);
@@ -107,6 +107,18 @@
         self.settle_exposures();
     }
 
+    /// Records what the platform's list tells about the lives of engines.
+    pub(super) fn observe_changes(&self, changes: &[EndpointChange]) {
+        for change in changes {
+            match change {
+                EndpointChange::Gone(id) | EndpointChange::Restarted(id) => {
+                    self.engine_unreachable(id);
+                }
+                EndpointChange::Joined(_) | EndpointChange::Draining(_) => {}
+            }
+        }
+    }
+
     /// Draws the conclusions from requests that have ended, and tells the holders.
     pub(super) fn settle_exposures(&self) {
         let now = self.clock.now();
--- a/crates/radishpin-gateway/tests/serving/main.rs
+++ b/crates/radishpin-gateway/tests/serving/main.rs
@@ -6,6 +6,7 @@
 mod faults;
 mod framing;
 mod loads;
+mod prompt_crash_runs;
 mod prompt_crashes;
 mod raw_endpoint;
 mod requests;
