Refuse the prompt parts that explain the most crashes, in whatever order they are told

Callers would see: all requests of a route refused for seconds while the part that crashes engines passes.

Cause: all processes had just started, so the first part of the route had not been answered yet, and what one gateway saw of the crashes came before what another saw. The first part had three crashes first, was refused, and its crashes were cleared for good from the part that caused them. And as engines crashed for other reasons too, the first part had crashes that no other part explained, so it was tried after 30 s only: it was refused from 1.2 to 8.6 s.

Change: only answered requests clear a record. Which parts are refused follows anew from all records, the part with the most crashes first. A request is tried within a second if another part, which it lacks, explains all but two of the crashes. An answer that is no success speaks for no part.

The new test of core is a_part_that_crashes_engines_is_refused_once_the_part_beside_it_is_cleared. A test of core that expected the clearing is now stricter: it gives the cause a fourth crash, and expects a trial of the other part meanwhile.

--- /dev/null
+++ b/crates/radishpin-core/examples/shared_state.rs
@@ -0,0 +1,129 @@
+//! Measures what gateways and sidecars spend on the state that gateways share.
+//!
+//! Run with `cargo run --release -p radishpin-core --example shared_state`.
+
+use radishpin_core::{
+    process::{
+        ExposureEnd, PARTS_MAX, PartCrash, PartCrashes, PromptCrashes, PromptExposures,
+        SharedReply, SharedRequest, choose_holders,
+    },
+    request::{SharedParts, StreamOrigin, StreamOrigins},
+};
+use serde::Serialize;
+use std::{
+    hint::black_box,
+    net::{Ipv4Addr, SocketAddr},
+    time::{Duration, Instant},
+};
+
+/// Repetitions per measurement.
+const REPEATS: u32 = 2_000;
+/// Parts that the requests of one crashed engine share.
+const PARTS_PER_CRASH: u64 = 20;
+
+fn main() {
+    measure_origins();
+    measure_holders();
+    measure_exposures();
+    measure_crashes();
+}
+
+/// Prints the mean time of a step, which gets its number.
+fn time(name: &str, mut step: impl FnMut(u32)) {
+    let started = Instant::now();
+    (0..REPEATS).for_each(&mut step);
+    println!("{name}: {:?}", started.elapsed() / REPEATS);
+}
+
+fn print_size(name: &str, message: &impl Serialize) {
+    let bytes = serde_json::to_vec(message).unwrap_or_default().len();
+    println!("{name}: {bytes} bytes");
+}
+
+fn measure_origins() {
+    let origin = |n: u32| StreamOrigin {
+        attempt: format!("{n:016x}"),
+        send: 1,
+        software_version: Some("v1.2".to_owned()),
+    };
+    let message = SharedRequest::RecordOrigin(origin(1));
+    print_size("message with an origin", &message);
+    let mut origins = StreamOrigins::default();
+    time("record an origin", |n| {
+        origins.record(origin(n), Duration::from_secs(1));
+    });
+}
+
+fn measure_holders() {
+    for sidecars in [18_u32, 48, 7_400] {
+        let addresses: Vec<SocketAddr> = (0..sidecars)
+            .map(|n| SocketAddr::from((Ipv4Addr::from(0x0a00_0000 + n), 7_380)))
+            .collect();
+        time(&format!("choose 3 of {sidecars} sidecars"), |n| {
+            let holders = addresses.iter().map(|address| (*address, address));
+            black_box(choose_holders(&format!("{n:016x}"), holders, 3));
+        });
+    }
+}
+
+fn measure_exposures() {
+    let mut exposures = PromptExposures::default();
+    time("begin, end and settle a request", |n| {
+        let now = Duration::from_millis(u64::from(n) * 43);
+        let parts: SharedParts = [1, u64::from(n % 100)].into_iter().collect();
+        if let Some(exposure) = exposures.begin("i-0123456789", 1, &parts) {
+            exposures.end(exposure, ExposureEnd::Served, now);
+        }
+        black_box(exposures.settle(now));
+    });
+}
+
+fn crash_of(parts: impl Iterator<Item = u64>, crash: u64) -> Vec<PartCrashes> {
+    let crash = PartCrash {
+        crash: crash.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+        age_ms: 150,
+        cleared: false,
+    };
+    let against = |part: u64| PartCrashes {
+        part: part.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+        crashes: vec![crash],
+    };
+    parts.map(against).collect()
+}
+
+fn measure_crashes() {
+    let now = Duration::from_secs(1);
+    let report = crash_of(0..PARTS_PER_CRASH, 1);
+    print_size(
+        "message with a crash",
+        &SharedRequest::MergeCrashes(report.clone()),
+    );
+    let mut full = PromptCrashes::default();
+    for crash in 0..2 {
+        full.merge(crash_of(0..PARTS_MAX as u64, crash), now);
+    }
+    let parts: SharedParts = [1, 2].into_iter().collect();
+    let empty = PromptCrashes::default();
+    time("verdict without suspects", |_| {
+        black_box(empty.verdict(&parts, now));
+    });
+    time("verdict with a full table", |_| {
+        black_box(full.verdict(&parts, now));
+    });
+    time("merge a crash into a full table", |_| {
+        black_box(full.clone().merge(report.clone(), now));
+    });
+    let table = |crashes: &PromptCrashes| SharedReply::Crashes {
+        incarnation: u64::MAX,
+        version: 1,
+        parts: crashes.messages(now),
+    };
+    print_size("answer to a watch without crashes", &table(&empty));
+    let mut one = PromptCrashes::default();
+    one.merge(report, now);
+    print_size("answer to a watch after a crash", &table(&one));
+    print_size("answer to a watch with a full table", &table(&full));
+    time("answer a watch with a full table", |_| {
+        black_box(serde_json::to_vec(&table(&full)).unwrap_or_default());
+    });
+}
--- a/crates/radishpin-core/src/process/prompt_crashes.rs
+++ b/crates/radishpin-core/src/process/prompt_crashes.rs
@@ -3,10 +3,10 @@
 //! A part may crash each engine that generates an answer for it, so requests with such a part must
 //! not go from engine to engine. A crash is held against all parts that the engine was serving, and
 //! the table below sorts out which of them is to blame: a part whose request was answered elsewhere is
-//! cleared, and so is one whose crashes another, refused part explains.
+//! cleared, and of the others those that explain the most crashes are refused.
 //!
 //! Processes merge each other's tables. A record is only ever added or cleared, so the order in which
-//! tables are merged does not matter.
+//! tables are merged does not matter; what is refused follows from the records alone.
 
 use crate::request::{PromptPartId, SharedParts};
 use radishpin_protocol::prelude::*;
@@ -69,6 +69,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct PromptCrashes {
     parts: BTreeMap<PromptPartId, BTreeMap<CrashId, Crash>>,
+    /// Parts that are refused, as they follow from `parts`.
+    refused: BTreeSet<PromptPartId>,
     /// When this process last granted or requested a trial of a refused part.
     trials: BTreeMap<PromptPartId, Duration>,
     version: u64,
@@ -92,7 +94,7 @@
         }
         self.expire(now);
         self.drop_excess();
-        self.clear_explained();
+        self.refused = refused_parts(&self.parts);
         let changed = before != self.summary();
         self.version += u64::from(changed);
         changed
@@ -108,20 +110,20 @@
         for crash in crashes.values_mut() {
             crash.cleared = true;
         }
+        let message = message(part, crashes, now);
         self.version += 1;
         self.trials.remove(&part);
-        Some(message(part, &self.parts[&part], now))
+        self.refused = refused_parts(&self.parts);
+        Some(message)
     }
 
     /// Whether a request whose prompt has these parts may be sent to an engine.
     pub fn verdict(&self, parts: &SharedParts, now: Duration) -> PromptVerdict {
-        let refused = parts.ids().filter_map(|part| {
+        let refused = parts.ids().filter(|part| self.refused.contains(part));
+        let trials = refused.filter_map(|part| {
             let crashes = self.parts.get(&part)?;
-            is_refused(crashes).then_some((part, crashes))
-        });
-        let trials = refused.map(|(part, crashes)| {
             let trial_at = self.trial_at(part, crashes, parts);
-            (trial_at.saturating_sub(now), part)
+            Some((trial_at.saturating_sub(now), part))
         });
         match trials.max() {
             None => PromptVerdict::Allowed,
@@ -154,55 +156,50 @@
         crashes: &BTreeMap<CrashId, Crash>,
         parts: &SharedParts,
     ) -> Duration {
-        let held = crashes.values().filter(|crash| !crash.cleared);
-        let last_crash = held.map(|crash| crash.at).max().unwrap_or_default();
+        let last_crash = held(crashes).map(|(_, crash)| crash.at).max();
         let last_trial = self.trials.get(&part).copied().unwrap_or_default();
         let delay = match self.may_be_innocent(part, crashes, parts) {
             true => TRIAL_DELAY_MIN,
             false => trial_delay(occasions(crashes)),
         };
-        last_crash.max(last_trial) + delay
+        last_crash.unwrap_or_default().max(last_trial) + delay
     }
 
-    /// Whether a refused part that this request lacks explains all crashes that are held against
-    /// `part`: then the request tells which of the two is to blame.
+    /// Whether another part, which this request lacks, explains the crashes that are held against
+    /// `part`, but for too few to refuse it: then the request tells which of the two is to blame.
     fn may_be_innocent(
         &self,
         part: PromptPartId,
         crashes: &BTreeMap<CrashId, Crash>,
         parts: &SharedParts,
     ) -> bool {
-        let others = self
-            .parts
-            .iter()
-            .filter(|(other, _)| **other != part && !parts.contains(**other));
-        let mut explained = others.map(|(_, other)| {
-            let held = crashes.iter().filter(|(_, crash)| !crash.cleared);
-            held.clone().count() > 0
-                && held.into_iter().all(|(id, _)| {
-                    let crash = other.get(id);
-                    crash.is_some_and(|crash| !crash.cleared)
-                })
-        });
-        explained.any(|explained| explained)
+        self.parts.iter().any(|(other, other_crashes)| {
+            let other_held: BTreeSet<CrashId> = held(other_crashes).map(|(id, _)| id).collect();
+            let unexplained = held(crashes).filter(|(id, _)| !other_held.contains(id));
+            *other != part
+                && !parts.contains(*other)
+                && other_held.len() >= CRASHES_TO_REFUSE
+                && unexplained.count() < CRASHES_TO_REFUSE
+        })
     }
 
     /// Parts that are refused.
-    pub fn refused(&self) -> BTreeSet<PromptPartId> {
-        let refused = self.parts.iter().filter(|(_, crashes)| is_refused(crashes));
-        refused.map(|(part, _)| *part).collect()
+    pub fn refused(&self) -> &BTreeSet<PromptPartId> {
+        &self.refused
     }
 
     /// Parts against which any crash is held.
     pub fn suspects(&self) -> impl Iterator<Item = PromptPartId> {
         let parts = self.parts.iter();
-        let held = parts.filter(|(_, crashes)| crashes.values().any(|crash| !crash.cleared));
-        held.map(|(part, _)| *part)
+        let suspects = parts.filter(|(_, crashes)| held(crashes).next().is_some());
+        suspects.map(|(part, _)| *part)
     }
 
     /// Number of crashes that are held against a part.
     pub fn count(&self, part: PromptPartId) -> usize {
-        self.parts.get(&part).map_or(0, held_count)
+        self.parts
+            .get(&part)
+            .map_or(0, |crashes| held(crashes).count())
     }
 
     /// All that is known, for another process.
@@ -267,7 +264,7 @@
             .iter()
             .map(|(part, crashes)| {
                 let last = crashes.values().map(|crash| crash.at).max();
-                (held_count(crashes), last.unwrap_or_default(), *part)
+                (held(crashes).count(), last.unwrap_or_default(), *part)
             })
             .collect();
         ranked.sort_unstable();
@@ -275,26 +272,6 @@
             self.parts.remove(part);
         }
     }
-
-    /// Clears crashes that a refused part explains from the parts that were served beside it.
-    fn clear_explained(&mut self) {
-        let refused = self.refused();
-        let explained: BTreeSet<CrashId> = refused
-            .iter()
-            .filter_map(|part| self.parts.get(part))
-            .flat_map(|crashes| crashes.iter())
-            .filter(|(_, crash)| !crash.cleared)
-            .map(|(id, _)| *id)
-            .collect();
-        for (part, crashes) in &mut self.parts {
-            if refused.contains(part) {
-                continue;
-            }
-            for (id, crash) in crashes.iter_mut() {
-                crash.cleared |= explained.contains(id);
-            }
-        }
-    }
 }
 
 fn merge_crash(crashes: &mut BTreeMap<CrashId, Crash>, received: PartCrash, now: Duration) {
@@ -323,18 +300,47 @@
     }
 }
 
-fn held_count(crashes: &BTreeMap<CrashId, Crash>) -> usize {
-    crashes.values().filter(|crash| !crash.cleared).count()
+/// Crashes that are held against a part.
+fn held(crashes: &BTreeMap<CrashId, Crash>) -> impl Iterator<Item = (CrashId, Crash)> {
+    let crashes = crashes.iter().map(|(id, crash)| (*id, *crash));
+    crashes.filter(|(_, crash)| !crash.cleared)
 }
 
-fn is_refused(crashes: &BTreeMap<CrashId, Crash>) -> bool {
-    held_count(crashes) >= CRASHES_TO_REFUSE
+/// Parts to refuse: those with the most crashes, then those with the most that these do not explain,
+/// and so on, so that no part is refused for crashes that it was only served beside.
+fn refused_parts(
+    parts: &BTreeMap<PromptPartId, BTreeMap<CrashId, Crash>>,
+) -> BTreeSet<PromptPartId> {
+    let mut unexplained: BTreeMap<PromptPartId, BTreeSet<CrashId>> = parts
+        .iter()
+        .map(|(part, crashes)| (*part, held(crashes).map(|(id, _)| id).collect()))
+        .collect();
+    let mut refused = BTreeSet::new();
+    loop {
+        unexplained.retain(|_, crashes| crashes.len() >= CRASHES_TO_REFUSE);
+        let Some(most) = unexplained.values().map(BTreeSet::len).max() else {
+            return refused;
+        };
+        let worst: Vec<PromptPartId> = unexplained
+            .iter()
+            .filter(|(_, crashes)| crashes.len() == most)
+            .map(|(part, _)| *part)
+            .collect();
+        let explained: BTreeSet<CrashId> = worst
+            .iter()
+            .filter_map(|part| unexplained.remove(part))
+            .flatten()
+            .collect();
+        refused.extend(worst);
+        for crashes in unexplained.values_mut() {
+            crashes.retain(|id| !explained.contains(id));
+        }
+    }
 }
 
 /// Number of times at which crashes are held against a part, where those of one time may have one cause.
 fn occasions(crashes: &BTreeMap<CrashId, Crash>) -> usize {
-    let held = crashes.values().filter(|crash| !crash.cleared);
-    let mut times: Vec<Duration> = held.map(|crash| crash.at).collect();
+    let mut times: Vec<Duration> = held(crashes).map(|(_, crash)| crash.at).collect();
     times.sort_unstable();
     let mut began_at: Option<Duration> = None;
     let mut count = 0;
--- a/crates/radishpin-core/tests/prompt_crashes.rs
+++ b/crates/radishpin-core/tests/prompt_crashes.rs
@@ -80,11 +80,35 @@
     let mut crashes = PromptCrashes::default();
     crash(&mut crashes, 1, &[BAD, SOUND], at(1));
     crash(&mut crashes, 2, &[BAD, SOUND], at(2));
-    crash(&mut crashes, 3, &[BAD], at(3));
-    crash(&mut crashes, 4, &[SOUND], at(4));
+    crash(&mut crashes, 3, &[SOUND], at(3));
+    assert!(is_refused(&crashes, &[SOUND], at(3)), "it may be the cause");
+    crash(&mut crashes, 4, &[BAD], at(4));
     assert!(is_refused(&crashes, &[BAD], at(4)));
+    assert_eq!(trial_in(&crashes, &[SOUND], at(4)), Some(Duration::ZERO));
+    crash(&mut crashes, 7, &[BAD], at(4));
     assert!(!is_refused(&crashes, &[SOUND], at(4)));
-    assert_eq!(crashes.count(SOUND), 1);
+    crash(&mut crashes, 5, &[SOUND], at(5));
+    crash(&mut crashes, 6, &[SOUND], at(6));
+    assert!(is_refused(&crashes, &[SOUND], at(6)), "three of its own");
+}
+
+/// What one gateway saw of crashes arrives before what another saw, and engines crash for other
+/// reasons too. The part that all requests share is refused first.
+#[test]
+fn a_part_that_crashes_engines_is_refused_once_the_part_beside_it_is_cleared() {
+    let mut crashes = PromptCrashes::default();
+    for id in 1..=5 {
+        crash(&mut crashes, id, &[FIRST], at(id));
+    }
+    for id in 1..=3 {
+        crash(&mut crashes, id, &[BAD], at(id));
+    }
+    assert!(is_refused(&crashes, &[FIRST, SOUND], at(5)));
+    assert_eq!(trial_in(&crashes, &[FIRST, SOUND], at(5)), Some(at(1)));
+    assert_eq!(trial_in(&crashes, &[FIRST, BAD], at(5)), Some(at(600)));
+    crashes.clear(FIRST, at(7));
+    assert!(!is_refused(&crashes, &[FIRST, SOUND], at(7)));
+    assert!(is_refused(&crashes, &[FIRST, BAD], at(7)));
 }
 
 fn trial_in(crashes: &PromptCrashes, parts: &[PromptPartId], now: Duration) -> Option<Duration> {
@@ -207,7 +231,8 @@
                 tables[(n + 1) % 3].merge(known, at(3));
             }
         }
-        let refused: BTreeSet<_> = tables.iter().map(PromptCrashes::refused).collect();
+        let refused = tables.iter().map(|table| table.refused().clone());
+        let refused: BTreeSet<_> = refused.collect();
         assert_eq!(refused.len(), 1, "seed {seed}: {refused:?}");
     }
 }
--- a/crates/radishpin-gateway/src/process/gateway/prompts.rs
+++ b/crates/radishpin-gateway/src/process/gateway/prompts.rs
@@ -133,37 +133,36 @@
 
     /// Clears parts that are sound; returns what to tell the holders.
     fn clear_sound(&self, sound: &BTreeSet<PromptPartId>) -> Vec<PartCrashes> {
-        let now = self.clock.now();
-        let mut crashes = self.prompts.crashes.lock();
-        if crashes.is_empty() {
+        if sound.is_empty() || self.prompts.crashes.lock().is_empty() {
             return Vec::new();
         }
-        let mut cleared = Vec::new();
-        for part in sound {
-            if let Some(message) = crashes.clear(*part, now) {
-                log::info!(event = "prompt_part_cleared", part:% = format_args!("{part:x}"); "a request with a suspected prompt part was answered");
-                cleared.push(message);
-            }
-        }
-        cleared
+        let now = self.clock.now();
+        self.change_crashes(|crashes| {
+            let cleared = sound.iter().filter_map(|part| crashes.clear(*part, now));
+            cleared.collect()
+        })
     }
 
     fn merge_crashes(&self, parts: Vec<PartCrashes>) {
         let now = self.clock.now();
+        self.change_crashes(|crashes| crashes.merge(parts, now));
+    }
+
+    /// Changes the crashes, and logs which parts are refused and allowed by it.
+    fn change_crashes<T>(&self, change: impl FnOnce(&mut PromptCrashes) -> T) -> T {
         let mut crashes = self.prompts.crashes.lock();
-        let before = crashes.refused();
-        if !crashes.merge(parts, now) {
-            return;
-        }
+        let before = crashes.refused().clone();
+        let result = change(&mut crashes);
         let after = crashes.refused();
         for part in after.difference(&before) {
             log::warn!(event = "prompt_part_refused", part:% = format_args!("{part:x}"), crashes = crashes.count(*part); "engines crashed under a prompt part; its requests are refused");
         }
-        for part in before.difference(&after) {
-            log::info!(event = "prompt_part_allowed", part:% = format_args!("{part:x}"); "a refused prompt part is no longer suspected");
+        for part in before.difference(after) {
+            log::info!(event = "prompt_part_allowed", part:% = format_args!("{part:x}"), crashes = crashes.count(*part); "a refused prompt part is no longer suspected");
         }
         let refused = i64::try_from(after.len()).unwrap_or(i64::MAX);
         self.metrics.refused_prompt_parts.set(refused);
+        result
     }
 
     fn send_crashes(&self, messages: Vec<PartCrashes>) {
--- a/crates/radishpin-gateway/src/request/assignment.rs
+++ b/crates/radishpin-gateway/src/request/assignment.rs
@@ -50,6 +50,14 @@
         }
     }
 
+    /// Keeps a response that is no success from speaking for the parts of its prompt.
+    pub(crate) fn end_exposure(&mut self) {
+        if let Some(exposure) = self.exposure.take() {
+            let outcome = RequestOutcome::Canceled;
+            self.gateway.end_exposure(exposure, outcome);
+        }
+    }
+
     /// Returns the outcome of a response that is complete now.
     pub(crate) fn served(&self) -> RequestOutcome {
         let now = self.gateway.clock.now();
--- a/crates/radishpin-gateway/src/request/attempt.rs
+++ b/crates/radishpin-gateway/src/request/attempt.rs
@@ -139,7 +139,7 @@
 async fn receive_response(
     gateway: &Gateway,
     call: &Call,
-    assignment: Assignment,
+    mut assignment: Assignment,
     pooled: PooledConnection,
     head: Parts,
     body: Incoming,
@@ -207,6 +207,9 @@
         status if status.is_server_error() => RequestOutcome::Failed,
         _ => assignment.served(),
     };
+    if !not_run && !head.status.is_success() {
+        assignment.end_exposure();
+    }
     assignment.end(outcome);
     if not_run || misdirected {
         return AttemptResult::NotRun {
