Tell gateways only what changed of crashes, and only of parts with two or more

Cause: each watch was answered with the whole table, 36,505 bytes when it is full, at every change: at 410 gateways 15 MB for each report of a crash. Most of its parts were served in one crash only and concern nobody.

Change: holders answer with the parts that changed since the version that the gateway has seen, of those with more than one crash or a cleared one, and gather reports for 15 ms. A gateway tells of a cleared part only if others know it.

The 7 serving tests of prompts and 11 of core pass.

--- a/crates/radishpin-core/examples/shared_state.rs
+++ b/crates/radishpin-core/examples/shared_state.rs
@@ -116,11 +116,12 @@
     let table = |crashes: &PromptCrashes| SharedReply::Crashes {
         incarnation: u64::MAX,
         version: 1,
-        parts: crashes.messages(now),
+        parts: crashes.messages_since(0, now),
     };
     print_size("answer to a watch without crashes", &table(&empty));
     let mut one = PromptCrashes::default();
     one.merge(report, now);
+    one.merge(crash_of(0..2, 2), now);
     print_size("answer to a watch after a crash", &table(&one));
     print_size("answer to a watch with a full table", &table(&full));
     time("answer a watch with a full table", |_| {
--- a/crates/radishpin-core/src/process/prompt_crashes.rs
+++ b/crates/radishpin-core/src/process/prompt_crashes.rs
@@ -69,6 +69,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct PromptCrashes {
     parts: BTreeMap<PromptPartId, BTreeMap<CrashId, Crash>>,
+    /// Version with which each part changed last.
+    changed: BTreeMap<PromptPartId, u64>,
     /// Parts that are refused, as they follow from `parts`.
     refused: BTreeSet<PromptPartId>,
     /// When this process last granted or requested a trial of a refused part.
@@ -85,7 +87,7 @@
 impl PromptCrashes {
     /// Adds what another process knows, or what this one saw; returns whether that was news.
     pub fn merge(&mut self, received: Vec<PartCrashes>, now: Duration) -> bool {
-        let before = self.summary();
+        let before = self.parts.clone();
         for entry in received.into_iter().take(PARTS_MAX) {
             let crashes = self.parts.entry(entry.part).or_default();
             for received in entry.crashes.into_iter().take(CRASHES_PER_PART_MAX) {
@@ -94,10 +96,38 @@
         }
         self.expire(now);
         self.drop_excess();
+        self.note_changes(&before)
+    }
+
+    /// Records what differs from `before`, and returns whether anything does.
+    fn note_changes(&mut self, before: &BTreeMap<PromptPartId, BTreeMap<CrashId, Crash>>) -> bool {
+        let flags = |crashes: &BTreeMap<CrashId, Crash>| -> Vec<(CrashId, bool)> {
+            let crashes = crashes.iter();
+            crashes.map(|(id, crash)| (*id, crash.cleared)).collect()
+        };
+        let changed = self.parts.iter().filter(|(part, crashes)| {
+            let known = before.get(part);
+            known.is_none_or(|known| flags(known) != flags(crashes))
+        });
+        let changed: Vec<PromptPartId> = changed.map(|(part, _)| *part).collect();
+        let any_gone = before.keys().any(|part| !self.parts.contains_key(part));
+        if changed.is_empty() && !any_gone {
+            return false;
+        }
+        self.version += 1;
+        let version = self.version;
+        self.changed
+            .extend(changed.into_iter().map(|part| (part, version)));
+        let Self {
+            parts,
+            changed,
+            trials,
+            ..
+        } = self;
+        changed.retain(|part, _| parts.contains_key(part));
+        trials.retain(|part, _| parts.contains_key(part));
         self.refused = refused_parts(&self.parts);
-        let changed = before != self.summary();
-        self.version += u64::from(changed);
-        changed
+        true
     }
 
     /// Clears a part one of whose requests was answered; returns what to tell other processes, `None`
@@ -112,6 +142,7 @@
         }
         let message = message(part, crashes, now);
         self.version += 1;
+        self.changed.insert(part, self.version);
         self.trials.remove(&part);
         self.refused = refused_parts(&self.parts);
         Some(message)
@@ -188,10 +219,10 @@
         &self.refused
     }
 
-    /// Parts against which any crash is held.
+    /// Parts against which more than one crash is held.
     pub fn suspects(&self) -> impl Iterator<Item = PromptPartId> {
         let parts = self.parts.iter();
-        let suspects = parts.filter(|(_, crashes)| held(crashes).next().is_some());
+        let suspects = parts.filter(|(_, crashes)| held(crashes).count() > 1);
         suspects.map(|(part, _)| *part)
     }
 
@@ -202,12 +233,17 @@
             .map_or(0, |crashes| held(crashes).count())
     }
 
-    /// All that is known, for another process.
-    pub fn messages(&self, now: Duration) -> Vec<PartCrashes> {
-        let parts = self.parts.iter();
-        parts
-            .map(|(part, crashes)| message(*part, crashes, now))
-            .collect()
+    /// What changed after this version and concerns other processes: parts that are suspected for more
+    /// than one crash, and parts that were cleared.
+    pub fn messages_since(&self, version: u64, now: Duration) -> Vec<PartCrashes> {
+        let changed = self.changed.iter().filter(|(_, at)| **at > version);
+        let messages = changed.filter_map(|(part, _)| {
+            let crashes = self.parts.get(part)?;
+            let held = held(crashes).count();
+            let is_news = held > 1 || held < crashes.len();
+            is_news.then(|| message(*part, crashes, now))
+        });
+        messages.collect()
     }
 
     /// Increases with each change.
@@ -225,23 +261,11 @@
         self.parts.is_empty()
     }
 
-    /// Identifies the state regardless of the age of its crashes.
-    fn summary(&self) -> Vec<(PromptPartId, CrashId, bool)> {
-        let parts = self.parts.iter();
-        let records = parts.flat_map(|(part, crashes)| {
-            let crashes = crashes.iter();
-            crashes.map(|(id, crash)| (*part, *id, crash.cleared))
-        });
-        records.collect()
-    }
-
     fn expire(&mut self, now: Duration) {
         for crashes in self.parts.values_mut() {
             crashes.retain(|_, crash| now.saturating_sub(crash.at) < CRASH_LIFETIME);
         }
         self.parts.retain(|_, crashes| !crashes.is_empty());
-        let Self { parts, trials, .. } = self;
-        trials.retain(|part, _| parts.contains_key(part));
     }
 
     fn drop_excess(&mut self) {
--- a/crates/radishpin-core/src/process/shared_state.rs
+++ b/crates/radishpin-core/src/process/shared_state.rs
@@ -22,8 +22,8 @@
     FindOrigin(RequestId),
     /// Merge these crashes into those that are held against prompt parts.
     MergeCrashes(Vec<PartCrashes>),
-    /// Answer with all crashes once they differ from the version that the gateway has seen, or after a
-    /// while.
+    /// Answer with the crashes that changed after the version that the gateway has seen, once there are
+    /// any, or after a while.
     WatchCrashes {
         /// Incarnation of the sidecar that sent that version; 0 before the first.
         seen_incarnation: Incarnation,
@@ -48,7 +48,7 @@
         incarnation: Incarnation,
         /// Version of its table of crashes.
         version: u64,
-        /// The whole table.
+        /// What changed since the version that the gateway had seen.
         parts: Vec<PartCrashes>,
     },
     /// Whether the gateway may send the request that it asked for.
--- a/crates/radishpin-gateway/src/process/gateway/prompts.rs
+++ b/crates/radishpin-gateway/src/process/gateway/prompts.rs
@@ -138,7 +138,11 @@
         }
         let now = self.clock.now();
         self.change_crashes(|crashes| {
-            let cleared = sound.iter().filter_map(|part| crashes.clear(*part, now));
+            let cleared = sound.iter().filter_map(|part| {
+                // A single crash is known to nobody but its holders, and refuses nothing.
+                let is_shared = crashes.count(*part) > 1;
+                crashes.clear(*part, now).filter(|_| is_shared)
+            });
             cleared.collect()
         })
     }
@@ -304,7 +308,7 @@
     /// Tells a holder, which may have just started, all that this gateway knows.
     async fn tell_all(&mut self, gateway: &Arc<Gateway>, holder: SocketAddr) -> bool {
         let now = gateway.clock.now();
-        let messages = gateway.prompts.crashes.lock().messages(now);
+        let messages = gateway.prompts.crashes.lock().messages_since(0, now);
         if messages.is_empty() {
             return true;
         }
--- a/crates/radishpin-gateway/src/process/sidecar/shared_state.rs
+++ b/crates/radishpin-gateway/src/process/sidecar/shared_state.rs
@@ -12,11 +12,14 @@
     request::StreamOrigins,
 };
 use radishpin_protocol::prelude::*;
-use radishpin_runtime::timeout;
+use radishpin_runtime::{Runtime, timeout};
 
 /// Time after which a gateway that waits for news about crashes is answered without any.
 pub(crate) const CRASH_WATCH_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time for which changes are gathered before gateways are told.
+const CRASH_BATCH_DELAY: Duration = Duration::from_millis(15);
+
 /// What this sidecar keeps for the gateways.
 #[derive(Debug, Default)]
 pub(super) struct SharedState {
@@ -87,22 +90,36 @@
 
     async fn watch_crashes(&self, seen_incarnation: Incarnation, seen_version: u64) -> SharedReply {
         let incarnation = self.incarnation;
+        let seen_version = match seen_incarnation == incarnation {
+            true => seen_version,
+            false => 0,
+        };
         let changed = async {
             loop {
                 let listener = self.shared.crashes_changed.listen();
-                let version = self.shared.crashes.lock().version();
-                if (incarnation, version) != (seen_incarnation, seen_version) {
+                if seen_incarnation != incarnation || self.has_crash_news(seen_version) {
                     return;
                 }
                 listener.await;
             }
         };
-        let _ = timeout(CRASH_WATCH_TIMEOUT, changed).await;
+        if timeout(CRASH_WATCH_TIMEOUT, changed).await.is_some() {
+            // Several gateways report one crash at the same time.
+            Runtime::sleep(CRASH_BATCH_DELAY).await;
+        }
         let crashes = self.shared.crashes.lock();
         SharedReply::Crashes {
             incarnation,
             version: crashes.version(),
-            parts: crashes.messages(self.clock.now()),
+            parts: crashes.messages_since(seen_version, self.clock.now()),
         }
     }
+
+    fn has_crash_news(&self, seen_version: u64) -> bool {
+        let crashes = self.shared.crashes.lock();
+        crashes.version() > seen_version
+            && !crashes
+                .messages_since(seen_version, self.clock.now())
+                .is_empty()
+    }
 }
--- a/crates/radishpin-gateway/tests/serving/cluster.rs
+++ b/crates/radishpin-gateway/tests/serving/cluster.rs
@@ -264,6 +264,16 @@
             .expect("sidecar starts")
     }
 
+    /// Stops a sidecar and starts another one in its place, once its address is free.
+    pub fn restart_sidecar(&self, sidecar: &SidecarProcess, endpoint: &Endpoint) -> SidecarProcess {
+        sidecar.stop();
+        let address = SocketAddr::new(endpoint.address.ip(), self.internal_port);
+        self.wait_until("the sidecar's address is free", || {
+            std::net::TcpListener::bind(address).is_ok()
+        });
+        self.start_sidecar(endpoint)
+    }
+
     pub fn list_endpoint(&self, endpoint: &Endpoint, service: &str, phase: &str) {
         let entry = endpoint.entry(service, phase);
         self.store.put("servers", &endpoint.id, entry);
