Log the limits that endpoints state in their answers

Cause: no line tells that an endpoint named a limit, nor what limit a send met, so the logs cannot tell gateways that ignore the limit from gateways that each keep to it alone.

Change: the adapter reads Server-Limit, endpoint_limit is logged when an endpoint states another limit than before or none any more, and request_sent has limit_per_s. An answer without a limit lifts it only if its request was sent after the limit was known here, as answers may overtake each other; a value that cannot be read changes nothing. No routing changes.

--- a/crates/radishpin-core/src/process/fleet/pick.rs
+++ b/crates/radishpin-core/src/process/fleet/pick.rs
@@ -4,7 +4,7 @@
     Fleet, LoadTarget, Refusal, RefusalReason, WaitEntry, endpoint::Endpoint, loader::LoadQuery,
     refusal::ABSENT_RETRY,
 };
-use crate::rendezvous::rendezvous_hash;
+use crate::{rendezvous::rendezvous_hash, request::RequestRate};
 use radishpin_protocol::{UnixMs, prelude::*};
 use std::net::SocketAddr;
 
@@ -109,6 +109,8 @@
     pub software_version: Option<SoftwareVersion>,
     /// Unix time of its last known start in milliseconds; 0 if unknown.
     pub started_unix_ms: UnixMs,
+    /// Requests a second that it takes from all gateways together; `None` if it states no limit.
+    pub limit: Option<RequestRate>,
 }
 
 /// A wait for a load.
--- a/crates/radishpin-core/src/request.rs
+++ b/crates/radishpin-core/src/request.rs
@@ -10,6 +10,7 @@
 mod load_limit;
 mod prefix_hints;
 mod prompt;
+mod request_rate;
 mod retry;
 mod retry_budget;
 mod routing;
@@ -29,6 +30,7 @@
 pub use load_limit::LoadLimit;
 pub use prefix_hints::{CacheEvent, PrefixHash, PrefixHints};
 pub use prompt::{PromptPartId, PromptSize, SHARED_PARTS_MAX, SharedParts};
+pub use request_rate::{LimitStatement, RequestRate};
 pub use retry::{
     AttemptOutcome, MAX_ATTEMPTS, RetryContext, RetryDecision, RetryReason, TOMBSTONE_TIMEOUT,
     decide_retry,
--- a/crates/radishpin-gateway/src/request/assignment.rs
+++ b/crates/radishpin-gateway/src/request/assignment.rs
@@ -188,10 +188,11 @@
                 address,
                 snapshot,
             } => {
+                let limit = snapshot.limit.map(|rate| rate.to_string());
                 log::info!(
                     event = "request_sent", request = call.id, route = call.route.name, endpoint = endpoint,
                     software_version = snapshot.software_version.as_deref().unwrap_or("-"),
-                    resumes = call.resumes.as_deref().unwrap_or("-"), shared_parts:% = call.shared_parts, load = snapshot.load, status = snapshot.status_version,
+                    resumes = call.resumes.as_deref().unwrap_or("-"), shared_parts:% = call.shared_parts, load = snapshot.load, limit_per_s = limit.as_deref().unwrap_or("-"), status = snapshot.status_version,
                     status_age_ms = snapshot.status_age.as_millis() as u64, configuration = call.catalog_version, tried = limits.tried.len(),
                     waited_ms = query.waited.as_millis() as u64, left_ms = call.remaining(now).as_millis() as u64;
                     "request sent to an endpoint"
--- a/crates/radishpin-gateway/src/request/attempt.rs
+++ b/crates/radishpin-gateway/src/request/attempt.rs
@@ -14,7 +14,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use radishpin_adapter::{LoadHeader, header as wire};
-use radishpin_core::process::RequestOutcome;
+use radishpin_core::{process::RequestOutcome, request::LimitStatement};
 use radishpin_protocol::prelude::*;
 use radishpin_runtime::{Runtime, timeout};
 
@@ -151,6 +151,7 @@
             .lock()
             .record_load(&assignment.endpoint, in_use);
     }
+    record_limit(gateway, &assignment, &head);
     let id_matches = header_text(&head.headers, wire::ATTEMPT_ID) == Some(call.id.as_str());
     if !id_matches && !call.id.is_empty() {
         // The connection carries a late response to an earlier request, so the response to this
@@ -219,6 +220,29 @@
     AttemptResult::Complete { head, body }
 }
 
+/// Records the limit that an endpoint states in its response.
+fn record_limit(gateway: &Gateway, assignment: &Assignment, head: &Parts) {
+    let text = head.headers.get(wire::LIMIT);
+    // A value that is not text cannot be read, which is not the same as no value.
+    let text = text.map(|value| value.to_str().unwrap_or_default());
+    let statement = wire::parse_limit(text);
+    let now = gateway.clock.now();
+    let endpoint = &assignment.endpoint;
+    let mut fleet = gateway.fleet.lock();
+    if !fleet.record_limit(endpoint, statement, assignment.started_at, now) {
+        return;
+    }
+    drop(fleet);
+    match statement {
+        LimitStatement::Limited(rate) => {
+            log::info!(event = "endpoint_limit", endpoint = endpoint, limit_per_s:% = rate; "endpoint states a limit on its requests");
+        }
+        LimitStatement::Unlimited | LimitStatement::Unreadable => {
+            log::info!(event = "endpoint_limit", endpoint = endpoint, limit_per_s = "-"; "endpoint states no limit any more");
+        }
+    }
+}
+
 /// Whether callers take this status to mean that the request did not run. It must not be relayed
 /// unless the endpoint confirms that with the not-executed header.
 fn implies_not_run(status: StatusCode) -> bool {
