--- a/crates/radishpin-gateway/tests/serving/endpoint.rs
+++ b/crates/radishpin-gateway/tests/serving/endpoint.rs
@@ -49,6 +49,7 @@
     pub headers: HeaderMap,
     pub body: Bytes,
     pub behavior: Behavior,
+    pub at: Instant,
 }
 
 #[derive(Debug, Default)]
@@ -66,6 +67,8 @@
     /// Part of a prompt under which the engine crashes once it has sent the first event.
     crashing_part: Option<String>,
     crashes: u32,
+    /// Limit that it states in all its answers, in requests a second.
+    limit: Option<String>,
     /// Current id; differs from [`Endpoint::id`] after a restart under another id.
     id: String,
 }
@@ -180,6 +183,11 @@
         self.crash.notify(usize::MAX);
     }
 
+    /// States this limit, or none, in all answers from now on.
+    pub fn state_limit(&self, limit: Option<&str>) {
+        self.state.lock().limit = limit.map(str::to_owned);
+    }
+
     /// Number of times that it has crashed.
     pub fn crashes(&self) -> u32 {
         self.state.lock().crashes
@@ -218,6 +226,15 @@
     }
 
     async fn handle(self: &Arc<Self>, request: Request<Incoming>) -> io::Result<Response<Body>> {
+        let mut response = self.respond(request).await?;
+        if let Some(limit) = &self.state.lock().limit {
+            let limit = limit.parse().expect("limit is a header value");
+            response.headers_mut().insert("server-limit", limit);
+        }
+        Ok(response)
+    }
+
+    async fn respond(self: &Arc<Self>, request: Request<Incoming>) -> io::Result<Response<Body>> {
         let (parts, body) = request.into_parts();
         let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
         match parts.uri.path() {
@@ -258,6 +275,7 @@
                 headers: parts.headers.clone(),
                 body,
                 behavior,
+                at: Instant::now(),
             });
             behavior
         };
--- a/crates/radishpin-gateway/tests/serving/main.rs
+++ b/crates/radishpin-gateway/tests/serving/main.rs
@@ -5,6 +5,7 @@
 mod endpoint;
 mod faults;
 mod framing;
+mod limits;
 mod loads;
 mod prompt_crash_runs;
 mod prompt_crashes;
