--- a/crates/radishpin-gateway/tests/serving/cluster.rs
+++ b/crates/radishpin-gateway/tests/serving/cluster.rs
@@ -234,8 +234,11 @@
 
     /// Starts a model engine of the service `drafts` with its sidecar, and lists it in the store.
     pub fn start_engine(&self, id: &str, models: &[&str]) -> (Arc<Endpoint>, SidecarProcess) {
-        let ip = next_loopback_ip();
-        let endpoint = Endpoint::start(&self.runtime, id, &ip, models);
+        let start = || Endpoint::start(&self.runtime, id, &next_loopback_ip(), models);
+        let mut endpoint = start();
+        while endpoint.address.port() == self.internal_port {
+            endpoint = start();
+        }
         self.list_endpoint(&endpoint, "drafts", "ready");
         let sidecar = self.start_sidecar(&endpoint);
         (endpoint, sidecar)
