Keep to the limits that endpoints state for all gateways together

Callers saw nothing yet: engines in need got 13 requests in 4 s where they had asked for 1 a second.

Cause: gateways did not read Server-Limit, and nothing that they do could keep it: each routes by what it sees itself, and no count is kept over all of them. The class: a limit on a sum that no one sums up.

Change: each send to an endpoint that states a limit takes a slot, which one sidecar, chosen by the endpoint's id, gives out for all gateways, one interval apart. First sends, repeats, resumed streams and ends of waits take it alike, as all are assigned in one place. Endpoints without a limit go first; else a request waits for a slot for a second at most if no load elsewhere ends sooner, and is refused at once with the time of the next slot. Gateways tell each other of limits by the channel of prompt crashes, so that one that was not told yet keeps to them too. A sidecar that stands in gives out an eighth, a gateway that reaches none counts alone at a 32nd. A load does not go to a limited endpoint if another one is as near within a second.

In 200 random histories of three holders that go down, no 4 s have more than 1.5 times the limit and 5 (core's send_slots.rs).

--- a/crates/radishpin-core/examples/shared_state.rs
+++ b/crates/radishpin-core/examples/shared_state.rs
@@ -4,10 +4,10 @@
 
 use radishpin_core::{
     process::{
-        ExposureEnd, PARTS_MAX, PartCrash, PartCrashes, PromptCrashes, PromptExposures,
-        SharedReply, SharedRequest, choose_holders,
+        ExposureEnd, PARTS_MAX, PartCrash, PartCrashes, PromptCrashes, PromptExposures, SeenNews,
+        SendSlots, SharedReply, SharedRequest, choose_holders,
     },
-    request::{SharedParts, StreamOrigin, StreamOrigins},
+    request::{RequestRate, SharedParts, StreamOrigin, StreamOrigins},
 };
 use serde::Serialize;
 use std::{
@@ -26,6 +26,7 @@
     measure_holders();
     measure_exposures();
     measure_crashes();
+    measure_slots();
 }
 
 /// Prints the mean time of a step, which gets its number.
@@ -113,10 +114,14 @@
     time("merge a crash into a full table", |_| {
         black_box(full.clone().merge(report.clone(), now));
     });
-    let table = |crashes: &PromptCrashes| SharedReply::Crashes {
-        incarnation: u64::MAX,
-        version: 1,
+    let table = |crashes: &PromptCrashes| SharedReply::News {
+        seen: SeenNews {
+            incarnation: u64::MAX,
+            crashes_version: 1,
+            limits_version: 1,
+        },
         parts: crashes.messages_since(0, now),
+        limits: Vec::new(),
     };
     print_size("answer to a watch without crashes", &table(&empty));
     let mut one = PromptCrashes::default();
@@ -128,3 +133,20 @@
         black_box(serde_json::to_vec(&table(&full)).unwrap_or_default());
     });
 }
+
+fn measure_slots() {
+    let Some(rate) = RequestRate::from_per_s(10.0) else {
+        return;
+    };
+    let request = SharedRequest::TakeSlot {
+        endpoint: "i-0123456789".to_owned(),
+        rate,
+        wait_max_ms: 0,
+    };
+    print_size("message that asks for a slot", &request);
+    let mut slots = SendSlots::default();
+    time("take a slot", |n| {
+        let now = Duration::from_millis(u64::from(n) * 43);
+        black_box(slots.take("i-0123456789", rate, Duration::ZERO, now));
+    });
+}
--- a/crates/radishpin-core/src/process.rs
+++ b/crates/radishpin-core/src/process.rs
@@ -1,5 +1,6 @@
 //! Decision logic whose state lasts for the lifetime of the process.
 
+mod endpoint_limits;
 mod endpoint_list;
 mod fleet;
 mod lease;
@@ -10,15 +11,17 @@
 mod prompt_exposures;
 mod replica_ledger;
 mod residency;
+mod send_slots;
 mod shared_state;
 mod software_versions;
 
+pub use endpoint_limits::{EndpointLimit, EndpointLimits, LIMIT_LIFETIME, LIMITS_MAX};
 pub use endpoint_list::{
     EndpointChange, EndpointEntry, EndpointList, EndpointPhase, HeldModel, RECOVERY_GRACE,
 };
 pub use fleet::{
     EndpointSnapshot, FIRST_TOKEN_LATENCY, Fleet, LinkLoss, LoadTarget, Pick, PickQuery, Refusal,
-    RefusalReason, RequestOutcome, Wait,
+    RefusalReason, RequestOutcome, SlotWait, Wait,
 };
 pub use lease::{
     LEASE_VALID_FOR, LeaseDecision, LeaseRecord, LeaseWatch, MAX_READ_GAP, RENEWAL_INTERVAL,
@@ -44,5 +47,6 @@
     Action, ActionOutcome, Demand, DemandReason, EndpointReport, GATEWAY_TIMEOUT, GatewayReport,
     LoadStatus, ModelStatus, ModelUsage, Residency, Status, StoreLoadShare,
 };
-pub use shared_state::{SharedReply, SharedRequest, choose_holders};
+pub use send_slots::{LIMITED_ENDPOINTS_MAX, SLOT_INTERVAL_MAX, SLOT_WAIT_MAX, SendSlots, Slot};
+pub use shared_state::{SeenNews, SharedReply, SharedRequest, choose_holders};
 pub use software_versions::{FULL_LIST_DELAY, SoftwareVersions};
--- a/crates/radishpin-core/src/process/fleet.rs
+++ b/crates/radishpin-core/src/process/fleet.rs
@@ -7,15 +7,18 @@
 mod plan;
 mod rate;
 mod refusal;
+mod slot;
+mod stated_limit;
 
 pub use endpoint::{LinkLoss, RequestOutcome};
 pub use pick::{EndpointSnapshot, FIRST_TOKEN_LATENCY, Pick, PickQuery, Wait};
 pub use refusal::{Refusal, RefusalReason};
+pub use slot::SlotWait;
 
 use super::{
     Demand, DemandReason, EndpointChange, EndpointEntry, GatewayReport, ModelUsage, Status,
 };
-use crate::{request::LimitStatement, version::Catalog};
+use crate::version::Catalog;
 use endpoint::Endpoint;
 use expected_retries::ExpectedRetries;
 use radishpin_protocol::prelude::*;
@@ -211,19 +214,6 @@
         }
     }
 
-    /// Records what the answer to a request that was sent at `sent_at` states about its endpoint's
-    /// limit; returns whether the limit is another one now.
-    pub fn record_limit(
-        &mut self,
-        endpoint: &str,
-        statement: LimitStatement,
-        sent_at: Duration,
-        now: Duration,
-    ) -> bool {
-        let endpoint = self.endpoints.get_mut(endpoint);
-        endpoint.is_some_and(|endpoint| endpoint.record_limit(statement, sent_at, now))
-    }
-
     /// Builds the next report to an endpoint's sidecar; each has a higher sequence number.
     pub fn next_report(&mut self, id: &str, now: Duration) -> GatewayReport {
         self.sequence += 1;
--- a/crates/radishpin-core/src/process/fleet/endpoint.rs
+++ b/crates/radishpin-core/src/process/fleet/endpoint.rs
@@ -1,10 +1,7 @@
 //! A gateway's view of one endpoint: load, failures and loaded models.
 
-use super::EndpointSnapshot;
-use crate::{
-    process::{EndpointEntry, EndpointPhase, Status},
-    request::{LimitStatement, RequestRate},
-};
+use super::{EndpointSnapshot, stated_limit::StatedLimit};
+use crate::process::{EndpointEntry, EndpointPhase, Status};
 use radishpin_protocol::{UnixMs, prelude::*};
 
 /// Backoff after the first failure to connect to an endpoint; doubles with each further one.
@@ -64,14 +61,6 @@
     }
 }
 
-/// A limit that an endpoint states in its answers.
-#[derive(Clone, Copy, Debug)]
-struct StatedLimit {
-    rate: RequestRate,
-    /// When this gateway learned of it.
-    since: Duration,
-}
-
 #[derive(Clone, Debug)]
 pub(super) struct Endpoint {
     pub(super) entry: EndpointEntry,
@@ -95,7 +84,7 @@
     /// Estimated end of the prefill of all prompts that this gateway has sent.
     prefill_until: Duration,
     /// Limit that it states for all gateways together.
-    limit: Option<StatedLimit>,
+    pub(super) limit: StatedLimit,
     /// Models whose requests it refused as misdirected since its last status.
     misdirected_models: BTreeSet<ModelId>,
 }
@@ -116,39 +105,11 @@
             connect_failures: 0,
             backoff_until: Duration::ZERO,
             prefill_until: Duration::ZERO,
-            limit: None,
+            limit: StatedLimit::default(),
             misdirected_models: BTreeSet::new(),
         }
     }
 
-    /// Applies what the answer to a request that was sent at `sent_at` states about the limit; returns
-    /// whether the limit is another one now.
-    ///
-    /// An answer that states none lifts the limit only if its request was sent after the limit became
-    /// known, as answers of earlier requests may still arrive.
-    pub(super) fn record_limit(
-        &mut self,
-        statement: LimitStatement,
-        sent_at: Duration,
-        now: Duration,
-    ) -> bool {
-        let before = self.limit();
-        match (statement, &mut self.limit) {
-            (LimitStatement::Limited(rate), Some(limit)) => limit.rate = rate,
-            (LimitStatement::Limited(rate), limit) => {
-                *limit = Some(StatedLimit { rate, since: now });
-            }
-            (LimitStatement::Unlimited, Some(limit)) if sent_at > limit.since => self.limit = None,
-            (LimitStatement::Unlimited | LimitStatement::Unreadable, _) => {}
-        }
-        before != self.limit()
-    }
-
-    /// Requests a second that it takes from all gateways together; `None` if it states no limit.
-    pub(super) fn limit(&self) -> Option<RequestRate> {
-        self.limit.map(|limit| limit.rate)
-    }
-
     /// Discards the status of a lost sidecar; returns whether there was one.
     pub(super) fn link_lost(&mut self, loss: LinkLoss) -> bool {
         self.unresponsive = loss == LinkLoss::TimedOut;
@@ -196,7 +157,7 @@
             status_age: status.map_or(Duration::ZERO, |_| now.saturating_sub(self.status_at)),
             software_version: self.software_version().cloned(),
             started_unix_ms: self.started_unix_ms(),
-            limit: self.limit(),
+            limit: self.limit.rate(),
         }
     }
 
--- a/crates/radishpin-core/src/process/fleet/loader.rs
+++ b/crates/radishpin-core/src/process/fleet/loader.rs
@@ -12,6 +12,8 @@
 /// Added to the estimate for each replica of a busy model that an endpoint keeps: a load makes
 /// requests for adapters of that model wait.
 const KEPT_REPLICA_COST: Duration = Duration::from_millis(500);
+/// Added to the estimate of an endpoint that states a limit on its requests, as it is in need.
+const LIMITED_COST: Duration = Duration::from_secs(1);
 /// Time until the platform lists an engine that replaced another one at its address.
 const LISTING_LAG: Duration = Duration::from_millis(800);
 
@@ -57,7 +59,8 @@
             && endpoint.accepts_requests(now)
             && endpoint.entry.service == query.service
             && endpoint.may_serve_version(query.software_version);
-        if !can_load {
+        let is_limited = endpoint.limit.rate().is_some();
+        if !can_load || (is_limited && endpoint.serves(model)) {
             return None;
         }
         let status = endpoint.status.as_ref()?;
@@ -78,7 +81,12 @@
         let room_time = Duration::from_millis(status.room_ms);
         let kept_cost =
             KEPT_REPLICA_COST * u32::try_from(self.kept_replicas_at(id)).unwrap_or(u32::MAX);
-        Some(queue_time + load_time + room_time + kept_cost)
+        let limited_cost = if is_limited {
+            LIMITED_COST
+        } else {
+            Duration::ZERO
+        };
+        Some(queue_time + load_time + room_time + kept_cost + limited_cost)
     }
 
     /// Factor by which loads in progress from the weight store slow down one more load; 1 or more.
--- a/crates/radishpin-core/src/process/fleet/pick.rs
+++ b/crates/radishpin-core/src/process/fleet/pick.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Fleet, LoadTarget, Refusal, RefusalReason, WaitEntry, endpoint::Endpoint, loader::LoadQuery,
-    refusal::ABSENT_RETRY,
+    refusal::ABSENT_RETRY, slot::SlotWait,
 };
 use crate::{rendezvous::rendezvous_hash, request::RequestRate};
 use radishpin_protocol::{UnixMs, prelude::*};
@@ -18,6 +18,8 @@
 const BUSY_ADAPTER_COST: f32 = 1.0;
 /// Cost of an endpoint with a failure rate of 1; lower rates cost in proportion.
 const FAILING_COST: f32 = 2.0;
+/// Cost of an endpoint that states a limit: it is in need, and a slot must be asked for.
+const LIMITED_COST: f32 = 1.0;
 /// Cost of an endpoint whose sidecar timed out, since its host may be frozen.
 const UNRESPONSIVE_COST: f32 = 2.0;
 /// Load per slot from which an endpoint takes no more requests of the most urgent priority.
@@ -92,6 +94,8 @@
     },
     /// Wait for a load.
     Wait(Wait),
+    /// Take a slot under the limit of an endpoint, and wait for it.
+    TakeSlot(SlotWait),
     /// Refuse it, as it cannot be served in time; it has not run.
     Refuse(Refusal),
 }
@@ -162,7 +166,7 @@
         needed.is_none() || in_service.any(|endpoint| endpoint.may_serve_version(needed))
     }
 
-    fn send(&mut self, id: EndpointId, query: &PickQuery<'_>, now: Duration) -> Pick {
+    pub(super) fn send(&mut self, id: EndpointId, query: &PickQuery<'_>, now: Duration) -> Pick {
         let Some(endpoint) = self.endpoints.get_mut(&id) else {
             return Pick::Refuse(Refusal::new(
                 RefusalReason::NoEndpoint,
@@ -186,11 +190,7 @@
         now: Duration,
     ) -> Option<(EndpointId, Cost)> {
         let usable = self.endpoints.iter().filter(|(id, endpoint)| {
-            endpoint.entry.service == query.service
-                && endpoint.accepts_requests(now)
-                && endpoint.may_serve_version(query.software_version)
-                && !query.tried.contains(*id)
-                && query.target.is_none_or(|(model, _)| endpoint.serves(model))
+            is_usable(id, endpoint, query, now) && endpoint.limit.slot_wait(now).is_zero()
         });
         let costs = usable.map(|(id, endpoint)| (id, self.cost(id, endpoint, query, now)));
         let best = costs.min_by(|(_, a), (_, b)| a.total.total_cmp(&b.total))?;
@@ -208,6 +208,9 @@
         if endpoint.unresponsive {
             total += UNRESPONSIVE_COST;
         }
+        if endpoint.limit.rate().is_some() {
+            total += LIMITED_COST;
+        }
         let mut has_adapter = true;
         if let Some((model, Some(adapter))) = query.target {
             has_adapter = endpoint.has_adapter(model, adapter);
@@ -300,14 +303,32 @@
                 keep_or_move(current, best)
             }
         };
+        let load_in = best.as_ref().map(|(_, estimate)| *estimate);
+        let next_slot = self.next_slot(query, now);
+        if let Some((slot, wait)) = &next_slot {
+            let wait_max = slot.wait_max.min(load_in.unwrap_or(Duration::MAX));
+            if *wait <= wait_max {
+                return Pick::TakeSlot(SlotWait {
+                    wait_max,
+                    ..slot.clone()
+                });
+            }
+        }
+        let next_slot_in = next_slot.map(|(_, wait)| wait);
         let Some((endpoint, estimate)) = best else {
-            return refuse(RefusalReason::NoLoader, ABSENT_RETRY);
+            return match next_slot_in {
+                Some(wait) => refuse(RefusalReason::Limited, wait),
+                None => refuse(RefusalReason::NoLoader, ABSENT_RETRY),
+            };
         };
         self.move_waiters(&target, &endpoint);
         if estimate + FIRST_TOKEN_LATENCY >= query.time_left {
             if query.stopping {
                 return Pick::Refuse(Refusal::stopping(query.random));
             }
+            if let Some(wait) = next_slot_in.filter(|wait| *wait < estimate) {
+                return refuse(RefusalReason::Limited, wait);
+            }
             let refusal = Refusal::until_loaded(endpoint.clone(), estimate, query.random);
             self.expected_retries
                 .add(target, &endpoint, refusal.retry_after, now);
@@ -329,11 +350,19 @@
     /// Sends to the cheapest ready endpoint even if it is backing off or its engine is reported
     /// down: for a plain service that is better than a refusal.
     fn pick_any_ready(&mut self, query: &PickQuery<'_>, now: Duration) -> Pick {
+        if let Some((slot, wait)) = self.next_slot(query, now) {
+            if wait <= slot.wait_max {
+                return Pick::TakeSlot(slot);
+            }
+            let refusal = Refusal::new(RefusalReason::Limited, wait, query.random);
+            return Pick::Refuse(refusal);
+        }
         let listed = self.endpoints.iter().filter(|(id, endpoint)| {
             endpoint.entry.service == query.service
                 && endpoint.entry.phase == crate::process::EndpointPhase::Ready
                 && endpoint.may_serve_version(query.software_version)
                 && !query.tried.contains(*id)
+                && endpoint.limit.slot_wait(now).is_zero()
         });
         let costs = listed.map(|(id, endpoint)| (id, self.cost(id, endpoint, query, now).total));
         let best = costs.min_by(|(_, a), (_, b)| a.total_cmp(b));
@@ -348,6 +377,20 @@
     }
 }
 
+/// Whether an endpoint can serve a request but for its limit.
+pub(super) fn is_usable(
+    id: &str,
+    endpoint: &Endpoint,
+    query: &PickQuery<'_>,
+    now: Duration,
+) -> bool {
+    endpoint.entry.service == query.service
+        && endpoint.accepts_requests(now)
+        && endpoint.may_serve_version(query.software_version)
+        && !query.tried.contains(id)
+        && query.target.is_none_or(|(model, _)| endpoint.serves(model))
+}
+
 /// Keeps the endpoint that a request already waits for, unless another one is sooner by more
 /// than [`MOVE_GAIN_MIN`].
 fn keep_or_move(
--- a/crates/radishpin-core/src/process/fleet/refusal.rs
+++ b/crates/radishpin-core/src/process/fleet/refusal.rs
@@ -25,6 +25,8 @@
     VersionGone,
     /// The software version that began the stream is not known.
     VersionUnknown,
+    /// The endpoints that could serve it state limits, and their next slots come too late.
+    Limited,
     /// Engines crashed under a part of its prompt.
     CrashingPrompt,
     /// The gateway is stopping and cannot serve it in time.
@@ -42,6 +44,7 @@
             Self::UnknownModel => "unknown_model",
             Self::VersionGone => "version_gone",
             Self::VersionUnknown => "version_unknown",
+            Self::Limited => "limited",
             Self::CrashingPrompt => "crashing_prompt",
             Self::Stopping => "stopping",
         }
--- a/crates/radishpin-core/src/process/shared_state.rs
+++ b/crates/radishpin-core/src/process/shared_state.rs
@@ -3,10 +3,10 @@
 //! Gateways do not know each other. Each fact has a few holders among the sidecars, which all gateways
 //! choose alike, so that it outlives the gateway that learned it and most of its holders.
 
-use super::PartCrashes;
+use super::{EndpointLimit, PartCrashes, Slot};
 use crate::{
     rendezvous::mix,
-    request::{SharedParts, StreamOrigin},
+    request::{RequestRate, SharedParts, StreamOrigin},
 };
 use radishpin_protocol::{engine::stable_hash, prelude::*};
 use serde::{Deserialize, Serialize};
@@ -22,16 +22,34 @@
     FindOrigin(RequestId),
     /// Merge these crashes into those that are held against prompt parts.
     MergeCrashes(Vec<PartCrashes>),
-    /// Answer with the crashes that changed after the version that the gateway has seen, once there are
+    /// Keep these limits that endpoints state.
+    RecordLimits(Vec<EndpointLimit>),
+    /// Answer with the crashes and limits that changed after what the gateway has seen, once there are
     /// any, or after a while.
-    WatchCrashes {
-        /// Incarnation of the sidecar that sent that version; 0 before the first.
-        seen_incarnation: Incarnation,
-        /// The version.
-        seen_version: u64,
-    },
+    Watch(SeenNews),
     /// Answer whether one request with these prompt parts, some of them refused, may be sent now.
     TryPrompt(SharedParts),
+    /// Answer when a request may be sent to an endpoint that states a limit.
+    TakeSlot {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// Rate at which this holder gives out slots: the limit, or less if it stands in for another one.
+        rate: RequestRate,
+        /// Longest time that the request can wait, in milliseconds.
+        wait_max_ms: u64,
+    },
+}
+
+/// The last news that a gateway has got from a holder.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct SeenNews {
+    /// Incarnation of the sidecar that sent it; 0 before the first.
+    pub incarnation: Incarnation,
+    /// Version of its crashes.
+    pub crashes_version: u64,
+    /// Version of its limits.
+    pub limits_version: u64,
 }
 
 /// Answer of a sidecar to a [`SharedRequest`].
@@ -42,17 +60,19 @@
     Kept,
     /// The origin of a stream; `None` if it has no copy.
     Origin(Option<StreamOrigin>),
-    /// Crashes that are held against prompt parts.
-    Crashes {
-        /// Incarnation of the sidecar.
-        incarnation: Incarnation,
-        /// Version of its table of crashes.
-        version: u64,
-        /// What changed since the version that the gateway had seen.
+    /// What changed since the news that the gateway had seen.
+    News {
+        /// What it has seen with this.
+        seen: SeenNews,
+        /// Crashes that are held against prompt parts.
         parts: Vec<PartCrashes>,
+        /// Limits that endpoints state.
+        limits: Vec<EndpointLimit>,
     },
     /// Whether the gateway may send the request that it asked for.
     Permit(bool),
+    /// When the gateway may send a request to a limited endpoint.
+    Slot(Slot),
 }
 
 /// Chooses the holders of a fact, each at the address of its sidecar: the first `count` of an order
--- a/crates/radishpin-core/tests/software_versions.rs
+++ b/crates/radishpin-core/tests/software_versions.rs
@@ -159,6 +159,7 @@
     match fleet.pick(&query, ms(0)) {
         Pick::Send { endpoint, .. } => format!("sent to {endpoint}"),
         Pick::Wait(wait) => format!("waits for {}", wait.endpoint),
+        Pick::TakeSlot(slot) => format!("takes a slot at {}", slot.endpoint),
         Pick::Refuse(refusal) => format!("refused: {}", refusal.reason.name()),
     }
 }
--- a/crates/radishpin-gateway/src/process.rs
+++ b/crates/radishpin-gateway/src/process.rs
@@ -17,6 +17,6 @@
 pub use settings::read_settings;
 pub(crate) use settings::watch_settings;
 pub(crate) use shutdown::{Shutdown, wait_for_stop_signal};
-pub(crate) use sidecar::CRASH_WATCH_TIMEOUT;
+pub(crate) use sidecar::NEWS_WAIT;
 pub use sidecar::{SidecarProcess, run_sidecar};
 pub(crate) use store::{StoreClient, StoreError};
--- a/crates/radishpin-gateway/src/process/gateway.rs
+++ b/crates/radishpin-gateway/src/process/gateway.rs
@@ -1,7 +1,9 @@
 //! The gateway: receives callers' requests and forwards them to endpoints.
 
+mod limits;
 mod links;
 mod listeners;
+mod news;
 mod origins;
 mod prompts;
 
@@ -14,12 +16,14 @@
     version::{watch_catalog, watch_endpoint_list},
 };
 use event_listener::Event;
+use limits::LimitGuard;
 use links::Link;
 use listeners::{serve_callers, serve_readiness};
+use news::NEWS_HOLDERS;
 use origins::OriginDirectory;
 use parking_lot::Mutex;
+use prompts::PromptGuard;
 pub(crate) use prompts::PromptTrial;
-use prompts::{CRASH_HOLDERS, PromptGuard};
 use radishpin_adapter::Settings;
 use radishpin_core::{
     process::{
@@ -79,6 +83,7 @@
     pub(crate) retry_budgets: Mutex<RetryBudgets>,
     pub(crate) origins: OriginDirectory,
     pub(crate) prompts: PromptGuard,
+    pub(crate) limits: LimitGuard,
     pub(crate) shutdown: Arc<Shutdown>,
     pub(crate) metrics: Metrics,
     catalog: Mutex<Option<Arc<Catalog>>>,
@@ -107,6 +112,7 @@
             retry_budgets: Mutex::new(RetryBudgets::new(burst * 2, burst)),
             origins: OriginDirectory::default(),
             prompts: PromptGuard::default(),
+            limits: LimitGuard::default(),
             settings: Mutex::new(Arc::new(settings)),
             shutdown: Arc::default(),
             metrics,
@@ -296,9 +302,9 @@
         let planner = Arc::clone(&gateway);
         let planning = async move { planner.plan_periodically().await };
         gateway.runtime.spawn_detached(planning);
-        for rank in 0..CRASH_HOLDERS {
+        for rank in 0..NEWS_HOLDERS {
             let watcher = Arc::clone(&gateway);
-            let watching = async move { watcher.watch_crashes(rank).await };
+            let watching = async move { watcher.watch_news(rank).await };
             gateway.runtime.spawn_detached(watching);
         }
         let process = Self {
--- a/crates/radishpin-gateway/src/process/gateway/prompts.rs
+++ b/crates/radishpin-gateway/src/process/gateway/prompts.rs
@@ -1,11 +1,7 @@
 //! Keeps requests with prompt parts that crash engines from reaching more of them.
 
-use super::Gateway;
-use crate::{
-    connection::{Connection, SharedJob, exchange_shared},
-    process::CRASH_WATCH_TIMEOUT,
-    request::Call,
-};
+use super::{Gateway, news::NEWS_KEY};
+use crate::request::Call;
 use parking_lot::Mutex;
 use radishpin_core::{
     process::{
@@ -15,19 +11,6 @@
     request::{PromptPartId, SharedParts},
 };
 use radishpin_protocol::{UnixMs, prelude::*};
-use radishpin_runtime::{Runtime, timeout};
-use std::{net::SocketAddr, sync::Arc};
-
-/// Key of the crashes, by which their holders are chosen. They are rare, so all have the same holders.
-const CRASHES_KEY: &str = "prompt-crashes";
-/// Sidecars that hold the crashes, so that one likely survives if many processes are killed at once.
-pub(super) const CRASH_HOLDERS: usize = 3;
-/// Time that a watch may take in addition to its wait for news.
-const WATCH_SLACK: Duration = Duration::from_millis(600);
-/// Pause after a watch that failed or had no holder.
-const WATCH_BACKOFF: Duration = Duration::from_millis(400);
-/// Longest time to ask a holder whether a refused part may be tried; its caller waits meanwhile.
-const TRIAL_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// What this gateway knows of prompt parts that crash engines.
 #[derive(Debug, Default)]
@@ -45,15 +28,6 @@
     Granted,
 }
 
-/// A sidecar that this gateway watches for crashes.
-#[derive(Debug, Default)]
-struct Watch {
-    connection: Option<Connection>,
-    holder: Option<SocketAddr>,
-    seen_incarnation: Incarnation,
-    seen_version: u64,
-}
-
 impl Gateway {
     /// Records that a request is sent to an engine that started at this time.
     pub(crate) fn begin_exposure(
@@ -170,21 +144,18 @@
     }
 
     fn send_crashes(&self, messages: Vec<PartCrashes>) {
-        if messages.is_empty() {
-            return;
-        }
-        for (_, jobs) in self.holders(CRASHES_KEY, CRASH_HOLDERS) {
-            let request = SharedRequest::MergeCrashes(messages.clone());
-            let job = SharedJob {
-                request,
-                reply: None,
-            };
-            if jobs.try_send(job).is_err() {
-                log::warn!(event = "crashes_not_shared"; "too many requests wait for a sidecar");
-            }
+        if !messages.is_empty() {
+            self.tell_holders(&SharedRequest::MergeCrashes(messages));
         }
     }
 
+    /// What to tell a holder of news that may know no crashes; `None` if none is known here.
+    pub(super) fn known_crashes(&self) -> Option<SharedRequest> {
+        let now = self.clock.now();
+        let messages = self.prompts.crashes.lock().messages_since(0, now);
+        (!messages.is_empty()).then_some(SharedRequest::MergeCrashes(messages))
+    }
+
     /// Why a request may not be sent to an engine now; `None` if it may.
     pub(crate) fn refused_prompt(&self, parts: &SharedParts, random: u64) -> Option<Refusal> {
         let now = self.clock.now();
@@ -225,44 +196,14 @@
         }
     }
 
-    /// Asks the holders, one after the other, until one answers.
     async fn ask_for_trial(&self, parts: &SharedParts) -> bool {
-        for (_, jobs) in self.holders(CRASHES_KEY, CRASH_HOLDERS) {
-            let (reply, replies) = async_channel::bounded(1);
-            let job = SharedJob {
-                request: SharedRequest::TryPrompt(parts.clone()),
-                reply: Some(reply),
-            };
-            if jobs.try_send(job).is_err() {
-                continue;
-            }
-            let answer = timeout(TRIAL_TIMEOUT, replies.recv()).await;
-            if let Some(Ok(SharedReply::Permit(granted))) = answer {
-                return granted;
-            }
-        }
-        false
-    }
-
-    /// Follows the crashes at the holder of this rank until the process exits.
-    pub(super) async fn watch_crashes(self: &Arc<Self>, rank: usize) {
-        let mut watch = Watch::default();
-        loop {
-            let holders = self.holders(CRASHES_KEY, CRASH_HOLDERS);
-            let holder = holders.get(rank).map(|(address, _)| *address);
-            let answered = match holder {
-                Some(holder) => watch.next(self, holder).await,
-                None => false,
-            };
-            if !answered {
-                watch = Watch::default();
-                Runtime::sleep(WATCH_BACKOFF).await;
-            }
-        }
+        let request = |_| SharedRequest::TryPrompt(parts.clone());
+        let answer = self.ask_holders(NEWS_KEY, request).await;
+        answer == Some(SharedReply::Permit(true))
     }
 
     /// Merges what a holder knows, and clears parts that are sound here.
-    fn learn_crashes(&self, parts: Vec<PartCrashes>) {
+    pub(super) fn learn_crashes(&self, parts: Vec<PartCrashes>) {
         self.merge_crashes(parts);
         let now = self.clock.now();
         let exposures = self.prompts.exposures.lock();
@@ -276,55 +217,3 @@
         self.send_crashes(cleared);
     }
 }
-
-impl Watch {
-    /// Waits for news from a holder, or for its timeout; returns whether it answered.
-    async fn next(&mut self, gateway: &Arc<Gateway>, holder: SocketAddr) -> bool {
-        if self.holder != Some(holder) {
-            *self = Self {
-                holder: Some(holder),
-                ..Self::default()
-            };
-        }
-        let request = SharedRequest::WatchCrashes {
-            seen_incarnation: self.seen_incarnation,
-            seen_version: self.seen_version,
-        };
-        let time_limit = CRASH_WATCH_TIMEOUT + WATCH_SLACK;
-        let Some(SharedReply::Crashes {
-            incarnation,
-            version,
-            parts,
-        }) = self.exchange(gateway, holder, &request, time_limit).await
-        else {
-            return false;
-        };
-        gateway.learn_crashes(parts);
-        let is_new = incarnation != self.seen_incarnation;
-        (self.seen_incarnation, self.seen_version) = (incarnation, version);
-        !is_new || self.tell_all(gateway, holder).await
-    }
-
-    /// Tells a holder, which may have just started, all that this gateway knows.
-    async fn tell_all(&mut self, gateway: &Arc<Gateway>, holder: SocketAddr) -> bool {
-        let now = gateway.clock.now();
-        let messages = gateway.prompts.crashes.lock().messages_since(0, now);
-        if messages.is_empty() {
-            return true;
-        }
-        let request = SharedRequest::MergeCrashes(messages);
-        let answer = self.exchange(gateway, holder, &request, WATCH_SLACK).await;
-        answer.is_some()
-    }
-
-    async fn exchange(
-        &mut self,
-        gateway: &Arc<Gateway>,
-        holder: SocketAddr,
-        request: &SharedRequest,
-        time_limit: Duration,
-    ) -> Option<SharedReply> {
-        let exchange = exchange_shared(&gateway.runtime, holder, &mut self.connection, request);
-        timeout(time_limit, exchange).await?.ok()
-    }
-}
--- a/crates/radishpin-gateway/src/process/metrics.rs
+++ b/crates/radishpin-gateway/src/process/metrics.rs
@@ -29,6 +29,8 @@
     pub(crate) retries: IntCounterVec,
     /// Streams that callers resumed, by how the version that began them was found.
     pub(crate) resumptions: IntCounterVec,
+    /// Slots asked for at endpoints that state limits, by outcome and holder.
+    pub(crate) slots: IntCounterVec,
     /// Time from the receipt of a request to the head of its response.
     pub(crate) first_byte_s: Histogram,
     /// Time from the receipt of a request to the end of its response.
@@ -81,6 +83,11 @@
             "Streams that callers took up, by source of their version",
             &["source"],
         )?;
+        let slots = counters(
+            "radishpin_slots_total",
+            "Slots asked for at endpoints that state limits",
+            &["outcome", "holder"],
+        )?;
         let orders = counters(
             "radishpin_orders_total",
             "Orders to the engine",
@@ -117,6 +124,7 @@
             refusals,
             retries,
             resumptions,
+            slots,
             first_byte_s,
             answer_s,
             load_wait_s,
--- a/crates/radishpin-gateway/src/process/sidecar.rs
+++ b/crates/radishpin-gateway/src/process/sidecar.rs
@@ -24,7 +24,7 @@
 };
 use radishpin_protocol::prelude::*;
 use radishpin_runtime::{Runtime, timeout};
-pub(crate) use shared_state::CRASH_WATCH_TIMEOUT;
+pub(crate) use shared_state::NEWS_WAIT;
 use shared_state::{SharedState, handle_shared_state};
 use std::{net::SocketAddr, path::PathBuf, sync::Arc};
 
--- a/crates/radishpin-gateway/src/process/sidecar/shared_state.rs
+++ b/crates/radishpin-gateway/src/process/sidecar/shared_state.rs
@@ -8,25 +8,30 @@
 use hyper::body::{Bytes, Incoming};
 use parking_lot::Mutex;
 use radishpin_core::{
-    process::{PartCrashes, PromptCrashes, SharedReply, SharedRequest},
+    process::{
+        EndpointLimit, EndpointLimits, LIMITS_MAX, PartCrashes, PromptCrashes, SeenNews, SendSlots,
+        SharedReply, SharedRequest,
+    },
     request::StreamOrigins,
 };
 use radishpin_protocol::prelude::*;
 use radishpin_runtime::{Runtime, timeout};
 
-/// Time after which a gateway that waits for news about crashes is answered without any.
-pub(crate) const CRASH_WATCH_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time after which a gateway that waits for news is answered without any.
+pub(crate) const NEWS_WAIT: Duration = Duration::from_secs(5);
 
 /// Time for which changes are gathered before gateways are told.
-const CRASH_BATCH_DELAY: Duration = Duration::from_millis(15);
+const NEWS_BATCH_DELAY: Duration = Duration::from_millis(15);
 
 /// What this sidecar keeps for the gateways.
 #[derive(Debug, Default)]
 pub(super) struct SharedState {
     origins: Mutex<StreamOrigins>,
     crashes: Mutex<PromptCrashes>,
-    /// Notified when the crashes have changed.
-    crashes_changed: Event,
+    limits: Mutex<EndpointLimits>,
+    slots: Mutex<SendSlots>,
+    /// Notified when crashes or limits have changed.
+    news: Event,
 }
 
 /// Answers a [`SharedRequest`], as JSON.
@@ -69,57 +74,85 @@
                 self.merge_crashes(parts);
                 SharedReply::Kept
             }
-            SharedRequest::WatchCrashes {
-                seen_incarnation,
-                seen_version,
-            } => self.watch_crashes(seen_incarnation, seen_version).await,
+            SharedRequest::RecordLimits(limits) => {
+                self.record_limits(limits);
+                SharedReply::Kept
+            }
+            SharedRequest::Watch(seen) => self.watch_news(seen).await,
             SharedRequest::TryPrompt(parts) => {
                 let granted = self.shared.crashes.lock().grant_trial(&parts, now);
                 log::info!(event = "prompt_trial", shared_parts:% = parts, granted = granted; "a gateway asked to try a refused prompt part");
                 SharedReply::Permit(granted)
             }
+            SharedRequest::TakeSlot {
+                endpoint,
+                rate,
+                wait_max_ms,
+            } => {
+                let wait_max = Duration::from_millis(wait_max_ms);
+                let mut slots = self.shared.slots.lock();
+                SharedReply::Slot(slots.take(&endpoint, rate, wait_max, now))
+            }
         }
     }
 
     fn merge_crashes(&self, parts: Vec<PartCrashes>) {
         let changed = self.shared.crashes.lock().merge(parts, self.clock.now());
         if changed {
-            self.shared.crashes_changed.notify(usize::MAX);
+            self.shared.news.notify(usize::MAX);
+        }
+    }
+
+    fn record_limits(&self, limits: Vec<EndpointLimit>) {
+        let now = self.clock.now();
+        let mut known = self.shared.limits.lock();
+        let before = known.version();
+        for limit in limits.into_iter().take(LIMITS_MAX) {
+            known.record(limit, now);
+        }
+        if known.version() > before {
+            self.shared.news.notify(usize::MAX);
         }
     }
 
-    async fn watch_crashes(&self, seen_incarnation: Incarnation, seen_version: u64) -> SharedReply {
-        let incarnation = self.incarnation;
-        let seen_version = match seen_incarnation == incarnation {
-            true => seen_version,
-            false => 0,
+    async fn watch_news(&self, seen: SeenNews) -> SharedReply {
+        let has_restarted = seen.incarnation != self.incarnation;
+        let seen = match has_restarted {
+            true => SeenNews::default(),
+            false => seen,
         };
-        let changed = async {
+        let news = async {
             loop {
-                let listener = self.shared.crashes_changed.listen();
-                if seen_incarnation != incarnation || self.has_crash_news(seen_version) {
+                let listener = self.shared.news.listen();
+                if has_restarted || self.has_news(&seen) {
                     return;
                 }
                 listener.await;
             }
         };
-        if timeout(CRASH_WATCH_TIMEOUT, changed).await.is_some() {
-            // Several gateways report one crash at the same time.
-            Runtime::sleep(CRASH_BATCH_DELAY).await;
+        if timeout(NEWS_WAIT, news).await.is_some() {
+            // Several gateways learn of one event at the same time.
+            Runtime::sleep(NEWS_BATCH_DELAY).await;
         }
+        let now = self.clock.now();
         let crashes = self.shared.crashes.lock();
-        SharedReply::Crashes {
-            incarnation,
-            version: crashes.version(),
-            parts: crashes.messages_since(seen_version, self.clock.now()),
+        let limits = self.shared.limits.lock();
+        SharedReply::News {
+            seen: SeenNews {
+                incarnation: self.incarnation,
+                crashes_version: crashes.version(),
+                limits_version: limits.version(),
+            },
+            parts: crashes.messages_since(seen.crashes_version, now),
+            limits: limits.since(seen.limits_version, now),
         }
     }
 
-    fn has_crash_news(&self, seen_version: u64) -> bool {
+    fn has_news(&self, seen: &SeenNews) -> bool {
+        let now = self.clock.now();
         let crashes = self.shared.crashes.lock();
-        crashes.version() > seen_version
-            && !crashes
-                .messages_since(seen_version, self.clock.now())
-                .is_empty()
+        let has_crashes = crashes.version() > seen.crashes_version
+            && !crashes.messages_since(seen.crashes_version, now).is_empty();
+        has_crashes || self.shared.limits.lock().version() > seen.limits_version
     }
 }
--- a/crates/radishpin-gateway/src/request/assignment.rs
+++ b/crates/radishpin-gateway/src/request/assignment.rs
@@ -4,7 +4,8 @@
 use crate::process::{Gateway, PromptTrial};
 use futures_lite::future;
 use radishpin_core::process::{
-    Exposure, FIRST_TOKEN_LATENCY, LoadTarget, Pick, PickQuery, Refusal, RequestOutcome, Wait,
+    EndpointSnapshot, Exposure, FIRST_TOKEN_LATENCY, LoadTarget, Pick, PickQuery, Refusal,
+    RequestOutcome, SlotWait, Wait,
 };
 use radishpin_protocol::prelude::*;
 use radishpin_runtime::Runtime;
@@ -149,6 +150,8 @@
 ) -> Result<Assignment, Refusal> {
     let mut waiting: Option<LoadWait<'_>> = None;
     let mut reconsidered_at = Duration::ZERO;
+    // Endpoint at which the request has a slot under the endpoint's limit.
+    let mut slot_at: Option<EndpointId> = None;
     loop {
         let listener = gateway.fleet_changed.listen();
         let now = gateway.clock.now();
@@ -181,34 +184,43 @@
             log_refusal(call, &refusal, &query);
             return Err(refusal);
         }
-        let pick = gateway.fleet.lock().pick(&query, now);
+        let slot = slot_at.take();
+        let pick = match &slot {
+            Some(endpoint) => gateway.fleet.lock().pick_with_slot(endpoint, &query, now),
+            None => gateway.fleet.lock().pick(&query, now),
+        };
         let wait = match pick {
             Pick::Send {
                 endpoint,
                 address,
                 snapshot,
             } => {
-                let limit = snapshot.limit.map(|rate| rate.to_string());
-                log::info!(
-                    event = "request_sent", request = call.id, route = call.route.name, endpoint = endpoint,
-                    software_version = snapshot.software_version.as_deref().unwrap_or("-"),
-                    resumes = call.resumes.as_deref().unwrap_or("-"), shared_parts:% = call.shared_parts, load = snapshot.load, limit_per_s = limit.as_deref().unwrap_or("-"), status = snapshot.status_version,
-                    status_age_ms = snapshot.status_age.as_millis() as u64, configuration = call.catalog_version, tried = limits.tried.len(),
-                    waited_ms = query.waited.as_millis() as u64, left_ms = call.remaining(now).as_millis() as u64;
-                    "request sent to an endpoint"
-                );
+                let has_slot = snapshot.limit.is_none() || slot.as_ref() == Some(&endpoint);
                 let exposure =
                     gateway.begin_exposure(&endpoint, snapshot.started_unix_ms, &call.shared_parts);
-                return Ok(Assignment {
+                let assignment = Assignment {
                     exposure,
                     gateway: Arc::clone(gateway),
                     call: Arc::clone(call),
                     endpoint,
                     address,
-                    software_version: snapshot.software_version,
+                    software_version: snapshot.software_version.clone(),
                     started_at: now,
                     ended: false,
-                });
+                };
+                if !has_slot && !take_slot_now(gateway, call, &assignment, &snapshot).await {
+                    assignment.end(RequestOutcome::Refused);
+                    continue;
+                }
+                log_send(call, &assignment, &snapshot, &query);
+                return Ok(assignment);
+            }
+            Pick::TakeSlot(wait) => {
+                if let Some(until_slot) = gateway.take_slot(&call.id, &wait).await {
+                    Runtime::sleep(until_slot).await;
+                    slot_at = Some(wait.endpoint);
+                }
+                continue;
             }
             Pick::Refuse(refusal) => {
                 log_refusal(call, &refusal, &query);
@@ -231,6 +243,43 @@
     }
 }
 
+/// Takes a slot at the limited endpoint that a request is assigned to, if there is one at once.
+async fn take_slot_now(
+    gateway: &Gateway,
+    call: &Call,
+    assignment: &Assignment,
+    snapshot: &EndpointSnapshot,
+) -> bool {
+    let Some(limit) = snapshot.limit else {
+        return true;
+    };
+    let wait = SlotWait {
+        endpoint: assignment.endpoint.clone(),
+        limit,
+        wait_max: Duration::ZERO,
+    };
+    gateway.take_slot(&call.id, &wait).await.is_some()
+}
+
+fn log_send(
+    call: &Call,
+    assignment: &Assignment,
+    snapshot: &EndpointSnapshot,
+    query: &PickQuery<'_>,
+) {
+    let limit = snapshot.limit.map(|rate| rate.to_string());
+    let left = call.remaining(assignment.started_at);
+    log::info!(
+        event = "request_sent", request = call.id, route = call.route.name, endpoint = assignment.endpoint,
+        software_version = snapshot.software_version.as_deref().unwrap_or("-"),
+        resumes = call.resumes.as_deref().unwrap_or("-"), shared_parts:% = call.shared_parts, load = snapshot.load,
+        limit_per_s = limit.as_deref().unwrap_or("-"), status = snapshot.status_version,
+        status_age_ms = snapshot.status_age.as_millis() as u64, configuration = call.catalog_version,
+        tried = query.tried.len(), waited_ms = query.waited.as_millis() as u64, left_ms = left.as_millis() as u64;
+        "request sent to an endpoint"
+    );
+}
+
 fn log_refusal(call: &Call, refusal: &Refusal, query: &PickQuery<'_>) {
     let (model, adapter) = query.target.unwrap_or_default();
     log::info!(
--- a/crates/radishpin-gateway/src/request/attempt.rs
+++ b/crates/radishpin-gateway/src/request/attempt.rs
@@ -14,7 +14,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use radishpin_adapter::{LoadHeader, header as wire};
-use radishpin_core::{process::RequestOutcome, request::LimitStatement};
+use radishpin_core::process::RequestOutcome;
 use radishpin_protocol::prelude::*;
 use radishpin_runtime::{Runtime, timeout};
 
@@ -226,21 +226,7 @@
     // A value that is not text cannot be read, which is not the same as no value.
     let text = text.map(|value| value.to_str().unwrap_or_default());
     let statement = wire::parse_limit(text);
-    let now = gateway.clock.now();
-    let endpoint = &assignment.endpoint;
-    let mut fleet = gateway.fleet.lock();
-    if !fleet.record_limit(endpoint, statement, assignment.started_at, now) {
-        return;
-    }
-    drop(fleet);
-    match statement {
-        LimitStatement::Limited(rate) => {
-            log::info!(event = "endpoint_limit", endpoint = endpoint, limit_per_s:% = rate; "endpoint states a limit on its requests");
-        }
-        LimitStatement::Unlimited | LimitStatement::Unreadable => {
-            log::info!(event = "endpoint_limit", endpoint = endpoint, limit_per_s = "-"; "endpoint states no limit any more");
-        }
-    }
+    gateway.record_limit(&assignment.endpoint, statement, assignment.started_at);
 }
 
 /// Whether callers take this status to mean that the request did not run. It must not be relayed
