Bound what gateways and sidecars read of bytes without end

Callers would see: all requests of a gateway hang while one server sends bytes without end.

Cause: three buffers without a useful bound, and a read loop that never pauses. A gateway kept up to 64 MiB of each body, of any number at a time, where it has 260 MB; an event that does not end was kept without a bound; heads took 417 KB; and the client's reads of a server that sends interim responses without end never yield, so on one thread no timer fires.

Change: one body may have 16 MiB and all that are being read 64 MiB; an event 1 MiB, whether its stream may be resumed or not; a head 64 KiB. Reads let other tasks run after 64 KiB. The body of a refusal, which its head proves, is read for 50 ms at most, and a connection with unread bytes is not kept.

Evidence: endless.rs, heads and bodies of endpoints, sidecars, the store and engines (report), nine tests. The test of all bodies together first counted all bytes ever sent; it now counts those on open connections, which is what is kept.

--- a/crates/radishpin-core/src/request/event_scanner.rs
+++ b/crates/radishpin-core/src/request/event_scanner.rs
@@ -7,6 +7,8 @@
     in_event: bool,
     after_carriage_return: bool,
     events: u64,
+    /// Bytes since the last event ended.
+    event_bytes: u64,
 }
 
 impl EventScanner {
@@ -24,6 +26,7 @@
     }
 
     fn advance(&mut self, byte: u8) {
+        self.event_bytes += 1;
         let ends_pair = self.after_carriage_return && byte == b'\n';
         self.after_carriage_return = byte == b'\r';
         match byte {
@@ -42,6 +45,7 @@
             self.events += 1;
         }
         self.in_event = false;
+        self.event_bytes = 0;
     }
 
     /// Whether an event has begun and not ended.
@@ -49,6 +53,11 @@
         self.in_event
     }
 
+    /// Number of bytes since the last event ended.
+    pub fn event_bytes(&self) -> u64 {
+        self.event_bytes
+    }
+
     /// Number of events that have ended.
     pub fn events(&self) -> u64 {
         self.events
--- a/crates/radishpin-gateway/src/connection.rs
+++ b/crates/radishpin-gateway/src/connection.rs
@@ -1,12 +1,15 @@
 //! HTTP connections: to endpoints, sidecars and the store, and from callers.
 
+mod body_budget;
 mod client;
+mod fair_stream;
 mod link;
 mod pool;
 mod reset;
 mod server;
 mod shared_link;
 
+pub(crate) use body_budget::{BodyBudget, BodyError};
 pub(crate) use client::{Connection, ExchangeError, get, keep_alive, post};
 pub(crate) use link::run_link;
 pub(crate) use pool::{Pool, PooledConnection};
--- a/crates/radishpin-gateway/src/connection/client.rs
+++ b/crates/radishpin-gateway/src/connection/client.rs
@@ -1,6 +1,6 @@
 //! HTTP client connections, to endpoints, sidecars and the store.
 
-use super::reset::reset_on_close;
+use super::{fair_stream::FairStream, reset::reset_on_close};
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, header};
 use http_body_util::{BodyExt, Full, Limited};
@@ -19,6 +19,8 @@
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time for which an idle connection is kept if the server sends no Keep-Alive timeout.
 const IDLE_TIMEOUT_DEFAULT: Duration = Duration::from_millis(700);
+/// Largest head of a response, and read buffer of a connection, in bytes.
+const READ_BUFFER_BYTES_MAX: usize = 64 * 1024;
 /// Share of the server's Keep-Alive timeout for which a connection is kept, in tenths.
 const IDLE_TIMEOUT_TENTHS: u32 = 7;
 
@@ -72,7 +74,8 @@
         // still run it.
         reset_on_close(&stream).map_err(ExchangeError::Connect)?;
         let (sender, connection) = http1::Builder::new()
-            .handshake(FuturesIo::new(stream))
+            .max_buf_size(READ_BUFFER_BYTES_MAX)
+            .handshake(FuturesIo::new(FairStream::new(stream)))
             .await?;
         let driver = runtime.spawn(async move {
             if let Err(cause) = connection.await {
--- /dev/null
+++ b/crates/radishpin-gateway/src/connection/fair_stream.rs
@@ -0,0 +1,70 @@
+//! A TCP stream that lets other tasks run while its peer sends bytes without end.
+
+use smol::{
+    io::{AsyncRead, AsyncWrite},
+    net::TcpStream,
+};
+use std::{
+    io,
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+/// Bytes that are read in one go before other tasks get their turn.
+const READ_BYTES_MAX: usize = 64 * 1024;
+
+/// A stream whose reads pause now and then even if there is always more to read, as a task that reads
+/// on and on, such as one that skips interim responses, would keep timers from firing.
+#[derive(Debug)]
+pub(crate) struct FairStream {
+    stream: TcpStream,
+    /// Bytes that were read since the last pause.
+    read_bytes: usize,
+}
+
+impl FairStream {
+    pub(crate) fn new(stream: TcpStream) -> Self {
+        Self {
+            stream,
+            read_bytes: 0,
+        }
+    }
+}
+
+impl AsyncRead for FairStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        if self.read_bytes >= READ_BYTES_MAX {
+            self.read_bytes = 0;
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        match &read {
+            Poll::Ready(Ok(count)) => self.read_bytes += *count,
+            Poll::Ready(Err(_)) | Poll::Pending => self.read_bytes = 0,
+        }
+        read
+    }
+}
+
+impl AsyncWrite for FairStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, buffer)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(context)
+    }
+}
--- a/crates/radishpin-gateway/src/process/gateway.rs
+++ b/crates/radishpin-gateway/src/process/gateway.rs
@@ -12,7 +12,7 @@
     wait_for_stop_signal, watch_settings,
 };
 use crate::{
-    connection::{Pool, ServerLimits},
+    connection::{BodyBudget, Pool, ServerLimits},
     version::{watch_catalog, watch_endpoint_list},
 };
 use event_listener::Event;
@@ -80,6 +80,7 @@
     /// Notified when a waiting request should look for an endpoint again.
     pub(crate) fleet_changed: Event,
     pub(crate) pool: Pool,
+    pub(crate) body_budget: BodyBudget,
     pub(crate) retry_budgets: Mutex<RetryBudgets>,
     pub(crate) origins: OriginDirectory,
     pub(crate) prompts: PromptGuard,
@@ -109,6 +110,7 @@
             clock,
             fleet: Mutex::new(fleet),
             fleet_changed: Event::new(),
+            body_budget: BodyBudget::default(),
             retry_budgets: Mutex::new(RetryBudgets::new(burst * 2, burst)),
             origins: OriginDirectory::default(),
             prompts: PromptGuard::default(),
--- a/crates/radishpin-gateway/src/request/attempt.rs
+++ b/crates/radishpin-gateway/src/request/attempt.rs
@@ -5,7 +5,7 @@
     call::{Call, header_text},
 };
 use crate::{
-    connection::{ExchangeError, PooledConnection, keep_alive},
+    connection::{BodyError, ExchangeError, PooledConnection, keep_alive},
     process::Gateway,
 };
 use bytes::Bytes;
@@ -18,8 +18,10 @@
 use radishpin_protocol::prelude::*;
 use radishpin_runtime::{Runtime, timeout};
 
-/// Largest response that is buffered, in bytes; streams are not buffered.
-const RESPONSE_BYTES_MAX: usize = 64 * 1024 * 1024;
+/// Largest body of a refusal that is read to keep its connection, in bytes.
+const REFUSAL_BYTES_MAX: usize = 64 * 1024;
+/// Longest time to read it.
+const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// Result of an attempt.
 #[derive(Debug)]
@@ -188,12 +190,31 @@
             keep_alive,
         }));
     }
-    let body = match Limited::new(body, RESPONSE_BYTES_MAX).collect().await {
-        Ok(body) => body.to_bytes(),
-        // The head alone proves that the request did not run; the body isn't needed.
-        Err(_) if not_run || misdirected => Bytes::new(),
+    if not_run || misdirected {
+        // The head alone proves that the request did not run.
+        let body = Limited::new(body, REFUSAL_BYTES_MAX).collect();
+        if timeout(REFUSAL_BODY_TIMEOUT, body)
+            .await
+            .is_some_and(|body| body.is_ok())
+        {
+            let pool = &gateway.pool;
+            pool.release(&assignment.endpoint, pooled, keep_alive);
+        }
+        assignment.end(match misdirected {
+            true => RequestOutcome::Misdirected,
+            false => RequestOutcome::Refused,
+        });
+        return AttemptResult::NotRun {
+            status: head.status,
+        };
+    }
+    let body = match gateway.body_budget.read(body).await {
+        Ok(body) => body,
         Err(cause) => {
-            assignment.end(RequestOutcome::Broken);
+            assignment.end(match cause {
+                BodyError::Broken(_) => RequestOutcome::Broken,
+                BodyError::TooLarge | BodyError::NoRoom => RequestOutcome::Failed,
+            });
             return AttemptResult::Unknown {
                 cause: cause.to_string(),
             };
@@ -202,21 +223,14 @@
     gateway
         .pool
         .release(&assignment.endpoint, pooled, keep_alive);
-    let outcome = match head.status {
-        StatusCode::MISDIRECTED_REQUEST => RequestOutcome::Misdirected,
-        _ if not_run => RequestOutcome::Refused,
-        status if status.is_server_error() => RequestOutcome::Failed,
-        _ => assignment.served(),
+    let outcome = match head.status.is_server_error() {
+        true => RequestOutcome::Failed,
+        false => assignment.served(),
     };
-    if !not_run && !head.status.is_success() {
+    if !head.status.is_success() {
         assignment.end_exposure();
     }
     assignment.end(outcome);
-    if not_run || misdirected {
-        return AttemptResult::NotRun {
-            status: head.status,
-        };
-    }
     AttemptResult::Complete { head, body }
 }
 
--- a/crates/radishpin-gateway/src/request/events.rs
+++ b/crates/radishpin-gateway/src/request/events.rs
@@ -7,6 +7,8 @@
 
 const EVENT_STREAM: &str = "text/event-stream";
 const ID_FIELD: &[u8] = b"id:";
+/// Largest event, in bytes; one that grows beyond it has no end.
+const EVENT_BYTES_MAX: u64 = 1024 * 1024;
 
 /// Content of a streaming response.
 #[derive(Debug)]
@@ -46,6 +48,12 @@
         }
     }
 
+    /// Whether an event is larger than any that is relayed.
+    pub(crate) fn is_endless(&self) -> bool {
+        self.scanner()
+            .is_some_and(|scanner| scanner.event_bytes() > EVENT_BYTES_MAX)
+    }
+
     /// Whether the content is complete if its body, framed like this, ends now. A connection that
     /// closes marks no end by itself: only the events before it tell a complete stream.
     pub(crate) fn is_complete(&self, framing: BodyFraming) -> bool {
--- a/crates/radishpin-gateway/src/request/stream.rs
+++ b/crates/radishpin-gateway/src/request/stream.rs
@@ -83,6 +83,9 @@
                 }
             };
             let relayed = self.content.push(part);
+            if self.content.is_endless() {
+                return Some(Err(self.abort("endless_event")));
+            }
             if !relayed.is_empty() {
                 self.bind_version();
                 self.timing.record(self.forward.gateway.clock.now());
--- a/crates/radishpin-gateway/tests/serving/cluster.rs
+++ b/crates/radishpin-gateway/tests/serving/cluster.rs
@@ -225,6 +225,17 @@
         )
     }
 
+    /// Starts a gateway whose store is at another address.
+    pub fn start_gateway_at_store(&self, store: SocketAddr) -> GatewayProcess {
+        start_gateway(&self.gateway_runtime, "host-5", store, self.internal_port)
+    }
+
+    /// The address at which gateways look for the sidecar of an engine with this IP address.
+    pub fn sidecar_address(&self, ip: &str) -> SocketAddr {
+        let ip: IpAddr = ip.parse().expect("the IP address is valid");
+        SocketAddr::new(ip, self.internal_port)
+    }
+
     /// Starts an endpoint of the service `shop`, which has no model engine, and lists it in the store.
     pub fn start_plain_endpoint(&self, id: &str) -> Arc<Endpoint> {
         let endpoint = Endpoint::start(&self.runtime, id, "127.0.0.1", &[]);
@@ -258,9 +269,14 @@
     }
 
     pub fn start_sidecar(&self, endpoint: &Endpoint) -> SidecarProcess {
-        let ip: IpAddr = endpoint.address.ip();
+        self.start_sidecar_of(endpoint.address)
+    }
+
+    /// Starts the sidecar of the engine at an address.
+    pub fn start_sidecar_of(&self, engine: SocketAddr) -> SidecarProcess {
+        let ip: IpAddr = engine.ip();
         let role = json!({
-            "ip_address": ip.to_string(), "app": endpoint.address.to_string(), "service": "drafts",
+            "ip_address": ip.to_string(), "app": engine.to_string(), "service": "drafts",
         });
         let settings = settings(role, self.store_address, self.internal_port);
         smol::block_on(SidecarProcess::start(self.runtime.clone(), settings, 0))
--- a/crates/radishpin-gateway/tests/serving/main.rs
+++ b/crates/radishpin-gateway/tests/serving/main.rs
@@ -2,6 +2,7 @@
 
 mod caller;
 mod cluster;
+mod endless;
 mod endpoint;
 mod faults;
 mod framing;
--- a/crates/radishpin-gateway/tests/serving/raw_endpoint.rs
+++ b/crates/radishpin-gateway/tests/serving/raw_endpoint.rs
@@ -107,7 +107,7 @@
 }
 
 /// Reads a request with its body; returns its head, `None` if the connection ends before.
-fn read_request(stream: &mut TcpStream) -> Option<String> {
+pub fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
     loop {
         let text = String::from_utf8_lossy(&bytes).into_owned();
