Bound the bodies that agents, the platform's client and commands read

Cause: agents read reports and errors of engines, the platform's client and the operators' commands all responses, and the load tool answers and lines of events to their end, however long that is.

Change: read_body of radishpin-http takes a limit, and all of them use it: 4 MiB for an engine's report or error, 16 MiB for an answer in the load tool, 64 MiB for the platform and commands, 1 MiB for a line of events.

Evidence: two tests of radishpin-http with a peer that sends heads, chunk sizes, trailers, bodies or interim responses without end: the call fails or runs out of time, and no more is read than the limit and the sockets hold. Heads were bounded before; bodies had no function with a limit to test.

--- a/crates/radishpin-http/src/client.rs
+++ b/crates/radishpin-http/src/client.rs
@@ -4,6 +4,9 @@
 mod exchange;
 mod head;
 mod pool;
+mod read_body;
+
+pub use read_body::read_body;
 
 use crate::socket::Socket;
 use exchange::{RequestWriter, WriteError};
--- a/crates/radishpin-http/src/lib.rs
+++ b/crates/radishpin-http/src/lib.rs
@@ -10,6 +10,6 @@
 mod server;
 mod socket;
 
-pub use client::{Client, ClientError, ClientLimits};
+pub use client::{Client, ClientError, ClientLimits, read_body};
 pub use fault::HttpFault;
 pub use server::{Handler, ReceivedRequest, Server, ServerLimits, Shutdown};
--- a/crates/radishpin-http/tests/http/client.rs
+++ b/crates/radishpin-http/tests/http/client.rs
@@ -5,11 +5,13 @@
 use futures_lite::AsyncReadExt;
 use http_types::{Body, Method, Request, Response, Url};
 use insta::assert_snapshot;
-use radishpin_http::{Client, ClientError, ClientLimits, ServerLimits};
+use radishpin_http::{Client, ClientError, ClientLimits, ServerLimits, read_body};
+use radishpin_runtime::timeout;
 use std::{
     io::Write,
     net::{SocketAddr, TcpListener},
     thread,
+    time::Duration,
 };
 
 /// Listener whose connections a test serves with raw bytes.
@@ -253,6 +255,76 @@
     }
 }
 
+/// Most bytes that the sockets between two processes hold, in both directions.
+const SOCKET_BYTES: usize = 8 * 1024 * 1024;
+/// Largest body that the tests read.
+const BODY_BYTES_MAX: usize = 1024 * 1024;
+
+/// Calls a peer that repeats `unit` after `start` until the client closes. Returns whether the call failed
+/// or ran out of time, and how many bytes the peer sent.
+fn call_endless_peer(start: &str, unit: &str) -> (bool, usize) {
+    let peer = Peer::bind();
+    thread::scope(|scope| {
+        let sending = scope.spawn(|| {
+            let mut caller = peer.accept();
+            caller.read_until("\r\n\r\n");
+            caller.send(start.as_bytes());
+            let unit = unit.repeat(64 * 1024 / unit.len());
+            let mut sent = 0;
+            while let Ok(count) = caller.stream.write(unit.as_bytes()) {
+                sent += count;
+            }
+            sent
+        });
+        let failed = smol::block_on(async {
+            let client = Client::new(ClientLimits::default());
+            let call = async {
+                let request = Request::new(Method::Get, peer.url());
+                let mut response = client.send(peer.address, request).await?;
+                let body = read_body(&mut response, BODY_BYTES_MAX).await;
+                body.map_err(|cause| ClientError::Broken(cause.to_string()))
+            };
+            let outcome = timeout(Duration::from_secs(1), call).await;
+            !matches!(outcome, Some(Ok(_)))
+        });
+        (failed, sending.join().unwrap())
+    })
+}
+
+/// Servers in trouble send bytes without end until their client closes.
+#[test]
+fn heads_and_bodies_without_end_are_errors_and_few_of_their_bytes_are_read() {
+    let head = "HTTP/1.1 200 OK\r\n";
+    let chunked = &format!("{head}transfer-encoding: chunked\r\n\r\n");
+    let chunk = &format!("400\r\n{}\r\n", "a".repeat(0x400));
+    let cases = [
+        (format!("{head}x: "), "a"),
+        (head.to_owned(), "x: a\r\n"),
+        (String::new(), "a"),
+        (format!("{head}\r\n"), "a"),
+        (chunked.clone(), chunk),
+        (format!("{chunked}1;"), "a"),
+        (format!("{chunked}0\r\n"), "x: a\r\n"),
+        (
+            format!("{head}content-length: 18446744073709551615\r\n\r\n"),
+            "a",
+        ),
+    ];
+    for (start, unit) in cases {
+        let (failed, sent) = call_endless_peer(&start, unit);
+        assert!(failed, "{start:?}");
+        let sent_max = SOCKET_BYTES + BODY_BYTES_MAX;
+        assert!(sent <= sent_max, "{start:?}: {sent} bytes");
+    }
+}
+
+/// The client skips them one by one, and must still notice that its time is up.
+#[test]
+fn interim_responses_without_end_run_out_of_time() {
+    let (failed, _) = call_endless_peer("", "HTTP/1.1 100 Continue\r\n\r\n");
+    assert!(failed);
+}
+
 #[test]
 fn dropping_the_call_cancels_it_at_the_peer() {
     let server = TestServer::start(ServerLimits::default());
--- a/crates/radishpin-platform/src/http.rs
+++ b/crates/radishpin-platform/src/http.rs
@@ -8,11 +8,14 @@
     },
 };
 use http_types::{Method, Request, StatusCode, Url, mime};
-use radishpin_http::{Client, ClientError};
+use radishpin_http::{Client, ClientError, read_body};
 use radishpin_protocol::Version;
 use serde::{Serialize, de::DeserializeOwned};
 use std::net::SocketAddr;
 
+/// Largest response that is read, in bytes.
+const RESPONSE_BYTES_MAX: usize = 64 * 1024 * 1024;
+
 /// Implementation of [`Platform`] over HTTP, with the paths and bodies of [`crate::wire`].
 #[derive(Clone, Debug)]
 pub struct HttpPlatform {
@@ -64,8 +67,7 @@
                 ClientError::Connect(cause) => PlatformError::Unavailable(cause.to_string()),
                 ClientError::Broken(cause) => PlatformError::Unknown(cause),
             })?;
-        let body = response
-            .body_bytes()
+        let body = read_body(&mut response, RESPONSE_BYTES_MAX)
             .await
             .map_err(|error| PlatformError::Unknown(error.to_string()))?;
         Ok((response.status(), body))
--- a/crates/radishpin-server/src/agent/connection/endpoint.rs
+++ b/crates/radishpin-server/src/agent/connection/endpoint.rs
@@ -4,7 +4,7 @@
 use futures_lite::{AsyncBufRead, AsyncBufReadExt, AsyncReadExt};
 use http_types::{Method, Request, Response, StatusCode, Url};
 use quick_error::quick_error;
-use radishpin_http::{Client, ClientError, ClientLimits};
+use radishpin_http::{Client, ClientError, ClientLimits, read_body};
 use radishpin_protocol::{
     ServiceKind,
     engine::{
@@ -13,11 +13,13 @@
     },
     wire::{ExecuteRequest, Header},
 };
-use serde::Deserialize;
+use serde::{Deserialize, de::DeserializeOwned};
 use std::{net::SocketAddr, pin::Pin, str::FromStr};
 
 /// Maximum length of a line in an event stream.
 const EVENT_BYTES_MAX: usize = 1024 * 1024;
+/// Largest report or error of an engine, in bytes.
+const JSON_BYTES_MAX: usize = 4 * 1024 * 1024;
 /// Maximum number of idle connections to the endpoint.
 const IDLE_CONNECTIONS: usize = 256;
 /// Headers that apply to a single connection and are not forwarded.
@@ -277,11 +279,7 @@
     }
 
     async fn engine_refusal(&mut self) -> Result<Self, EndpointError> {
-        let body: EngineErrorBody = self
-            .response
-            .body_json()
-            .await
-            .map_err(|e| EndpointError::Broken(e.to_string()))?;
+        let body: EngineErrorBody = read_json(&mut self.response).await?;
         Err(match body.error.kind {
             EngineErrorKind::ModelNotLoaded => EndpointError::NotLoaded,
             _ => EndpointError::Refused,
@@ -289,6 +287,16 @@
     }
 }
 
+/// Reads a whole body as JSON.
+pub(super) async fn read_json<T: DeserializeOwned>(
+    response: &mut Response,
+) -> Result<T, EndpointError> {
+    let body = read_body(response, JSON_BYTES_MAX)
+        .await
+        .map_err(read_error)?;
+    serde_json::from_slice(&body).map_err(|e| EndpointError::Broken(e.to_string()))
+}
+
 fn read_error(cause: std::io::Error) -> EndpointError {
     EndpointError::Broken(cause.to_string())
 }
--- a/crates/radishpin-server/src/agent/connection/orders.rs
+++ b/crates/radishpin-server/src/agent/connection/orders.rs
@@ -1,6 +1,6 @@
 //! Load and unload orders sent to a model engine, and the reports read from it.
 
-use super::endpoint::{Endpoint, EndpointError};
+use super::endpoint::{Endpoint, EndpointError, read_json};
 use http_types::{Method, Request, StatusCode};
 use radishpin_core::process::{Order, OrderKind, OrderOutcome, Target};
 use radishpin_protocol::{
@@ -32,8 +32,7 @@
         let request = Request::new(Method::Get, self.url(REPORT_PATH)?);
         let read = async {
             let mut response = self.client.send(self.address, request).await?;
-            let report = response.body_json().await;
-            report.map_err(|e| EndpointError::Broken(e.to_string()))
+            read_json(&mut response).await
         };
         match timeout(REPORT_TIMEOUT, read).await {
             Some(report) => report,
@@ -50,7 +49,7 @@
         match self.client.send(self.address, request).await {
             Ok(mut response) => match response.status() {
                 StatusCode::Ok => OrderOutcome::Done,
-                _ => outcome_of(response.body_json().await.ok()),
+                _ => outcome_of(read_json(&mut response).await.ok()),
             },
             Err(radishpin_http::ClientError::Connect(_)) => OrderOutcome::Failed,
             Err(radishpin_http::ClientError::Broken(_)) => OrderOutcome::Unknown,
--- a/src/client.rs
+++ b/src/client.rs
@@ -8,12 +8,15 @@
     },
 };
 use http_types::{Method, Request, Response, Url, headers::AUTHORIZATION};
-use radishpin_http::{Client, ClientError, ClientLimits};
+use radishpin_http::{Client, ClientError, ClientLimits, read_body};
 use radishpin_protocol::{ErrorBody, Version};
 use radishpin_server::Token;
 use serde::{Serialize, de::DeserializeOwned};
 use std::{net::SocketAddr, time::Duration};
 
+/// Largest response that is read, in bytes.
+const RESPONSE_BYTES_MAX: usize = 64 * 1024 * 1024;
+
 /// Sends requests to the operators' API of one node, each with a deadline.
 #[derive(Debug)]
 pub(crate) struct OperatorClient {
@@ -127,9 +130,9 @@
             Err(error) => return Err(self.no_response(api_request, error.to_string())),
         };
         let status = u16::from(response.status());
-        let body = response.body_string().await;
+        let body = read_body(&mut response, RESPONSE_BYTES_MAX).await;
         let body = body.map_err(|e| self.no_response(api_request, e.to_string()))?;
-        Ok((status, body))
+        Ok((status, String::from_utf8_lossy(&body).into_owned()))
     }
 
     fn request(&self, api_request: &ApiRequest) -> Result<Request, CommandError> {
--- a/src/command/load/call.rs
+++ b/src/command/load/call.rs
@@ -8,7 +8,7 @@
     settings::LoadSettings,
 };
 use http_types::{Method, Request, Response, Url, mime};
-use radishpin_http::{Client, ClientError};
+use radishpin_http::{Client, ClientError, read_body};
 use radishpin_protocol::engine::{COMPLETIONS_PATH, CompletionRequest};
 use radishpin_runtime::timeout;
 use std::{
@@ -21,6 +21,9 @@
 /// Header by which a caller names a call that may run once only.
 const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
 
+/// Largest answer that is read, in bytes.
+const ANSWER_BYTES_MAX: usize = 16 * 1024 * 1024;
+
 /// Times and outcome of an answer on its way.
 #[derive(Debug)]
 struct Watch {
@@ -123,9 +126,10 @@
     check: impl FnOnce(&str) -> Outcome,
 ) -> Outcome {
     let status = u16::from(response.status());
-    let Ok(body) = response.body_string().await else {
+    let Ok(body) = read_body(response, ANSWER_BYTES_MAX).await else {
         return Outcome::Cut;
     };
+    let body = String::from_utf8_lossy(&body);
     watch.event();
     match status {
         200 => check(&body),
--- a/src/command/load/events.rs
+++ b/src/command/load/events.rs
@@ -1,6 +1,6 @@
 //! Reads a stream of server-sent events line by line.
 
-use futures_lite::{AsyncBufRead, AsyncBufReadExt};
+use futures_lite::{AsyncBufRead, AsyncBufReadExt, AsyncReadExt};
 use http_types::Body;
 use radishpin_protocol::engine::STREAM_END;
 use std::io;
@@ -43,7 +43,8 @@
     pub(super) async fn next(&mut self) -> io::Result<Event> {
         loop {
             self.line.clear();
-            if self.body.read_line(&mut self.line).await? == 0 {
+            let limited = &mut (&mut self.body).take(EVENT_BYTES as u64 + 1);
+            if limited.read_line(&mut self.line).await? == 0 {
                 return Ok(Event::End);
             }
             if self.line.len() > EVENT_BYTES {
--- a/src/command/load/fetch.rs
+++ b/src/command/load/fetch.rs
@@ -2,10 +2,13 @@
 
 use crate::CommandError;
 use http_types::{Method, Request, Url};
-use radishpin_http::Client;
+use radishpin_http::{Client, read_body};
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
 
+/// Largest document that is read, in bytes.
+const DOCUMENT_BYTES_MAX: usize = 64 * 1024 * 1024;
+
 /// The document at a path.
 ///
 /// # Errors
@@ -22,7 +25,7 @@
     let url = url.map_err(|error| unreadable(error.to_string()))?;
     let sent = client.send(address, Request::new(Method::Get, url)).await;
     let mut response = sent.map_err(|error| unreadable(error.to_string()))?;
-    let body = response.body_bytes().await;
+    let body = read_body(&mut response, DOCUMENT_BYTES_MAX).await;
     let body = body.map_err(|error| unreadable(error.to_string()))?;
     serde_json::from_slice(&body).map_err(|error| unreadable(error.to_string()))
 }
