--- a/crates/radishpin-gateway/src/request/assignment.rs
+++ b/crates/radishpin-gateway/src/request/assignment.rs
@@ -126,9 +126,9 @@
     }
 }
 
-/// What limits the choice of an endpoint for a request.
+/// What constrains the choice of an endpoint for a request.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Limits<'a> {
+pub(crate) struct Constraints<'a> {
     /// Endpoints that the request was sent to before.
     pub(crate) tried: &'a BTreeSet<EndpointId>,
     /// Software version of the endpoints that may serve it; `None` if any may.
@@ -146,7 +146,7 @@
 pub(crate) async fn assign_endpoint(
     gateway: &Arc<Gateway>,
     call: &Arc<Call>,
-    limits: Limits<'_>,
+    constraints: Constraints<'_>,
 ) -> Result<Assignment, Refusal> {
     let mut waiting: Option<LoadWait<'_>> = None;
     let mut reconsidered_at = Duration::ZERO;
@@ -155,7 +155,7 @@
     loop {
         let listener = gateway.fleet_changed.listen();
         let now = gateway.clock.now();
-        let next_part_deadline = limits.next_part_deadline;
+        let next_part_deadline = constraints.next_part_deadline;
         let waits_until = gateway.waiting_deadline();
         let stopping = waits_until.is_some_and(|until| until < next_part_deadline);
         let waits_until =
@@ -163,7 +163,7 @@
         let query = PickQuery {
             service: &call.service,
             target: call.target(),
-            software_version: limits.software_version,
+            software_version: constraints.software_version,
             priority: call.route.priority,
             time_left: waits_until.saturating_sub(now),
             stopping,
@@ -172,13 +172,13 @@
                 .map_or(Duration::ZERO, |w| now.saturating_sub(w.since)),
             reconsider: now.saturating_sub(reconsidered_at) >= RECHECK_INTERVAL,
             prompt_tokens: call.prompt_tokens,
-            tried: limits.tried,
+            tried: constraints.tried,
             random: call.random,
         };
         if query.reconsider {
             reconsidered_at = now;
         }
-        if limits.prompt_trial == PromptTrial::No
+        if constraints.prompt_trial == PromptTrial::No
             && let Some(refusal) = gateway.refused_prompt(&call.shared_parts, call.random)
         {
             log_refusal(call, &refusal, &query);
--- a/crates/radishpin-gateway/src/request/forward.rs
+++ b/crates/radishpin-gateway/src/request/forward.rs
@@ -3,7 +3,7 @@
 mod ending;
 
 use super::{
-    assignment::{Assignment, Limits, assign_endpoint},
+    assignment::{Assignment, Constraints, assign_endpoint},
     attempt::{AttemptResult, send},
     call::Call,
     origin::{record_origin, version_of_stream},
@@ -182,13 +182,13 @@
     async fn assign(&self, call: &Arc<Call>) -> Result<Assignment, Refusal> {
         let gateway = &self.gateway;
         let prompt_trial = gateway.admit_prompt(call).await?;
-        let limits = Limits {
+        let constraints = Constraints {
             tried: &self.tried,
             software_version: self.stream_version.bound(),
             next_part_deadline: call.next_part_deadline(self.last_part_at),
             prompt_trial,
         };
-        assign_endpoint(gateway, call, limits).await
+        assign_endpoint(gateway, call, constraints).await
     }
 
     fn attempt_timeout(&self, remaining: Duration) -> Duration {
