Log what endpoints state in answers about draining and backoffs

Nothing read `Server-Leaving`, nor `Retry-After` of a 503, so no line told that an endpoint had said that it leaves, or asked for a backoff, and the hypotheses could not be told apart.

--- a/crates/radishpin-gateway/src/request/attempt.rs
+++ b/crates/radishpin-gateway/src/request/attempt.rs
@@ -10,7 +10,7 @@
 };
 use bytes::Bytes;
 use futures_lite::future;
-use http::{StatusCode, response::Parts};
+use http::{StatusCode, header, response::Parts};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use radishpin_adapter::{LoadHeader, header as wire};
@@ -154,6 +154,7 @@
             .record_load(&assignment.endpoint, in_use);
     }
     record_limit(gateway, &assignment, &head);
+    log_availability(call, &assignment, &head);
     let id_matches = header_text(&head.headers, wire::ATTEMPT_ID) == Some(call.id.as_str());
     if !id_matches && !call.id.is_empty() {
         // The connection carries a late response to an earlier request, so the response to this
@@ -243,6 +244,21 @@
     gateway.record_limit(&assignment.endpoint, statement, assignment.started_at);
 }
 
+/// Logs what an endpoint states in its response about when it takes requests.
+fn log_availability(call: &Call, assignment: &Assignment, head: &Parts) {
+    let draining = header_text(&head.headers, wire::DRAINING).is_some_and(wire::parse_draining);
+    if draining {
+        log::info!(event = "endpoint_drains", request = call.id, endpoint = assignment.endpoint, status = head.status.as_u16(); "an endpoint says that it drains");
+    }
+    if head.status != StatusCode::SERVICE_UNAVAILABLE {
+        return;
+    }
+    let backoff = header_text(&head.headers, header::RETRY_AFTER.as_str());
+    if let Some(backoff) = backoff.and_then(wire::parse_retry_after) {
+        log::info!(event = "endpoint_backoff", request = call.id, endpoint = assignment.endpoint, backoff_ms = u64::try_from(backoff.as_millis()).unwrap_or(u64::MAX); "an endpoint asks for a backoff");
+    }
+}
+
 /// Whether callers take this status to mean that the request did not run. It must not be relayed
 /// unless the endpoint confirms that with the not-executed header.
 fn implies_not_run(status: StatusCode) -> bool {
