--- /dev/null
+++ b/crates/radishpin-gateway/tests/serving/draining.rs
@@ -0,0 +1,242 @@
+//! Endpoints say in their answers that they drain; no more requests go to them.
+
+use super::{
+    caller::CallerRequest,
+    cluster::TestCluster,
+    endpoint::{Behavior, Endpoint},
+    load::Load,
+};
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+/// Time after its first answer that says so from which a draining endpoint may get no requests.
+const DRAIN_TIME: Duration = Duration::from_millis(2_000);
+/// Time for a request on its way.
+const TRANSIT: Duration = Duration::from_millis(300);
+/// Time for which callers send requests.
+const LOAD_TIME: Duration = Duration::from_secs(5);
+/// More behaviors than an endpoint gets requests.
+const SCRIPT_LENGTH: usize = 5_000;
+
+fn lookup(id: &str) -> CallerRequest {
+    CallerRequest::new("/lookup/2f", id).deadline_ms(1_000)
+}
+
+fn order(id: &str) -> CallerRequest {
+    CallerRequest::new("/order/2f", id).deadline_ms(1_000)
+}
+
+/// A request of a session, whose part is the last one of the prompt.
+fn dictation(id: &str) -> CallerRequest {
+    CallerRequest::new("/dictation/2f", id)
+        .model("m0")
+        .header("Radishpin-Prompt-Prefix", "aa:800,5e55:250")
+}
+
+fn summary(id: &str) -> CallerRequest {
+    CallerRequest::new("/summary/2f", id).model("m0")
+}
+
+/// Requests at an endpoint from [`DRAIN_TIME`] after its first answer.
+fn late_requests(draining: &Endpoint) -> usize {
+    let first_at = draining.with_received(|received| received.first().map(|one| one.at));
+    let first_at = first_at.expect("the endpoint has answered a request");
+    draining.received_since(first_at + DRAIN_TIME + TRANSIT)
+}
+
+/// Lets a second endpoint join once the draining one has got a request, and checks that all later
+/// requests go there.
+fn check_bearer(bearer: Behavior) {
+    let cluster = TestCluster::start();
+    let draining = cluster.start_plain_endpoint("p1");
+    draining.state_draining(Some("1"));
+    draining.script(&[bearer; SCRIPT_LENGTH]);
+    cluster.wait_until_ready();
+    cluster.ask(&order("first"));
+    assert_eq!(draining.received_ids().len(), 1, "{bearer:?}");
+    let _other = cluster.start_plain_endpoint("p2");
+    thread::sleep(DRAIN_TIME);
+    let load = Load::run(&cluster, &[&cluster.gateway; 2], LOAD_TIME / 2, order);
+    assert_eq!(late_requests(&draining), 0, "{bearer:?}");
+    load.assert_served(9);
+}
+
+#[test]
+fn an_endpoint_that_says_in_any_answer_that_it_drains_gets_no_more_requests() {
+    let bearers = [
+        Behavior::Answer,
+        Behavior::NotFound,
+        Behavior::Fail,
+        Behavior::Full,
+        Behavior::FullWithoutNotRun,
+        Behavior::Unsigned,
+        Behavior::WrongId,
+    ];
+    thread::scope(|scope| {
+        for bearer in bearers {
+            scope.spawn(move || check_bearer(bearer));
+        }
+    });
+}
+
+#[test]
+fn an_engine_whose_streams_say_that_it_drains_gets_no_more_requests() {
+    let cluster = TestCluster::start();
+    let (draining, _s1) = cluster.start_engine("e1", &["m0"]);
+    let (_other, _s2) = cluster.start_engine("e2", &["m0"]);
+    cluster.wait_until_ready();
+    draining.state_draining(Some("1"));
+    let gateways = [&cluster.gateway; 3];
+    let load = Load::run(&cluster, &gateways, LOAD_TIME, dictation);
+    assert_eq!(late_requests(&draining), 0);
+    load.assert_served(9);
+}
+
+/// The only stream that says so lasts on.
+#[test]
+fn the_head_of_a_stream_is_enough_to_know_that_an_engine_drains() {
+    let cluster = TestCluster::start();
+    let (draining, _s1) = cluster.start_engine("e1", &["m0"]);
+    cluster.wait_until_ready();
+    draining.state_draining(Some("1"));
+    draining.script(&[Behavior::StallAfter(1)]);
+    thread::scope(|scope| {
+        let cluster = &cluster;
+        scope.spawn(move || cluster.ask(&dictation("first").deadline_ms(12_000)));
+        cluster.wait_until("the stream has begun", || {
+            !draining.received_ids().is_empty()
+        });
+        let (_other, _s2) = cluster.start_engine("e2", &["m0"]);
+        thread::sleep(DRAIN_TIME);
+        let load = Load::run(cluster, &[&cluster.gateway; 2], LOAD_TIME / 2, dictation);
+        assert_eq!(late_requests(&draining), 0);
+        load.assert_served(9);
+    });
+}
+
+#[test]
+fn resumed_streams_do_not_go_to_a_draining_engine() {
+    let cluster = TestCluster::start();
+    let (draining, _s1) = cluster.start_engine("e1", &["m0"]);
+    let (breaking, _s2) = cluster.start_engine("e2", &["m0"]);
+    cluster.wait_until_ready();
+    draining.state_draining(Some("1"));
+    breaking.script(&[Behavior::BreakAfter(2); SCRIPT_LENGTH]);
+    Load::run(&cluster, &[&cluster.gateway; 3], LOAD_TIME, summary);
+    assert_eq!(late_requests(&draining), 0);
+}
+
+#[test]
+fn repeats_do_not_go_to_a_draining_endpoint() {
+    let cluster = TestCluster::start();
+    let draining = cluster.start_plain_endpoint("p1");
+    let failing = cluster.start_plain_endpoint("p2");
+    cluster.wait_until_ready();
+    draining.state_draining(Some("1"));
+    failing.script(&[Behavior::Fail; SCRIPT_LENGTH]);
+    Load::run(&cluster, &[&cluster.gateway; 3], LOAD_TIME, lookup);
+    assert_eq!(late_requests(&draining), 0);
+}
+
+#[test]
+fn slots_under_a_limit_do_not_lead_to_a_draining_endpoint() {
+    let cluster = TestCluster::start();
+    let (_engine, _sidecar) = cluster.start_engine("e1", &["m0"]);
+    let draining = cluster.start_plain_endpoint("p1");
+    cluster.wait_until_ready();
+    draining.state_limit(Some("2"));
+    draining.state_draining(Some("1"));
+    Load::run(&cluster, &[&cluster.gateway; 3], LOAD_TIME, lookup);
+    assert_eq!(late_requests(&draining), 0);
+}
+
+#[test]
+fn callers_of_a_service_whose_only_endpoint_drains_are_refused_at_once() {
+    let cluster = TestCluster::start();
+    let draining = cluster.start_plain_endpoint("p1");
+    cluster.wait_until_ready();
+    draining.state_draining(Some("1"));
+    let load = Load::run(&cluster, &[&cluster.gateway; 3], LOAD_TIME, lookup);
+    assert_eq!(late_requests(&draining), 0);
+    load.assert_refused_at_once();
+}
+
+#[test]
+fn a_model_whose_only_engine_drains_is_loaded_elsewhere() {
+    let cluster = TestCluster::start();
+    let (draining, _s1) = cluster.start_engine("e1", &["m0"]);
+    let (other, _s2) = cluster.start_engine("e2", &["m1"]);
+    cluster.wait_until_ready();
+    draining.state_draining(Some("1"));
+    let load = Load::run(&cluster, &[&cluster.gateway; 3], LOAD_TIME, dictation);
+    assert_eq!(late_requests(&draining), 0);
+    load.assert_served(8);
+    assert!(other.models().contains(&"m0".to_owned()));
+}
+
+/// The list of endpoints loses the entry for a moment.
+#[test]
+fn an_endpoint_still_drains_after_its_entry_lapsed() {
+    let cluster = TestCluster::start();
+    let draining = cluster.start_plain_endpoint("p1");
+    let _other = cluster.start_plain_endpoint("p2");
+    cluster.wait_until_ready();
+    draining.state_draining(Some("1"));
+    let gateways = [&cluster.gateway; 3];
+    Load::run(&cluster, &gateways, LOAD_TIME / 5, lookup);
+    cluster.store.remove("servers", "p1");
+    Load::run(&cluster, &gateways, LOAD_TIME / 5, lookup);
+    cluster.list_endpoint(&draining, "shop", "ready");
+    Load::run(&cluster, &gateways, LOAD_TIME / 2, lookup);
+    assert_eq!(late_requests(&draining), 0);
+}
+
+#[test]
+fn another_endpoint_at_the_address_of_one_that_drained_is_used() {
+    let cluster = TestCluster::start();
+    let endpoint = cluster.start_plain_endpoint("p1");
+    cluster.wait_until_ready();
+    endpoint.state_draining(Some("1"));
+    cluster.ask(&lookup("first"));
+    endpoint.state_draining(None);
+    endpoint.restart_as("p1-next");
+    cluster.store.remove("servers", "p1");
+    let entry = endpoint.entry("shop", "ready");
+    cluster.store.put("servers", "p1-next", entry);
+    thread::sleep(Duration::from_millis(1_500));
+    let load = Load::run(&cluster, &[&cluster.gateway], LOAD_TIME / 5, lookup);
+    load.assert_served(10);
+}
+
+#[test]
+fn an_endpoint_that_drained_is_used_again_after_a_restart() {
+    let cluster = TestCluster::start();
+    let endpoint = cluster.start_plain_endpoint("p1");
+    cluster.wait_until_ready();
+    endpoint.state_draining(Some("1"));
+    cluster.ask(&lookup("first"));
+    endpoint.state_draining(None);
+    endpoint.restart();
+    cluster.list_endpoint(&endpoint, "shop", "ready");
+    thread::sleep(Duration::from_millis(1_500));
+    let load = Load::run(&cluster, &[&cluster.gateway], LOAD_TIME / 5, lookup);
+    load.assert_served(10);
+}
+
+#[test]
+fn other_values_do_not_mean_that_an_endpoint_drains() {
+    let cluster = TestCluster::start();
+    let endpoint = cluster.start_plain_endpoint("p1");
+    cluster.wait_until_ready();
+    for value in ["0", "", "yes", "11"] {
+        endpoint.state_draining(Some(value));
+        let before = Instant::now();
+        for n in 0..5 {
+            let got = cluster.ask(&lookup(&format!("{n}")));
+            assert_eq!(got.status, 200, "{value:?}: {got}");
+        }
+        assert_eq!(endpoint.received_since(before), 5, "{value:?}");
+    }
+}
--- a/crates/radishpin-gateway/tests/serving/endpoint.rs
+++ b/crates/radishpin-gateway/tests/serving/endpoint.rs
@@ -30,6 +30,8 @@
     Close,
     /// Runs the request and returns 500.
     Fail,
+    /// Returns 404.
+    NotFound,
     /// Returns a response with the id of another request.
     WrongId,
     /// Returns a response without a signature.
@@ -38,6 +40,8 @@
     Hang,
     /// Streams events up to the one with this id and closes the connection within the next one.
     BreakAfter(u32),
+    /// Streams events up to the one with this id, and then nothing more.
+    StallAfter(u32),
 }
 
 /// Number of events of a complete stream.
@@ -69,6 +73,10 @@
     crashes: u32,
     /// Limit that it states in all its answers, in requests a second.
     limit: Option<String>,
+    /// Value of the header that says whether it drains, in all its answers.
+    draining: Option<String>,
+    /// Retry-After of its answers with status 503.
+    retry_after: Option<String>,
     /// Current id; differs from [`Endpoint::id`] after a restart under another id.
     id: String,
 }
@@ -188,6 +196,16 @@
         self.state.lock().limit = limit.map(str::to_owned);
     }
 
+    /// Has this header that says whether it drains, or none, in all answers from now on.
+    pub fn state_draining(&self, draining: Option<&str>) {
+        self.state.lock().draining = draining.map(str::to_owned);
+    }
+
+    /// Number of requests received from this time on.
+    pub fn received_since(&self, from: Instant) -> usize {
+        self.with_received(|received| received.iter().filter(|one| one.at >= from).count())
+    }
+
     /// Number of times that it has crashed.
     pub fn crashes(&self) -> u32 {
         self.state.lock().crashes
@@ -227,9 +245,19 @@
 
     async fn handle(self: &Arc<Self>, request: Request<Incoming>) -> io::Result<Response<Body>> {
         let mut response = self.respond(request).await?;
-        if let Some(limit) = &self.state.lock().limit {
-            let limit = limit.parse().expect("limit is a header value");
-            response.headers_mut().insert("server-limit", limit);
+        let is_refusal = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+        let state = self.state.lock();
+        let retry_after = state.retry_after.as_ref().filter(|_| is_refusal);
+        let stated = [
+            ("server-limit", state.limit.as_ref()),
+            ("server-leaving", state.draining.as_ref()),
+            ("retry-after", retry_after),
+        ];
+        for (name, value) in stated {
+            if let Some(value) = value {
+                let value = value.parse().expect("the value suits a header");
+                response.headers_mut().insert(name, value);
+            }
         }
         Ok(response)
     }
@@ -301,11 +329,13 @@
             Behavior::BreakAfter(events) => {
                 Ok(self.stream_response(&id, resume_after, Some(events)))
             }
+            Behavior::StallAfter(events) => Ok(self.stalled_response(&id, events)),
             Behavior::Answer => Ok(build_response(&id, true, 200)),
             Behavior::Full => Ok(refused(&id, StatusCode::SERVICE_UNAVAILABLE)),
             Behavior::FullWithoutNotRun => Ok(build_response(&id, true, 503)),
             Behavior::Close => Err(io::ErrorKind::ConnectionAborted.into()),
             Behavior::Fail => Ok(build_response(&id, true, 500)),
+            Behavior::NotFound => Ok(build_response(&id, true, 404)),
             Behavior::WrongId => Ok(build_response("another", true, 200)),
             Behavior::Unsigned => Ok(build_response(&id, false, 200)),
             Behavior::Hang => std::future::pending().await,
@@ -333,6 +363,16 @@
             .expect("response is valid")
     }
 
+    fn stalled_response(&self, id: &str, events: u32) -> Response<Body> {
+        let events =
+            (1..=events).map(|n| Ok(Frame::data(format!("id: {n}\ndata: t{n}\n\n").into())));
+        let stall = stream::once_future(std::future::pending());
+        self.event_stream(
+            id,
+            StreamBody::new(stream::iter(events).chain(stall)).boxed_unsync(),
+        )
+    }
+
     fn stream_response(&self, id: &str, after: u32, break_after: Option<u32>) -> Response<Body> {
         let last = break_after.unwrap_or(EVENTS);
         let events = (after + 1..=last).map(|n| Ok(format!("id: {n}\ndata: t{n}\n\n")));
--- a/crates/radishpin-gateway/tests/serving/limits.rs
+++ b/crates/radishpin-gateway/tests/serving/limits.rs
@@ -4,13 +4,11 @@
     caller::CallerRequest,
     cluster::TestCluster,
     endpoint::{Behavior, Endpoint},
+    load::Load,
 };
 use radishpin_gateway::GatewayProcess;
 use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
-    },
+    sync::Arc,
     thread,
     time::{Duration, Instant},
 };
@@ -21,8 +19,6 @@
 const CONTACT: Duration = Duration::from_secs(3);
 /// Time for which callers send requests.
 const LOAD_TIME: Duration = Duration::from_secs(10);
-/// Pause of a caller between two requests.
-const PAUSE: Duration = Duration::from_millis(60);
 
 /// Most requests that an endpoint with this limit may get in a window.
 fn allowed(limit_per_s: f64) -> usize {
@@ -43,43 +39,15 @@
     windows.max().unwrap_or(0)
 }
 
-/// What became of the requests of all callers.
-#[derive(Default)]
-struct Load {
-    sent: AtomicUsize,
-    served: AtomicUsize,
-}
-
-/// Sends requests of a caller to each gateway, one after the other, for [`LOAD_TIME`].
+/// Sends requests to each gateway, by one caller each, for [`LOAD_TIME`]; returns the numbers of sent
+/// and served ones.
 fn load(
     cluster: &TestCluster,
     gateways: &[&GatewayProcess],
     request: impl Fn(&str) -> CallerRequest + Sync,
 ) -> (usize, usize) {
-    let load = Load::default();
-    thread::scope(|scope| {
-        for (n, gateway) in gateways.iter().enumerate() {
-            let (load, request) = (&load, &request);
-            scope.spawn(move || {
-                let until = Instant::now() + LOAD_TIME;
-                for k in 0.. {
-                    if Instant::now() >= until {
-                        return;
-                    }
-                    let got = cluster.ask_at(gateway, &request(&format!("r{n}-{k}")));
-                    let served = got.status == 200 && got.complete;
-                    load.sent.fetch_add(1, Ordering::Relaxed);
-                    load.served
-                        .fetch_add(usize::from(served), Ordering::Relaxed);
-                    if got.status == 503 {
-                        assert!(got.header("retry-after").is_some(), "{got}");
-                    }
-                    thread::sleep(PAUSE);
-                }
-            });
-        }
-    });
-    (load.sent.into_inner(), load.served.into_inner())
+    let load = Load::run(cluster, gateways, LOAD_TIME, request);
+    (load.sent, load.served)
 }
 
 fn dictation(id: &str) -> CallerRequest {
--- a/crates/radishpin-gateway/tests/serving/main.rs
+++ b/crates/radishpin-gateway/tests/serving/main.rs
@@ -2,11 +2,13 @@
 
 mod caller;
 mod cluster;
+mod draining;
 mod endless;
 mod endpoint;
 mod faults;
 mod framing;
 mod limits;
+mod load;
 mod loads;
 mod prompt_crash_runs;
 mod prompt_crashes;
