Send no more requests to endpoints that say that they drain

Callers saw: requests still went to endpoints that had said in their answers that they were leaving, and were refused there or broken off at its end. Cause: gateways took draining from the platform's list alone; the header of answers was read nowhere.

Each answer's head is read now, whatever becomes of the answer, but for 421, which another endpoint at the address may have given. An endpoint that drains counts as one that the list calls draining: it gets no first sends, repeats, resumed streams, slots or loads; requests that wait there are routed anew, and a request whose connection was being opened meanwhile is not sent. The word binds the process that gave it: a later start under the same id or another id at the address is free, an entry that only lapsed is not. Gateways do not tell each other: the answer that tells one is an answer that its caller gets.

--- a/crates/radishpin-core/src/process/fleet.rs
+++ b/crates/radishpin-core/src/process/fleet.rs
@@ -1,5 +1,6 @@
 //! A gateway's view of the endpoints: chooses where requests go and which models to load.
 
+mod availability;
 mod endpoint;
 mod expected_retries;
 mod loader;
@@ -19,9 +20,10 @@
     Demand, DemandReason, EndpointChange, EndpointEntry, GatewayReport, ModelUsage, Status,
 };
 use crate::version::Catalog;
+use availability::UnlistedEndpoints;
 use endpoint::Endpoint;
 use expected_retries::ExpectedRetries;
-use radishpin_protocol::prelude::*;
+use radishpin_protocol::{UnixMs, prelude::*};
 use rate::Rate;
 use std::sync::Arc;
 
@@ -53,6 +55,7 @@
     availability_zone: AvailabilityZone,
     catalog: Arc<Catalog>,
     endpoints: BTreeMap<EndpointId, Endpoint>,
+    unlisted: UnlistedEndpoints,
     waits: BTreeMap<LoadTarget, WaitEntry>,
     expected_retries: ExpectedRetries,
     rates: BTreeMap<ModelId, Rate>,
@@ -74,6 +77,7 @@
             availability_zone,
             catalog: Arc::new(Catalog::default()),
             endpoints: BTreeMap::new(),
+            unlisted: UnlistedEndpoints::default(),
             waits: BTreeMap::new(),
             expected_retries: ExpectedRetries::default(),
             rates: BTreeMap::new(),
@@ -91,12 +95,17 @@
     /// Replaces the listed endpoints.
     ///
     /// Everything recorded of an endpoint is dropped when it is no longer listed or `changes` say
-    /// that it restarted.
+    /// that it restarted, but for what it stated about when it takes requests.
     pub fn update_endpoints(
         &mut self,
         entries: &BTreeMap<EndpointId, EndpointEntry>,
         changes: &[EndpointChange],
     ) {
+        for (id, endpoint) in &self.endpoints {
+            if !entries.contains_key(id) {
+                self.unlisted.keep(id, endpoint.availability);
+            }
+        }
         self.endpoints.retain(|id, _| entries.contains_key(id));
         for change in changes {
             if let EndpointChange::Restarted(id) = change {
@@ -107,7 +116,8 @@
             match self.endpoints.get_mut(id) {
                 Some(endpoint) => endpoint.entry = entry.clone(),
                 None => {
-                    let endpoint = Endpoint::new(entry.clone());
+                    let mut endpoint = Endpoint::new(entry.clone());
+                    endpoint.availability = self.unlisted.take(id);
                     self.endpoints.insert(id.clone(), endpoint);
                 }
             }
@@ -214,6 +224,19 @@
         }
     }
 
+    /// Records that the process of an endpoint which started at this time says that it drains; returns
+    /// whether that is news.
+    pub fn record_draining(&mut self, endpoint: &str, started_unix_ms: UnixMs) -> bool {
+        let endpoint = self.endpoints.get_mut(endpoint);
+        endpoint.is_some_and(|endpoint| endpoint.availability.record_draining(started_unix_ms))
+    }
+
+    /// Whether an endpoint is listed as ready and has not said that it drains.
+    pub fn is_ready(&self, endpoint: &str) -> bool {
+        let endpoint = self.endpoints.get(endpoint);
+        endpoint.is_some_and(Endpoint::is_ready)
+    }
+
     /// Builds the next report to an endpoint's sidecar; each has a higher sequence number.
     pub fn next_report(&mut self, id: &str, now: Duration) -> GatewayReport {
         self.sequence += 1;
@@ -260,6 +283,9 @@
     }
 
     fn demands(&self, endpoint: &str, now: Duration) -> Vec<Demand> {
+        if !self.is_ready(endpoint) {
+            return Vec::new();
+        }
         let waits = self
             .waits
             .iter()
--- a/crates/radishpin-core/src/process/fleet/endpoint.rs
+++ b/crates/radishpin-core/src/process/fleet/endpoint.rs
@@ -1,6 +1,6 @@
 //! A gateway's view of one endpoint: load, failures and loaded models.
 
-use super::{EndpointSnapshot, stated_limit::StatedLimit};
+use super::{EndpointSnapshot, availability::Availability, stated_limit::StatedLimit};
 use crate::process::{EndpointEntry, EndpointPhase, Status};
 use radishpin_protocol::{UnixMs, prelude::*};
 
@@ -85,6 +85,7 @@
     prefill_until: Duration,
     /// Limit that it states for all gateways together.
     pub(super) limit: StatedLimit,
+    pub(super) availability: Availability,
     /// Models whose requests it refused as misdirected since its last status.
     misdirected_models: BTreeSet<ModelId>,
 }
@@ -106,6 +107,7 @@
             backoff_until: Duration::ZERO,
             prefill_until: Duration::ZERO,
             limit: StatedLimit::default(),
+            availability: Availability::default(),
             misdirected_models: BTreeSet::new(),
         }
     }
@@ -262,17 +264,22 @@
         self.failure_rate
     }
 
-    /// Whether it is listed as ready, its engine is not reported down, and no backoff is in force.
+    /// Whether it is listed as ready and has not said that it drains.
+    pub(super) fn is_ready(&self) -> bool {
+        let draining = self.availability.is_draining(self.started_unix_ms());
+        self.entry.phase == EndpointPhase::Ready && !draining
+    }
+
+    /// Whether it is ready, its engine is not reported down, and no backoff is in force.
     pub(super) fn accepts_requests(&self, now: Duration) -> bool {
-        self.entry.phase == EndpointPhase::Ready
+        self.is_ready()
             && now >= self.backoff_until
             && self.status.as_ref().is_none_or(|status| status.engine_up)
     }
 
-    /// Whether it is listed as ready and its sidecar reports that the engine is up.
+    /// Whether it is ready and its sidecar reports that the engine is up.
     pub(super) fn accepts_loads(&self) -> bool {
-        self.entry.phase == EndpointPhase::Ready
-            && self.status.as_ref().is_some_and(|status| status.engine_up)
+        self.is_ready() && self.status.as_ref().is_some_and(|status| status.engine_up)
     }
 
     /// Whether it is loading or unloading a model, during which it accepts no adapter orders.
--- a/crates/radishpin-core/src/process/fleet/pick.rs
+++ b/crates/radishpin-core/src/process/fleet/pick.rs
@@ -359,7 +359,7 @@
         }
         let listed = self.endpoints.iter().filter(|(id, endpoint)| {
             endpoint.entry.service == query.service
-                && endpoint.entry.phase == crate::process::EndpointPhase::Ready
+                && endpoint.is_ready()
                 && endpoint.may_serve_version(query.software_version)
                 && !query.tried.contains(*id)
                 && endpoint.limit.slot_wait(now).is_zero()
--- a/crates/radishpin-core/src/process/fleet/plan.rs
+++ b/crates/radishpin-core/src/process/fleet/plan.rs
@@ -261,10 +261,11 @@
 
     /// Requests a second that would find no replica if one of the model's replicas was unloaded.
     pub(super) fn loss_per_s(&self, model: &str, per_s: f32) -> f32 {
-        let holders = self.endpoints.values().filter(|e| e.serves(model)).count();
-        match holders {
+        let endpoints = self.endpoints.values();
+        let holders = endpoints.filter(|endpoint| endpoint.is_ready() && endpoint.serves(model));
+        match holders.count() {
             0 | 1 => per_s,
-            _ => per_s * REDUNDANT_WEIGHT / holders as f32,
+            holders => per_s * REDUNDANT_WEIGHT / holders as f32,
         }
     }
 }
--- a/crates/radishpin-gateway/src/process/gateway.rs
+++ b/crates/radishpin-gateway/src/process/gateway.rs
@@ -1,5 +1,6 @@
 //! The gateway: receives callers' requests and forwards them to endpoints.
 
+mod availability;
 mod limits;
 mod links;
 mod listeners;
--- a/crates/radishpin-gateway/src/request.rs
+++ b/crates/radishpin-gateway/src/request.rs
@@ -10,5 +10,6 @@
 mod stream;
 mod stream_version;
 
+pub(crate) use assignment::Assignment;
 pub(crate) use call::Call;
 pub(crate) use forward::serve_request;
--- a/crates/radishpin-gateway/src/request/assignment.rs
+++ b/crates/radishpin-gateway/src/request/assignment.rs
@@ -7,7 +7,7 @@
     EndpointSnapshot, Exposure, FIRST_TOKEN_LATENCY, LoadTarget, Pick, PickQuery, Refusal,
     RequestOutcome, SlotWait, Wait,
 };
-use radishpin_protocol::prelude::*;
+use radishpin_protocol::{UnixMs, prelude::*};
 use radishpin_runtime::Runtime;
 use std::{net::SocketAddr, sync::Arc};
 
@@ -24,6 +24,8 @@
     pub(crate) address: SocketAddr,
     /// Software version of the endpoint; `None` if it is not known.
     pub(crate) software_version: Option<SoftwareVersion>,
+    /// Unix time of the endpoint's last known start in milliseconds; 0 if unknown.
+    pub(crate) endpoint_started_unix_ms: UnixMs,
     pub(crate) started_at: Duration,
     exposure: Option<Exposure>,
     ended: bool,
@@ -205,6 +207,7 @@
                     endpoint,
                     address,
                     software_version: snapshot.software_version.clone(),
+                    endpoint_started_unix_ms: snapshot.started_unix_ms,
                     started_at: now,
                     ended: false,
                 };
--- a/crates/radishpin-gateway/src/request/attempt.rs
+++ b/crates/radishpin-gateway/src/request/attempt.rs
@@ -105,6 +105,13 @@
                 };
             }
         };
+        if !gateway.fleet.lock().is_ready(&assignment.endpoint) {
+            // It said so while the connection was opened.
+            assignment.end(RequestOutcome::Refused);
+            return AttemptResult::NotSent {
+                cause: "the endpoint drains".to_owned(),
+            };
+        }
         let request =
             call.endpoint_request(&assignment.endpoint, last_event_id, gateway.clock.now());
         let request = match request {
@@ -154,7 +161,7 @@
             .record_load(&assignment.endpoint, in_use);
     }
     record_limit(gateway, &assignment, &head);
-    log_availability(call, &assignment, &head);
+    record_availability(gateway, call, &assignment, &head);
     let id_matches = header_text(&head.headers, wire::ATTEMPT_ID) == Some(call.id.as_str());
     if !id_matches && !call.id.is_empty() {
         // The connection carries a late response to an earlier request, so the response to this
@@ -244,11 +251,15 @@
     gateway.record_limit(&assignment.endpoint, statement, assignment.started_at);
 }
 
-/// Logs what an endpoint states in its response about when it takes requests.
-fn log_availability(call: &Call, assignment: &Assignment, head: &Parts) {
+/// Records what an endpoint states in its response about when it takes requests.
+fn record_availability(gateway: &Gateway, call: &Call, assignment: &Assignment, head: &Parts) {
+    if head.status == StatusCode::MISDIRECTED_REQUEST {
+        // Another endpoint may have the address and speak of itself.
+        return;
+    }
     let draining = header_text(&head.headers, wire::DRAINING).is_some_and(wire::parse_draining);
     if draining {
-        log::info!(event = "endpoint_drains", request = call.id, endpoint = assignment.endpoint, status = head.status.as_u16(); "an endpoint says that it drains");
+        gateway.record_draining(&call.id, assignment);
     }
     if head.status != StatusCode::SERVICE_UNAVAILABLE {
         return;
