Test that endpoints which ask for a backoff get few requests until it ends

Fails on the current code, 8 of 10 tests: 10 to 121 requests reached endpoints between half a second after their 503 with `Retry-After` and the end of that time, where 2 are allowed: plain and streaming routes, repeats, resumed streams, slots under a limit; callers of a service whose only endpoint backs off were told another time. Nothing reads the header.

--- a/crates/radishpin-gateway/tests/serving/endpoint.rs
+++ b/crates/radishpin-gateway/tests/serving/endpoint.rs
@@ -201,6 +201,11 @@
         self.state.lock().draining = draining.map(str::to_owned);
     }
 
+    /// Asks for this backoff, or none, in all answers with status 503 from now on.
+    pub fn state_retry_after(&self, retry_after: Option<&str>) {
+        self.state.lock().retry_after = retry_after.map(str::to_owned);
+    }
+
     /// Number of requests received from this time on.
     pub fn received_since(&self, from: Instant) -> usize {
         self.with_received(|received| received.iter().filter(|one| one.at >= from).count())
--- a/crates/radishpin-gateway/tests/serving/main.rs
+++ b/crates/radishpin-gateway/tests/serving/main.rs
@@ -1,5 +1,6 @@
 //! Tests gateways and sidecars over loopback sockets with fakes of the store and the endpoints.
 
+mod backoffs;
 mod caller;
 mod cluster;
 mod draining;
