Keep to the backoffs that endpoints ask for

Callers saw: requests went to endpoints that had just turned others away and asked for a rest, and were turned away too; refused callers were told to come back within it. Cause: `Retry-After` of a 503 was read nowhere.

A 503 with a time above zero counts its endpoint as full until that ends, whether or not it promises that the request did not run: no first sends, repeats, resumed streams or slots, and none whose connection was being opened meanwhile. Times are capped at a minute, so that none shuts an endpoint for good; a shorter one does not end a longer one; they bind the process that asked. Where no other endpoint could serve a request, it is refused at once with the time at which the first is back, spread. Nothing moves away for a short backoff: a model is loaded elsewhere only if the backoff is longer than two seconds and than the load.

--- a/crates/radishpin-core/src/process.rs
+++ b/crates/radishpin-core/src/process.rs
@@ -20,8 +20,8 @@
     EndpointChange, EndpointEntry, EndpointList, EndpointPhase, HeldModel, RECOVERY_GRACE,
 };
 pub use fleet::{
-    EndpointSnapshot, FIRST_TOKEN_LATENCY, Fleet, LinkLoss, LoadTarget, Pick, PickQuery, Refusal,
-    RefusalReason, RequestOutcome, SlotWait, Wait,
+    EndpointSnapshot, FIRST_TOKEN_LATENCY, Fleet, LinkLoss, LoadTarget, Pick, PickQuery,
+    REQUESTED_BACKOFF_MAX, Refusal, RefusalReason, RequestOutcome, SlotWait, Wait,
 };
 pub use lease::{
     LEASE_VALID_FOR, LeaseDecision, LeaseRecord, LeaseWatch, MAX_READ_GAP, RENEWAL_INTERVAL,
--- a/crates/radishpin-core/src/process/fleet.rs
+++ b/crates/radishpin-core/src/process/fleet.rs
@@ -11,6 +11,7 @@
 mod slot;
 mod stated_limit;
 
+pub use availability::REQUESTED_BACKOFF_MAX;
 pub use endpoint::{LinkLoss, RequestOutcome};
 pub use pick::{EndpointSnapshot, FIRST_TOKEN_LATENCY, Pick, PickQuery, Wait};
 pub use refusal::{Refusal, RefusalReason};
@@ -231,6 +232,27 @@
         endpoint.is_some_and(|endpoint| endpoint.availability.record_draining(started_unix_ms))
     }
 
+    /// Records that the process of an endpoint which started at this time wants no requests for a while.
+    pub fn record_backoff(
+        &mut self,
+        endpoint: &str,
+        started_unix_ms: UnixMs,
+        backoff: Duration,
+        now: Duration,
+    ) {
+        if let Some(endpoint) = self.endpoints.get_mut(endpoint) {
+            let availability = &mut endpoint.availability;
+            availability.record_backoff(started_unix_ms, backoff, now);
+        }
+    }
+
+    /// Whether a request that is assigned to an endpoint may still be sent there: it is ready and has
+    /// not asked for a backoff.
+    pub fn may_send(&self, endpoint: &str, now: Duration) -> bool {
+        let endpoint = self.endpoints.get(endpoint);
+        endpoint.is_some_and(|e| e.is_ready() && e.requested_backoff_left(now).is_zero())
+    }
+
     /// Whether an endpoint is listed as ready and has not said that it drains.
     pub fn is_ready(&self, endpoint: &str) -> bool {
         let endpoint = self.endpoints.get(endpoint);
--- a/crates/radishpin-core/src/process/fleet/availability.rs
+++ b/crates/radishpin-core/src/process/fleet/availability.rs
@@ -3,6 +3,8 @@
 use radishpin_protocol::{UnixMs, prelude::*};
 use std::collections::VecDeque;
 
+/// Longest backoff that an endpoint gets; then one that asked for more is asked again.
+pub const REQUESTED_BACKOFF_MAX: Duration = Duration::from_secs(60);
 /// Largest number of endpoints that are no longer listed and whose statements are kept.
 const UNLISTED_MAX: usize = 256;
 
@@ -12,6 +14,15 @@
 pub(super) struct Availability {
     /// Start of the process that said that it drains.
     draining_since_start: Option<UnixMs>,
+    backoff: Option<RequestedBackoff>,
+}
+
+/// A backoff that an endpoint asked for when it turned a request away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct RequestedBackoff {
+    /// Start of the process that asked for it.
+    started_unix_ms: UnixMs,
+    until: Duration,
 }
 
 impl Availability {
@@ -30,6 +41,29 @@
         let draining = self.draining_since_start;
         draining.is_some_and(|draining| started_unix_ms <= draining)
     }
+
+    /// Records that a process which started at this time wants no requests for `backoff`, at most
+    /// [`REQUESTED_BACKOFF_MAX`]. An earlier backoff that ends later stays in force.
+    pub(super) fn record_backoff(
+        &mut self,
+        started_unix_ms: UnixMs,
+        backoff: Duration,
+        now: Duration,
+    ) {
+        let left = self.backoff_left(started_unix_ms, now);
+        let backoff = backoff.min(REQUESTED_BACKOFF_MAX).max(left);
+        self.backoff = Some(RequestedBackoff {
+            started_unix_ms,
+            until: now + backoff,
+        });
+    }
+
+    /// Time until the process that started at this time wants requests again; zero if it does.
+    pub(super) fn backoff_left(self, started_unix_ms: UnixMs, now: Duration) -> Duration {
+        let backoff = self.backoff;
+        let backoff = backoff.filter(|backoff| started_unix_ms <= backoff.started_unix_ms);
+        backoff.map_or(Duration::ZERO, |backoff| backoff.until.saturating_sub(now))
+    }
 }
 
 /// Statements of endpoints that are no longer listed, as their entries may only have lapsed.
--- a/crates/radishpin-core/src/process/fleet/endpoint.rs
+++ b/crates/radishpin-core/src/process/fleet/endpoint.rs
@@ -270,7 +270,14 @@
         self.entry.phase == EndpointPhase::Ready && !draining
     }
 
-    /// Whether it is ready, its engine is not reported down, and no backoff is in force.
+    /// Time until the backoff ends that it asked for; zero if none is in force.
+    pub(super) fn requested_backoff_left(&self, now: Duration) -> Duration {
+        let started_unix_ms = self.started_unix_ms();
+        self.availability.backoff_left(started_unix_ms, now)
+    }
+
+    /// Whether it is ready, its engine is not reported down, and no backoff after
+    /// failures to connect is in force.
     pub(super) fn accepts_requests(&self, now: Duration) -> bool {
         self.is_ready()
             && now >= self.backoff_until
--- a/crates/radishpin-core/src/process/fleet/loader.rs
+++ b/crates/radishpin-core/src/process/fleet/loader.rs
@@ -1,6 +1,6 @@
 //! Estimates of how soon each endpoint could serve a model that it has not loaded.
 
-use super::Fleet;
+use super::{Fleet, endpoint::Endpoint};
 use crate::{rendezvous::rendezvous_hash, request::Tier, version::ModelSpec};
 use radishpin_protocol::prelude::*;
 
@@ -53,16 +53,30 @@
         query: LoadQuery<'_>,
         now: Duration,
     ) -> Option<Duration> {
-        let LoadQuery { model, spec, .. } = query;
+        let model = query.model;
         let endpoint = self.endpoints.get(id)?;
         let can_load = endpoint.accepts_loads()
             && endpoint.accepts_requests(now)
             && endpoint.entry.service == query.service
             && endpoint.may_serve_version(query.software_version);
         let is_limited = endpoint.limit.rate().is_some();
-        if !can_load || (is_limited && endpoint.serves(model)) {
+        let backoff_left = endpoint.requested_backoff_left(now);
+        let turns_away = is_limited || !backoff_left.is_zero();
+        if !can_load || (turns_away && endpoint.serves(model)) {
             return None;
         }
+        let estimate = self.estimate_of_loader(id, endpoint, query)?;
+        Some(estimate.max(backoff_left))
+    }
+
+    /// Estimated time until an endpoint that can load a model has loaded it; `None` without a status.
+    fn estimate_of_loader(
+        &self,
+        id: &str,
+        endpoint: &Endpoint,
+        query: LoadQuery<'_>,
+    ) -> Option<Duration> {
+        let LoadQuery { model, spec, .. } = query;
         let status = endpoint.status.as_ref()?;
         if let Some(loading) = &status.loading
             && loading.model == model
@@ -81,14 +95,21 @@
         let room_time = Duration::from_millis(status.room_ms);
         let kept_cost =
             KEPT_REPLICA_COST * u32::try_from(self.kept_replicas_at(id)).unwrap_or(u32::MAX);
-        let limited_cost = if is_limited {
-            LIMITED_COST
-        } else {
-            Duration::ZERO
+        let limited_cost = match endpoint.limit.rate() {
+            Some(_) => LIMITED_COST,
+            None => Duration::ZERO,
         };
         Some(queue_time + load_time + room_time + kept_cost + limited_cost)
     }
 
+    /// Whether an endpoint's sidecar reports that it is loading a model.
+    pub(super) fn is_loading(&self, id: &str, model: &str) -> bool {
+        let endpoint = self.endpoints.get(id);
+        let status = endpoint.and_then(|endpoint| endpoint.status.as_ref());
+        let loading = status.and_then(|status| status.loading.as_ref());
+        loading.is_some_and(|loading| loading.model == model)
+    }
+
     /// Factor by which loads in progress from the weight store slow down one more load; 1 or more.
     fn store_slowdown(&self, tier: Tier) -> f64 {
         if tier != Tier::Remote {
--- a/crates/radishpin-core/src/process/fleet/pick.rs
+++ b/crates/radishpin-core/src/process/fleet/pick.rs
@@ -35,6 +35,8 @@
 const MOVE_GAIN_MIN: Duration = Duration::from_millis(600);
 /// Outstanding prefill time that costs as much as an endpoint with all slots in use.
 const PREFILL_COST_UNIT: Duration = Duration::from_millis(250);
+/// Longest backoff of the only endpoint with a model for which the model is not loaded elsewhere.
+const SHORT_BACKOFF_MAX: Duration = Duration::from_secs(2);
 /// Retry-After base when the cheapest endpoint is full: by then slots should be free.
 const BUSY_RETRY: Duration = Duration::from_millis(700);
 
@@ -243,6 +245,7 @@
                 e.accepts_loads()
                     && e.serves(model)
                     && e.accepts_requests(now)
+                    && e.requested_backoff_left(now).is_zero()
                     && e.may_serve_version(query.software_version)
                     && !e.is_busy()
             })
@@ -314,20 +317,30 @@
                 });
             }
         }
-        let next_slot_in = next_slot.map(|(_, wait)| wait);
+        let next_slot_in = next_slot.map(|(_, wait)| (wait, RefusalReason::Limited));
+        let backoff_left =
+            self.backoff_left(query.service, Some(model), query.software_version, now);
+        let backoff_left = backoff_left.map(|left| (left, RefusalReason::EndpointBackoff));
+        let free_in = next_slot_in.into_iter().chain(backoff_left).min();
         let Some((endpoint, estimate)) = best else {
-            return match next_slot_in {
-                Some(wait) => refuse(RefusalReason::Limited, wait),
+            return match free_in {
+                Some((wait, reason)) => refuse(reason, wait),
                 None => refuse(RefusalReason::NoLoader, ABSENT_RETRY),
             };
         };
+        if let Some((left, reason)) = backoff_left
+            && left <= estimate.max(SHORT_BACKOFF_MAX)
+            && !self.is_loading(&endpoint, model)
+        {
+            return refuse(reason, left);
+        }
         self.move_waiters(&target, &endpoint);
         if estimate + FIRST_TOKEN_LATENCY >= query.time_left {
             if query.stopping {
                 return Pick::Refuse(Refusal::stopping(query.random));
             }
-            if let Some(wait) = next_slot_in.filter(|wait| *wait < estimate) {
-                return refuse(RefusalReason::Limited, wait);
+            if let Some((wait, reason)) = free_in.filter(|(wait, _)| *wait < estimate) {
+                return refuse(reason, wait);
             }
             let refusal = Refusal::until_loaded(endpoint.clone(), estimate, query.random);
             self.expected_retries
@@ -360,6 +373,7 @@
         let listed = self.endpoints.iter().filter(|(id, endpoint)| {
             endpoint.entry.service == query.service
                 && endpoint.is_ready()
+                && endpoint.requested_backoff_left(now).is_zero()
                 && endpoint.may_serve_version(query.software_version)
                 && !query.tried.contains(*id)
                 && endpoint.limit.slot_wait(now).is_zero()
@@ -368,13 +382,37 @@
         let best = costs.min_by(|(_, a), (_, b)| a.total_cmp(b));
         match best.map(|(id, _)| id.clone()) {
             Some(id) => self.send(id, query, now),
-            None => Pick::Refuse(Refusal::new(
-                RefusalReason::NoEndpoint,
-                ABSENT_RETRY,
-                query.random,
-            )),
+            None => Pick::Refuse(self.refuse_without_endpoint(query, now)),
+        }
+    }
+
+    fn refuse_without_endpoint(&self, query: &PickQuery<'_>, now: Duration) -> Refusal {
+        let backoff_left = self.backoff_left(query.service, None, query.software_version, now);
+        match backoff_left {
+            Some(left) => Refusal::endpoint_backoff(left, query.random),
+            None => Refusal::new(RefusalReason::NoEndpoint, ABSENT_RETRY, query.random),
         }
     }
+
+    /// Time until the first endpoint that could serve a request is back from the backoff that it asked
+    /// for; `None` if there is one without backoff, or none at all.
+    pub fn backoff_left(
+        &self,
+        service: &str,
+        model: Option<&str>,
+        software_version: Option<&str>,
+        now: Duration,
+    ) -> Option<Duration> {
+        let could_serve = self.endpoints.values().filter(|endpoint| {
+            endpoint.entry.service == service
+                && endpoint.is_ready()
+                && endpoint.may_serve_version(software_version)
+                && model
+                    .is_none_or(|model| endpoint.accepts_requests(now) && endpoint.serves(model))
+        });
+        let backoffs = could_serve.map(|endpoint| endpoint.requested_backoff_left(now));
+        backoffs.min().filter(|left| !left.is_zero())
+    }
 }
 
 /// Whether an endpoint can serve a request but for its limit.
@@ -386,6 +424,7 @@
 ) -> bool {
     endpoint.entry.service == query.service
         && endpoint.accepts_requests(now)
+        && endpoint.requested_backoff_left(now).is_zero()
         && endpoint.may_serve_version(query.software_version)
         && !query.tried.contains(id)
         && query.target.is_none_or(|(model, _)| endpoint.serves(model))
--- a/crates/radishpin-core/src/process/fleet/refusal.rs
+++ b/crates/radishpin-core/src/process/fleet/refusal.rs
@@ -27,6 +27,8 @@
     VersionUnknown,
     /// The endpoints that could serve it state limits, and their next slots come too late.
     Limited,
+    /// The endpoints that could serve it asked for backoffs.
+    EndpointBackoff,
     /// Engines crashed under a part of its prompt.
     CrashingPrompt,
     /// The gateway is stopping and cannot serve it in time.
@@ -45,6 +47,7 @@
             Self::VersionGone => "version_gone",
             Self::VersionUnknown => "version_unknown",
             Self::Limited => "limited",
+            Self::EndpointBackoff => "endpoint_backoff",
             Self::CrashingPrompt => "crashing_prompt",
             Self::Stopping => "stopping",
         }
@@ -94,6 +97,12 @@
         Self::new(RefusalReason::CrashingPrompt, base, random)
     }
 
+    /// Creates the refusal of a request whose endpoints asked for backoffs, the first of which ends in
+    /// `free_in`.
+    pub fn endpoint_backoff(free_in: Duration, random: u64) -> Self {
+        Self::new(RefusalReason::EndpointBackoff, free_in, random)
+    }
+
     /// Creates a refusal whose caller should retry once the load at `endpoint` is done.
     ///
     /// The jitter is short because the loaded model can serve all waiting callers.
--- a/crates/radishpin-gateway/src/request/attempt.rs
+++ b/crates/radishpin-gateway/src/request/attempt.rs
@@ -105,15 +105,15 @@
                 };
             }
         };
-        if !gateway.fleet.lock().is_ready(&assignment.endpoint) {
+        let now = gateway.clock.now();
+        if !gateway.fleet.lock().may_send(&assignment.endpoint, now) {
             // It said so while the connection was opened.
             assignment.end(RequestOutcome::Refused);
             return AttemptResult::NotSent {
-                cause: "the endpoint drains".to_owned(),
+                cause: "the endpoint drains or asks for a backoff".to_owned(),
             };
         }
-        let request =
-            call.endpoint_request(&assignment.endpoint, last_event_id, gateway.clock.now());
+        let request = call.endpoint_request(&assignment.endpoint, last_event_id, now);
         let request = match request {
             Ok(request) => request,
             Err(cause) => {
@@ -266,7 +266,7 @@
     }
     let backoff = header_text(&head.headers, header::RETRY_AFTER.as_str());
     if let Some(backoff) = backoff.and_then(wire::parse_retry_after) {
-        log::info!(event = "endpoint_backoff", request = call.id, endpoint = assignment.endpoint, backoff_ms = u64::try_from(backoff.as_millis()).unwrap_or(u64::MAX); "an endpoint asks for a backoff");
+        gateway.record_backoff(&call.id, assignment, backoff);
     }
 }
 
--- a/crates/radishpin-gateway/src/request/forward.rs
+++ b/crates/radishpin-gateway/src/request/forward.rs
@@ -333,7 +333,10 @@
             return None;
         }
         if self.sends_ran == 0 {
-            return Some(ForwardOutcome::Refused(Refused::ByEndpoints));
+            let software_version = self.stream_version.bound();
+            let backoff = self.gateway.backoff_refusal(&self.call, software_version);
+            let refused = backoff.map_or(Refused::ByEndpoints, Refused::ByGateway);
+            return Some(ForwardOutcome::Refused(refused));
         }
         Some(self.failure("refused after a failure".to_owned(), false))
     }
