Log the fingerprint of requests whose connection broke

The lines told the route of a request, but not whether two are the same one, so a request that crashes endpoints could not be told from a route whose requests do. `connection_broke` has a hash of the method, host, path, query and body and of the headers that tell who the caller is. It is computed only for such requests.

--- a/crates/radishpin-core/src/request.rs
+++ b/crates/radishpin-core/src/request.rs
@@ -29,7 +29,7 @@
 };
 pub use load_limit::LoadLimit;
 pub use prefix_hints::{CacheEvent, PrefixHash, PrefixHints};
-pub use prompt::{PromptPartId, PromptSize, SHARED_PARTS_MAX, SharedParts};
+pub use prompt::{PromptPartId, PromptSize, RequestFingerprint, SHARED_PARTS_MAX, SharedParts};
 pub use request_rate::{LimitStatement, RequestRate};
 pub use retry::{
     AttemptOutcome, MAX_ATTEMPTS, RetryContext, RetryDecision, RetryReason, TOMBSTONE_TIMEOUT,
--- a/crates/radishpin-gateway/src/request.rs
+++ b/crates/radishpin-gateway/src/request.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod call;
 mod events;
+mod fingerprint;
 mod forward;
 mod origin;
 mod response;
--- a/crates/radishpin-gateway/src/request/assignment.rs
+++ b/crates/radishpin-gateway/src/request/assignment.rs
@@ -45,6 +45,9 @@
         let mut fleet = self.gateway.fleet.lock();
         fleet.end_request(&self.endpoint, self.call.target(), outcome, now);
         drop(fleet);
+        if outcome == RequestOutcome::Broken {
+            self.log_break();
+        }
         if outcome == RequestOutcome::Unreachable {
             self.gateway.engine_unreachable(&self.endpoint);
         }
@@ -53,6 +56,15 @@
         }
     }
 
+    fn log_break(&self) {
+        log::info!(
+            event = "connection_broke", request = self.call.id, route = self.call.route.name, endpoint = self.endpoint,
+            software_version = self.software_version.as_deref().unwrap_or("-"),
+            fingerprint:% = format_args!("{:x}", self.call.fingerprint());
+            "the connection to an endpoint broke before the whole answer came"
+        );
+    }
+
     /// Keeps a response that is no success from speaking for the parts of its prompt.
     pub(crate) fn end_exposure(&mut self) {
         if let Some(exposure) = self.exposure.take() {
--- a/crates/radishpin-gateway/src/request/call.rs
+++ b/crates/radishpin-gateway/src/request/call.rs
@@ -1,7 +1,8 @@
 //! A caller's request: routed, and read to its end.
 
-use super::response::{
-    ResponseBody, gateway_response, refusal_response, remove_connection_headers,
+use super::{
+    fingerprint::fingerprint,
+    response::{ResponseBody, gateway_response, refusal_response, remove_connection_headers},
 };
 use crate::process::Gateway;
 use bytes::Bytes;
@@ -12,12 +13,12 @@
 use hyper::body::{Body, Incoming};
 use radishpin_adapter::header as wire;
 use radishpin_core::{
-    request::SharedParts,
+    request::{RequestFingerprint, SharedParts},
     version::{Catalog, Route},
 };
 use radishpin_protocol::prelude::*;
 use radishpin_runtime::timeout;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 /// Retry-After while the gateway has no usable configuration for a request.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -52,6 +53,7 @@
     uri: Uri,
     headers: HeaderMap,
     body: Bytes,
+    fingerprint: OnceLock<RequestFingerprint>,
 }
 
 impl Call {
@@ -117,6 +119,7 @@
             uri: parts.uri,
             headers: forwarded_headers(parts.headers),
             body,
+            fingerprint: OnceLock::new(),
         })
     }
 
@@ -126,6 +129,12 @@
         Some((model, adapter.as_deref()))
     }
 
+    /// Fingerprint of the request, the same for all attempts at it; computed when it is first needed.
+    pub(crate) fn fingerprint(&self) -> RequestFingerprint {
+        let compute = || fingerprint(&self.method, &self.uri, &self.headers, &self.body);
+        *self.fingerprint.get_or_init(compute)
+    }
+
     /// Builds the request that is sent to an endpoint at `now`; `last_event_id` resumes a stream.
     ///
     /// # Errors
