--- a/crates/radishpin-gateway/tests/serving/caller.rs
+++ b/crates/radishpin-gateway/tests/serving/caller.rs
@@ -37,6 +37,11 @@
         self
     }
 
+    pub fn body(mut self, body: &str) -> Self {
+        self.body = body.to_owned();
+        self
+    }
+
     pub fn deadline_ms(mut self, deadline_ms: u64) -> Self {
         self.deadline_ms = deadline_ms;
         self
--- a/crates/radishpin-gateway/tests/serving/endpoint.rs
+++ b/crates/radishpin-gateway/tests/serving/endpoint.rs
@@ -70,6 +70,8 @@
     software_version: String,
     /// Part of a prompt under which the engine crashes once it has sent the first event.
     crashing_part: Option<String>,
+    /// Body of the requests under which it crashes while it runs them.
+    crashing_body: Option<String>,
     crashes: u32,
     /// Limit that it states in all its answers, in requests a second.
     limit: Option<String>,
@@ -182,6 +184,12 @@
         self.state.lock().crashing_part = Some(part.to_owned());
     }
 
+    /// Crashes under each request with this body, or under none: an engine once it has sent the first
+    /// event, another endpoint without an answer.
+    pub fn crash_on_body(&self, body: Option<&str>) {
+        self.state.lock().crashing_body = body.map(str::to_owned);
+    }
+
     /// Closes all connections, refuses new ones for a while, and restarts with the same models.
     pub fn crash(&self) {
         let models = self.models();
@@ -306,7 +314,7 @@
             state.received.push(ReceivedRequest {
                 id: id.clone(),
                 headers: parts.headers.clone(),
-                body,
+                body: body.clone(),
                 behavior,
                 at: Instant::now(),
             });
@@ -326,9 +334,19 @@
                 .body(text_body(format!("answer of {}", self.id)))
                 .expect("response is valid")
         };
-        if self.crashes_under(&header("radishpin-prompt-prefix")) {
+        let crashes_on_body = {
+            let state = self.state.lock();
+            let crashing = state.crashing_body.as_ref();
+            crashing.is_some_and(|crashing| crashing.as_bytes() == body)
+        };
+        if self.crashes_under(&header("radishpin-prompt-prefix")) || crashes_on_body && is_stream {
             return Ok(self.crashing_response(&id));
         }
+        if crashes_on_body {
+            smol::Timer::after(Duration::from_millis(20)).await;
+            self.crash();
+            std::future::pending::<()>().await;
+        }
         match behavior {
             Behavior::Answer if is_stream => Ok(self.stream_response(&id, resume_after, None)),
             Behavior::BreakAfter(events) => {
--- a/crates/radishpin-gateway/tests/serving/main.rs
+++ b/crates/radishpin-gateway/tests/serving/main.rs
@@ -14,6 +14,7 @@
 mod prompt_crash_runs;
 mod prompt_crashes;
 mod raw_endpoint;
+mod request_crashes;
 mod requests;
 mod resumptions;
 mod store;
