Refuse requests that crash the endpoints that run them

Cause: no gateway related the end of an endpoint to the whole requests that it was running; the table of crashes knew parts of prompts at engines alone, and services without engines had no evidence of crashes at all. The class: failures with one cause that are handled one by one, each as if it were the first.

A crash is now held against the fingerprints of the requests that the endpoint was running too, in every service, and told on the channel of prompt crashes. After three crashes without an answer all gateways refuse the request, before each send. An endpoint has crashed if connections to it broke and it then refuses new ones, which is checked at once, or the list or its sidecar tells that its process ended; one that drains has not. An answer of any status clears the request. Of a request and prompt parts that explain as many crashes the request is refused, so that others with the same parts are served. It counts by software version and service: another one gets the request until one of its endpoints crashes. Permits that were not used are given back. Each kind of suspect has its own bound, and those with the fewest crashes make room, so that invented requests do not push out one that is refused.

The fingerprint is computed only while requests are suspected, or for one without an answer. Messages are understood by and from earlier releases, but for the trials.

--- a/crates/radishpin-core/examples/shared_state.rs
+++ b/crates/radishpin-core/examples/shared_state.rs
@@ -4,8 +4,8 @@
 
 use radishpin_core::{
     process::{
-        ExposureEnd, PARTS_MAX, PartCrash, PartCrashes, PromptCrashes, PromptExposures, SeenNews,
-        SendSlots, SharedReply, SharedRequest, choose_holders,
+        CrashRecord, CrashTable, ExposedRequest, ExposureEnd, Exposures, SUSPECTS_MAX, SeenNews,
+        SendSlots, SharedReply, SharedRequest, Suspect, SuspectCrashes, Suspects, choose_holders,
     },
     request::{RequestRate, SharedParts, StreamOrigin, StreamOrigins},
 };
@@ -68,25 +68,27 @@
 }
 
 fn measure_exposures() {
-    let mut exposures = PromptExposures::default();
+    let mut exposures = Exposures::default();
     time("begin, end and settle a request", |n| {
         let now = Duration::from_millis(u64::from(n) * 43);
-        let parts: SharedParts = [1, u64::from(n % 100)].into_iter().collect();
-        if let Some(exposure) = exposures.begin("i-0123456789", 1, &parts) {
-            exposures.end(exposure, ExposureEnd::Served, now);
-        }
+        let exposed = ExposedRequest {
+            parts: [1, u64::from(n % 100)].into_iter().collect(),
+            ..ExposedRequest::default()
+        };
+        let exposure = exposures.begin("i-0123456789", 1, exposed);
+        exposures.end(exposure, ExposureEnd::Served, None, now);
         black_box(exposures.settle(now));
     });
 }
 
-fn crash_of(parts: impl Iterator<Item = u64>, crash: u64) -> Vec<PartCrashes> {
-    let crash = PartCrash {
+fn crash_of(parts: impl Iterator<Item = u64>, crash: u64) -> Vec<SuspectCrashes> {
+    let crash = CrashRecord {
         crash: crash.wrapping_mul(0x9e37_79b9_7f4a_7c15),
         age_ms: 150,
-        cleared: false,
+        ..CrashRecord::default()
     };
-    let against = |part: u64| PartCrashes {
-        part: part.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+    let against = |part: u64| SuspectCrashes {
+        suspect: Suspect::PromptPart(part.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
         crashes: vec![crash],
     };
     parts.map(against).collect()
@@ -99,32 +101,33 @@
         "message with a crash",
         &SharedRequest::MergeCrashes(report.clone()),
     );
-    let mut full = PromptCrashes::default();
+    let mut full = CrashTable::default();
     for crash in 0..2 {
-        full.merge(crash_of(0..PARTS_MAX as u64, crash), now);
+        full.merge(crash_of(0..SUSPECTS_MAX as u64, crash), now);
     }
     let parts: SharedParts = [1, 2].into_iter().collect();
-    let empty = PromptCrashes::default();
+    let suspects = Suspects::new(&parts, None, 0);
+    let empty = CrashTable::default();
     time("verdict without suspects", |_| {
-        black_box(empty.verdict(&parts, now));
+        black_box(empty.verdict(&suspects, now));
     });
     time("verdict with a full table", |_| {
-        black_box(full.verdict(&parts, now));
+        black_box(full.verdict(&suspects, now));
     });
     time("merge a crash into a full table", |_| {
         black_box(full.clone().merge(report.clone(), now));
     });
-    let table = |crashes: &PromptCrashes| SharedReply::News {
+    let table = |crashes: &CrashTable| SharedReply::News {
         seen: SeenNews {
             incarnation: u64::MAX,
             crashes_version: 1,
             limits_version: 1,
         },
-        parts: crashes.messages_since(0, now),
+        crashes: crashes.messages_since(0, now),
         limits: Vec::new(),
     };
     print_size("answer to a watch without crashes", &table(&empty));
-    let mut one = PromptCrashes::default();
+    let mut one = CrashTable::default();
     one.merge(report, now);
     one.merge(crash_of(0..2, 2), now);
     print_size("answer to a watch after a crash", &table(&one));
--- a/crates/radishpin-core/src/process.rs
+++ b/crates/radishpin-core/src/process.rs
@@ -1,24 +1,33 @@
 //! Decision logic whose state lasts for the lifetime of the process.
 
+mod crash_suspect;
+mod crash_table;
 mod endpoint_limits;
 mod endpoint_list;
+mod exposures;
 mod fleet;
 mod lease;
 mod membership;
 mod memory;
 mod order;
-mod prompt_crashes;
-mod prompt_exposures;
 mod replica_ledger;
 mod residency;
 mod send_slots;
 mod shared_state;
 mod software_versions;
 
+pub use crash_suspect::{
+    CrashId, CrashRecord, EndpointVariant, Suspect, SuspectCrashes, Suspects, endpoint_variant,
+};
+pub use crash_table::{
+    CRASH_LIFETIME, CRASH_LIFETIME_MAX, CRASHES_PER_SUSPECT_MAX, CRASHES_TO_REFUSE, CrashTable,
+    CrashVerdict, SUSPECTS_MAX,
+};
 pub use endpoint_limits::{EndpointLimit, EndpointLimits, LIMIT_LIFETIME, LIMITS_MAX};
 pub use endpoint_list::{
     EndpointChange, EndpointEntry, EndpointList, EndpointPhase, HeldModel, RECOVERY_GRACE,
 };
+pub use exposures::{ExposedRequest, Exposure, ExposureEnd, ExposureNews, Exposures};
 pub use fleet::{
     EndpointSnapshot, FIRST_TOKEN_LATENCY, Fleet, LinkLoss, LoadTarget, Pick, PickQuery,
     REQUESTED_BACKOFF_MAX, Refusal, RefusalReason, RequestOutcome, SlotWait, Wait,
@@ -37,11 +46,6 @@
     DEFAULT_ORDER_LIFE, EngineReport, FENCE_MODEL, Fencing, Order, OrderKind, OrderNumber,
     OrderOutcome, Target,
 };
-pub use prompt_crashes::{
-    CRASH_LIFETIME, CRASHES_PER_PART_MAX, CRASHES_TO_REFUSE, CrashId, PARTS_MAX, PartCrash,
-    PartCrashes, PromptCrashes, PromptVerdict,
-};
-pub use prompt_exposures::{Exposure, ExposureEnd, ExposureNews, PromptExposures};
 pub use replica_ledger::{LoadDecision, LoadRefusal, ReplicaLedger, ReplicaState, ReplicaStatus};
 pub use residency::{
     Action, ActionOutcome, Demand, DemandReason, EndpointReport, GATEWAY_TIMEOUT, GatewayReport,
--- a/crates/radishpin-core/src/process/prompt_exposures.rs
+++ b/crates/radishpin-core/src/process/exposures.rs
@@ -1,13 +1,14 @@
-//! Which prompt parts a gateway has sent to which engines, and what became of the engines.
+//! Which requests a gateway has sent to which endpoints, and what became of the endpoints.
 //!
-//! An engine that crashes breaks the connections of all requests that it serves; a broken connection
-//! alone proves no crash, and one request may have ended just before it. So a request is held against
-//! its parts only once the engine is known to be down, and counts in their favor only after a while.
+//! An endpoint that crashes breaks the connections of all requests that it runs; a broken connection
+//! alone proves no crash, and one request may have ended just before it. So a crash is held against
+//! requests and the parts of their prompts only once the endpoint is known to be down, and an answer counts
+//! in favor of the parts only after a while.
 
-use super::{CrashId, PARTS_MAX, PartCrash, PartCrashes};
+use super::{CrashId, CrashRecord, EndpointVariant, SUSPECTS_MAX, Suspect, SuspectCrashes};
 use crate::{
     rendezvous::mix,
-    request::{PromptPartId, SharedParts},
+    request::{PromptPartId, RequestFingerprint, SharedParts},
 };
 use radishpin_protocol::{UnixMs, engine::stable_hash, prelude::*};
 
@@ -20,7 +21,7 @@
 /// Largest number of parts that are remembered as sound.
 const SOUND_MAX: usize = 4_096;
 
-/// How a request at an engine ended, as far as it tells something about its prompt.
+/// How a request at an endpoint ended, as far as it tells something about what crashes endpoints.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ExposureEnd {
     /// The whole answer came.
@@ -33,95 +34,130 @@
     Other,
 }
 
-/// One request at one engine, until it is ended.
+/// One request at one endpoint, until it is ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Exposure {
-    endpoint: EndpointId,
-    started_unix_ms: UnixMs,
+    run: RunKey,
     number: u64,
 }
 
-/// What the requests that ended since the last call tell about prompt parts.
+/// A run of an endpoint's process: its listed start, and how many ends of runs with this start were known
+/// when it began.
+type RunKey = (EndpointId, UnixMs, u32);
+
+/// What matters of a request at an endpoint if that crashes.
+#[derive(Clone, Debug, Default)]
+pub struct ExposedRequest {
+    /// Parts of its prompt that other requests may share.
+    pub parts: SharedParts,
+    /// Variant of the endpoint.
+    pub variant: EndpointVariant,
+    /// Whether it was sent to find out whether endpoints still crash under it.
+    pub trial: bool,
+}
+
+/// What the requests that ended since the last call tell about what crashes endpoints.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ExposureNews {
-    /// Parts whose requests were answered without harm to their engine.
+    /// Prompt parts whose requests were answered without harm to their endpoint.
     pub sound: BTreeSet<PromptPartId>,
-    /// Crashes of engines, against each part that they served and that is not known to be sound.
-    pub crashes: Vec<PartCrashes>,
+    /// Crashes of endpoints, against each suspect that they ran and that is not known to be sound.
+    pub crashes: Vec<SuspectCrashes>,
 }
 
-/// Requests of a gateway at engines, until it is known what they did to them.
+/// Requests of a gateway at endpoints, until it is known what they did to them.
 #[derive(Clone, Debug, Default)]
-pub struct PromptExposures {
-    runs: BTreeMap<(EndpointId, UnixMs), EngineRun>,
+pub struct Exposures {
+    runs: BTreeMap<RunKey, EndpointRun>,
     sound: BTreeMap<PromptPartId, Duration>,
     last_number: u64,
 }
 
-/// One run of an engine's process, from its start to its end.
+/// One run of an endpoint's process, from its start to its end.
 #[derive(Clone, Debug, Default)]
-struct EngineRun {
+struct EndpointRun {
     down_at: Option<Duration>,
     /// Whether another run has begun, which proves that this one ended.
     replaced: bool,
-    requests: BTreeMap<u64, ExposedRequest>,
+    requests: BTreeMap<u64, RunRequest>,
 }
 
 #[derive(Clone, Debug)]
-struct ExposedRequest {
-    parts: SharedParts,
+struct RunRequest {
+    exposed: ExposedRequest,
+    /// Known once it has ended in a way that may be held against it.
+    fingerprint: Option<RequestFingerprint>,
     ended: Option<(Duration, ExposureEnd)>,
 }
 
-impl PromptExposures {
-    /// Records that a request is sent to an engine that started at this time; `None` if its prompt
-    /// shares no part.
+impl Exposures {
+    /// Records that a request is sent to an endpoint that started at this time.
     pub fn begin(
         &mut self,
         endpoint: &str,
         started_unix_ms: UnixMs,
-        parts: &SharedParts,
-    ) -> Option<Exposure> {
-        if parts.is_empty() {
-            return None;
-        }
+        exposed: ExposedRequest,
+    ) -> Exposure {
         self.last_number += 1;
-        let request = ExposedRequest {
-            parts: parts.clone(),
+        let run = self.current_run(endpoint, started_unix_ms);
+        let request = RunRequest {
+            exposed,
+            fingerprint: None,
             ended: None,
         };
-        let run = (endpoint.to_owned(), started_unix_ms);
-        let run = self.runs.entry(run).or_default();
-        run.requests.insert(self.last_number, request);
-        Some(Exposure {
-            endpoint: endpoint.to_owned(),
-            started_unix_ms,
+        let requests = &mut self.runs.entry(run.clone()).or_default().requests;
+        requests.insert(self.last_number, request);
+        Exposure {
+            run,
             number: self.last_number,
-        })
+        }
     }
 
-    /// Records how a request ended.
-    pub fn end(&mut self, exposure: Exposure, end: ExposureEnd, now: Duration) {
-        let run = (exposure.endpoint, exposure.started_unix_ms);
-        let Some(run) = self.runs.get_mut(&run) else {
+    /// The run that a request goes to now: a new one if the last one with this start is known to have ended.
+    fn current_run(&self, endpoint: &str, started_unix_ms: UnixMs) -> RunKey {
+        let key = |number| (endpoint.to_owned(), started_unix_ms, number);
+        let mut runs = self.runs.range(key(0)..=key(u32::MAX));
+        match runs.next_back() {
+            Some((last, run)) if run.down_at.is_some() => key(last.2 + 1),
+            Some((last, _)) => last.clone(),
+            None => key(0),
+        }
+    }
+
+    /// Records how a request ended. The fingerprint is that of a request whose end may be held against it.
+    pub fn end(
+        &mut self,
+        exposure: Exposure,
+        end: ExposureEnd,
+        fingerprint: Option<RequestFingerprint>,
+        now: Duration,
+    ) {
+        let Some(run) = self.runs.get_mut(&exposure.run) else {
+            return;
+        };
+        let Some(request) = run.requests.get_mut(&exposure.number) else {
             return;
         };
-        if end == ExposureEnd::NotRun {
+        request.ended = Some((now, end));
+        request.fingerprint = fingerprint;
+        let tells_nothing = fingerprint.is_none() && request.exposed.parts.is_empty();
+        if end == ExposureEnd::NotRun || tells_nothing {
             run.requests.remove(&exposure.number);
-        } else if let Some(request) = run.requests.get_mut(&exposure.number) {
-            request.ended = Some((now, end));
+        }
+        if run.requests.is_empty() {
+            self.runs.remove(&exposure.run);
         }
     }
 
-    /// Records that an engine does not answer its sidecar or does not accept connections.
-    pub fn engine_down(&mut self, endpoint: &str, now: Duration) {
+    /// Records that an endpoint does not answer its sidecar or does not accept connections.
+    pub fn endpoint_down(&mut self, endpoint: &str, now: Duration) {
         for (_, run) in self.runs_of(endpoint) {
             run.down_at.get_or_insert(now);
         }
     }
 
-    /// Records that an engine started at this time, so that its earlier runs have ended.
-    pub fn engine_started(&mut self, endpoint: &str, started_unix_ms: UnixMs, now: Duration) {
+    /// Records that an endpoint started at this time, so that its earlier runs have ended.
+    pub fn endpoint_started(&mut self, endpoint: &str, started_unix_ms: UnixMs, now: Duration) {
         for (run_started, run) in self.runs_of(endpoint) {
             if run_started < started_unix_ms {
                 run.down_at.get_or_insert(now);
@@ -130,10 +166,10 @@
         }
     }
 
-    fn runs_of(&mut self, endpoint: &str) -> impl Iterator<Item = (UnixMs, &mut EngineRun)> {
+    fn runs_of(&mut self, endpoint: &str) -> impl Iterator<Item = (UnixMs, &mut EndpointRun)> {
         let runs = self.runs.iter_mut();
-        runs.filter(move |((id, _), _)| id == endpoint)
-            .map(|((_, started_unix_ms), run)| (*started_unix_ms, run))
+        runs.filter(move |((id, _, _), _)| id == endpoint)
+            .map(|((_, started_unix_ms, _), run)| (*started_unix_ms, run))
     }
 
     /// Whether nothing is left to settle.
@@ -147,32 +183,36 @@
         sound_at.is_some_and(|at| now.saturating_sub(*at) < SOUND_LIFETIME)
     }
 
-    /// Settles all requests of which it is known by now what they did to their engine.
+    /// Settles all requests of which it is known by now what they did to their endpoint.
     pub fn settle(&mut self, now: Duration) -> ExposureNews {
         let mut news = ExposureNews::default();
-        let mut blamed: Vec<(PartCrash, PromptPartId)> = Vec::new();
-        for ((endpoint, started_unix_ms), run) in &mut self.runs {
+        let mut blamed: Vec<(Suspect, CrashRecord)> = Vec::new();
+        for ((endpoint, started_unix_ms, _), run) in &mut self.runs {
             let crashed_at = run.crashed_at().unwrap_or(now);
-            let crash = PartCrash {
+            let crash = CrashRecord {
                 crash: crash_id(endpoint, *started_unix_ms),
                 age_ms: now.saturating_sub(crashed_at).as_millis() as u64,
-                cleared: false,
+                ..CrashRecord::default()
             };
-            let settled = run.settle(now);
+            let settled = run.settle(crash, now);
             news.sound.extend(settled.sound);
-            blamed.extend(settled.blamed.into_iter().map(|part| (crash, part)));
+            blamed.extend(settled.blamed);
         }
         self.runs.retain(|_, run| !run.requests.is_empty());
         self.remember_sound(&news.sound, now);
-        let mut crashes: BTreeMap<PromptPartId, Vec<PartCrash>> = BTreeMap::new();
-        for (crash, part) in blamed {
-            if crashes.len() < PARTS_MAX && !self.is_sound(part, now) {
-                crashes.entry(part).or_default().push(crash);
+        let mut crashes: BTreeMap<Suspect, Vec<CrashRecord>> = BTreeMap::new();
+        for (suspect, crash) in blamed {
+            let is_sound = match suspect {
+                Suspect::PromptPart(part) => self.is_sound(part, now),
+                Suspect::Request(_) => false,
+            };
+            if crashes.len() < SUSPECTS_MAX && !is_sound {
+                crashes.entry(suspect).or_default().push(crash);
             }
         }
         let crashes = crashes.into_iter();
         news.crashes = crashes
-            .map(|(part, crashes)| PartCrashes { part, crashes })
+            .map(|(suspect, crashes)| SuspectCrashes { suspect, crashes })
             .collect();
         news
     }
@@ -191,14 +231,27 @@
 }
 
 #[derive(Default)]
-struct SettledParts {
+struct Settled {
     sound: BTreeSet<PromptPartId>,
-    blamed: BTreeSet<PromptPartId>,
+    /// The crash against each suspect, where one of its requests was a trial marked as under a trial.
+    blamed: BTreeMap<Suspect, CrashRecord>,
+}
+
+impl Settled {
+    fn blame(&mut self, request: &RunRequest, crash: CrashRecord) {
+        let parts = request.exposed.parts.ids().map(Suspect::PromptPart);
+        let whole = request.fingerprint.map(Suspect::Request);
+        for suspect in parts.chain(whole) {
+            let blamed = self.blamed.entry(suspect).or_insert(crash);
+            blamed.variant = request.exposed.variant;
+            blamed.trial |= request.exposed.trial;
+        }
+    }
 }
 
-impl EngineRun {
-    fn settle(&mut self, now: Duration) -> SettledParts {
-        let mut settled = SettledParts::default();
+impl EndpointRun {
+    fn settle(&mut self, crash: CrashRecord, now: Duration) -> Settled {
+        let mut settled = Settled::default();
         let context = SettleContext {
             now,
             first_break: self.first_break(),
@@ -206,11 +259,10 @@
             replaced: self.replaced,
         };
         self.requests.retain(|_, request| {
-            let verdict = context.judge(request.ended);
-            match verdict {
+            match context.judge(request.ended) {
                 Judgment::Pending => return true,
-                Judgment::Sound => settled.sound.extend(request.parts.ids()),
-                Judgment::Blamed => settled.blamed.extend(request.parts.ids()),
+                Judgment::Sound => settled.sound.extend(request.exposed.parts.ids()),
+                Judgment::Blamed => settled.blame(request, crash),
                 Judgment::Unknown => {}
             }
             false
@@ -218,7 +270,7 @@
         settled
     }
 
-    /// Time at which the engine crashed, as far as it is known; `None` if it is not known to be down.
+    /// Time at which the endpoint crashed, as far as it is known; `None` if it is not known to be down.
     fn crashed_at(&self) -> Option<Duration> {
         let down_at = self.down_at?;
         Some(self.first_break().map_or(down_at, |at| at.min(down_at)))
--- a/crates/radishpin-core/src/process/fleet.rs
+++ b/crates/radishpin-core/src/process/fleet.rs
@@ -253,6 +253,13 @@
         endpoint.is_some_and(|e| e.is_ready() && e.requested_backoff_left(now).is_zero())
     }
 
+    /// Software versions of the ready endpoints of a service; `None` for those whose version is not known.
+    pub fn ready_versions(&self, service: &str) -> BTreeSet<Option<SoftwareVersion>> {
+        let endpoints = self.endpoints.values();
+        let ready = endpoints.filter(|e| e.entry.service == service && e.is_ready());
+        ready.map(|e| e.software_version().cloned()).collect()
+    }
+
     /// Whether an endpoint is listed as ready and has not said that it drains.
     pub fn is_ready(&self, endpoint: &str) -> bool {
         let endpoint = self.endpoints.get(endpoint);
--- a/crates/radishpin-core/src/process/fleet/refusal.rs
+++ b/crates/radishpin-core/src/process/fleet/refusal.rs
@@ -31,6 +31,8 @@
     EndpointBackoff,
     /// Engines crashed under a part of its prompt.
     CrashingPrompt,
+    /// Endpoints crashed under the request.
+    CrashingRequest,
     /// The gateway is stopping and cannot serve it in time.
     Stopping,
 }
@@ -49,6 +51,7 @@
             Self::Limited => "limited",
             Self::EndpointBackoff => "endpoint_backoff",
             Self::CrashingPrompt => "crashing_prompt",
+            Self::CrashingRequest => "crashing_request",
             Self::Stopping => "stopping",
         }
     }
@@ -97,6 +100,14 @@
         Self::new(RefusalReason::CrashingPrompt, base, random)
     }
 
+    /// Creates the refusal of a request that crashes endpoints, which may be tried again in `trial_in`.
+    pub fn crashing_request(trial_in: Duration, random: u64) -> Self {
+        /// Longest time that its caller is told; the next software version may run it well sooner.
+        const RETRY_MAX: Duration = Duration::from_secs(3_600);
+        let base = trial_in.clamp(ABSENT_RETRY, RETRY_MAX);
+        Self::new(RefusalReason::CrashingRequest, base, random)
+    }
+
     /// Creates the refusal of a request whose endpoints asked for backoffs, the first of which ends in
     /// `free_in`.
     pub fn endpoint_backoff(free_in: Duration, random: u64) -> Self {
--- a/crates/radishpin-core/src/process/shared_state.rs
+++ b/crates/radishpin-core/src/process/shared_state.rs
@@ -3,10 +3,10 @@
 //! Gateways do not know each other. Each fact has a few holders among the sidecars, which all gateways
 //! choose alike, so that it outlives the gateway that learned it and most of its holders.
 
-use super::{EndpointLimit, PartCrashes, Slot};
+use super::{EndpointLimit, Slot, SuspectCrashes, Suspects};
 use crate::{
     rendezvous::mix,
-    request::{RequestRate, SharedParts, StreamOrigin},
+    request::{RequestRate, StreamOrigin},
 };
 use radishpin_protocol::{engine::stable_hash, prelude::*};
 use serde::{Deserialize, Serialize};
@@ -20,15 +20,17 @@
     RecordOrigin(StreamOrigin),
     /// Answer with the origin of the stream that this attempt began, if there is a copy.
     FindOrigin(RequestId),
-    /// Merge these crashes into those that are held against prompt parts.
-    MergeCrashes(Vec<PartCrashes>),
+    /// Merge these crashes into those that are held against suspects.
+    MergeCrashes(Vec<SuspectCrashes>),
     /// Keep these limits that endpoints state.
     RecordLimits(Vec<EndpointLimit>),
     /// Answer with the crashes and limits that changed after what the gateway has seen, once there are
     /// any, or after a while.
     Watch(SeenNews),
-    /// Answer whether one request with these prompt parts, some of them refused, may be sent now.
-    TryPrompt(SharedParts),
+    /// Answer whether one request with these suspects, some of them refused, may be sent now.
+    TrySuspects(Suspects),
+    /// Take a permit back that was not used.
+    ReturnTrial(Suspects),
     /// Answer when a request may be sent to an endpoint that states a limit.
     TakeSlot {
         /// The endpoint.
@@ -64,8 +66,9 @@
     News {
         /// What it has seen with this.
         seen: SeenNews,
-        /// Crashes that are held against prompt parts.
-        parts: Vec<PartCrashes>,
+        /// Crashes that are held against suspects.
+        #[serde(rename = "parts")]
+        crashes: Vec<SuspectCrashes>,
         /// Limits that endpoints state.
         limits: Vec<EndpointLimit>,
     },
--- /dev/null
+++ b/crates/radishpin-core/tests/request_crashes.rs
@@ -0,0 +1,277 @@
+//! Requests that crash endpoints: which are refused, at which endpoints, and how often they are tried.
+
+use radishpin_core::{
+    process::{
+        CRASH_LIFETIME, CRASH_LIFETIME_MAX, CrashId, CrashRecord, CrashTable, CrashVerdict,
+        EndpointVariant, SUSPECTS_MAX, Suspect, SuspectCrashes, Suspects, endpoint_variant,
+    },
+    request::{PromptPartId, RequestFingerprint, SharedParts},
+};
+use std::time::Duration;
+
+const BAD: RequestFingerprint = 0xbad;
+const SOUND: RequestFingerprint = 0x50;
+const PART: PromptPartId = 0xaa;
+const V1: EndpointVariant = 1;
+const V2: EndpointVariant = 2;
+/// A request may be sent this often after its third crash, for as long as a day lasts.
+const RETRIES_A_DAY_MAX: usize = 3;
+
+const fn at(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn suspects(fingerprint: RequestFingerprint, variant: EndpointVariant) -> Suspects {
+    Suspects::new(&SharedParts::default(), Some(fingerprint), variant)
+}
+
+fn with_part(fingerprint: RequestFingerprint) -> Suspects {
+    Suspects::new(&[PART].into_iter().collect(), Some(fingerprint), V1)
+}
+
+fn held(suspect: Suspect, crash: CrashRecord) -> SuspectCrashes {
+    SuspectCrashes {
+        suspect,
+        crashes: vec![crash],
+    }
+}
+
+/// Holds a crash at endpoints of the first variant against these requests.
+fn crash(table: &mut CrashTable, id: CrashId, requests: &[RequestFingerprint], now: Duration) {
+    let record = CrashRecord {
+        crash: id,
+        variant: V1,
+        ..CrashRecord::default()
+    };
+    let messages = requests
+        .iter()
+        .map(|request| held(Suspect::Request(*request), record));
+    table.merge(messages.collect(), now);
+}
+
+/// Time until the trial of a refused request; `None` if it is allowed.
+fn trial_in(table: &CrashTable, suspects: &Suspects, now: Duration) -> Option<Duration> {
+    match table.verdict(suspects, now) {
+        CrashVerdict::Allowed => None,
+        CrashVerdict::Refused { trial_in, .. } => Some(trial_in),
+    }
+}
+
+#[test]
+fn a_request_is_refused_after_three_crashes_and_another_one_is_not() {
+    let mut table = CrashTable::default();
+    for id in 1..=3 {
+        assert_eq!(trial_in(&table, &suspects(BAD, V1), at(id)), None);
+        crash(&mut table, id, &[BAD], at(id));
+    }
+    assert_eq!(trial_in(&table, &suspects(BAD, V1), at(3)), Some(at(1)));
+    assert_eq!(trial_in(&table, &suspects(SOUND, V1), at(3)), None);
+}
+
+#[test]
+fn a_request_that_crashed_one_variant_gets_a_chance_at_another_one() {
+    let mut table = CrashTable::default();
+    for id in 1..=3 {
+        crash(&mut table, id, &[BAD], at(id));
+    }
+    assert_eq!(trial_in(&table, &suspects(BAD, V2), at(3)), None);
+    let record = CrashRecord {
+        crash: 4,
+        variant: V2,
+        ..CrashRecord::default()
+    };
+    table.merge(vec![held(Suspect::Request(BAD), record)], at(4));
+    assert!(trial_in(&table, &suspects(BAD, V2), at(4)).is_some());
+    assert_ne!(
+        endpoint_variant("a", Some("v1")),
+        endpoint_variant("a", Some("v2"))
+    );
+    assert_ne!(
+        endpoint_variant("a", Some("v1")),
+        endpoint_variant("b", Some("v1"))
+    );
+}
+
+/// One variant runs it well, so its answers must not send it back to the other one.
+#[test]
+fn an_answer_clears_a_request_at_the_variant_that_gave_it_alone() {
+    let mut table = CrashTable::default();
+    for id in 1..=3 {
+        crash(&mut table, id, &[BAD], at(id));
+    }
+    assert!(table.clear_request(BAD, V2, at(4)).is_none());
+    assert!(trial_in(&table, &suspects(BAD, V1), at(4)).is_some());
+    let message = table.clear_request(BAD, V1, at(5)).unwrap();
+    assert!(message.crashes.iter().all(|crash| crash.cleared));
+    assert_eq!(trial_in(&table, &suspects(BAD, V1), at(5)), None);
+    assert!(
+        table.clear_request(BAD, V1, at(5)).is_none(),
+        "nothing is left"
+    );
+}
+
+/// A caller sends a request that crashes every endpoint once a second, and each trial crashes one. It goes
+/// on at the holder of the trials, and after an hour at one that has just started.
+#[test]
+fn a_request_that_crashes_endpoints_all_day_is_tried_three_times_at_most() {
+    let mut table = CrashTable::default();
+    for id in 1..=3 {
+        crash(&mut table, id, &[BAD], at(id));
+    }
+    let mut tried = 0;
+    for second in 4..24 * 3_600 {
+        let now = at(second);
+        if second == 3_600 {
+            let known = table.messages_since(0, now);
+            table = CrashTable::default();
+            table.merge(known, now);
+        }
+        if table.grant_trial(&suspects(BAD, V1), now) {
+            tried += 1;
+            let record = CrashRecord {
+                crash: 100 + second,
+                variant: V1,
+                trial: true,
+                ..CrashRecord::default()
+            };
+            table.merge(vec![held(Suspect::Request(BAD), record)], now + at(1));
+        }
+    }
+    assert!((1..=RETRIES_A_DAY_MAX).contains(&tried), "{tried} trials");
+}
+
+/// Nothing tells that the endpoint crashed, or it did not run the request.
+#[test]
+fn a_trial_without_a_known_end_is_repeated_ever_less_often() {
+    let mut table = CrashTable::default();
+    for id in 1..=3 {
+        crash(&mut table, id, &[SOUND], at(id));
+    }
+    let tried = (4..1_300).filter(|second| table.grant_trial(&suspects(SOUND, V1), at(*second)));
+    assert_eq!(tried.collect::<Vec<_>>(), [4, 10, 610, 1_210]);
+}
+
+/// No endpoint was up when the trials were granted.
+#[test]
+fn a_trial_that_is_given_back_unused_does_not_count() {
+    let mut table = CrashTable::default();
+    for id in 1..=3 {
+        crash(&mut table, id, &[SOUND], at(id));
+    }
+    for second in 4..9 {
+        assert!(table.grant_trial(&suspects(SOUND, V1), at(second)));
+        table.return_trial(&suspects(SOUND, V1));
+    }
+    assert!(table.grant_trial(&suspects(SOUND, V1), at(9)));
+    assert!(!table.grant_trial(&suspects(SOUND, V1), at(10)));
+}
+
+#[test]
+fn requests_are_tried_one_after_the_other() {
+    let mut table = CrashTable::default();
+    for id in 1..=3 {
+        crash(&mut table, id, &[BAD, SOUND], at(id));
+    }
+    assert!(table.grant_trial(&suspects(BAD, V1), at(5)));
+    assert!(!table.grant_trial(&suspects(SOUND, V1), at(5)));
+    assert!(table.grant_trial(&suspects(SOUND, V1), at(6)));
+}
+
+/// The parts of its prompt were in all crashes too.
+#[test]
+fn a_request_is_refused_rather_than_the_prompt_parts_that_others_share() {
+    let mut table = CrashTable::default();
+    let crash_with_part = |table: &mut CrashTable, id, request| {
+        crash(table, id, &[request], at(id));
+        let record = CrashRecord {
+            crash: id,
+            variant: V1,
+            ..CrashRecord::default()
+        };
+        table.merge(vec![held(Suspect::PromptPart(PART), record)], at(id));
+    };
+    for id in 1..=3 {
+        crash_with_part(&mut table, id, BAD);
+    }
+    assert!(trial_in(&table, &with_part(BAD), at(3)).is_some());
+    assert_eq!(trial_in(&table, &with_part(SOUND), at(3)), None);
+    crash_with_part(&mut table, 4, 0x11);
+    assert!(
+        trial_in(&table, &with_part(SOUND), at(4)).is_some(),
+        "it is the part"
+    );
+}
+
+/// Endpoints whose entry does not tell when they started crash again under the same id.
+#[test]
+fn two_crashes_of_one_endpoint_are_told_from_one_that_two_gateways_saw() {
+    let mut table = CrashTable::default();
+    crash(&mut table, 1, &[BAD], at(1));
+    crash(&mut table, 1, &[BAD], at(1) + Duration::from_millis(300));
+    assert_eq!(table.count(Suspect::Request(BAD)), 1);
+    crash(&mut table, 1, &[BAD], at(2));
+    crash(&mut table, 1, &[BAD], at(3));
+    assert_eq!(table.count(Suspect::Request(BAD)), 3);
+    let mut other = CrashTable::default();
+    crash(&mut other, 1, &[BAD], at(3));
+    for _ in 0..3 {
+        other.merge(table.messages_since(0, at(4)), at(4));
+        table.merge(other.messages_since(0, at(4)), at(4));
+    }
+    assert_eq!(other.count(Suspect::Request(BAD)), 3);
+    assert_eq!(table.count(Suspect::Request(BAD)), 3);
+}
+
+/// Its caller invents new requests, each of which crashes an endpoint or two.
+#[test]
+fn invented_requests_do_not_push_one_that_crashes_endpoints_out() {
+    let mut table = CrashTable::default();
+    for id in 1..=3 {
+        crash(&mut table, id, &[BAD], at(id));
+    }
+    for n in 0..4 * SUSPECTS_MAX as u64 {
+        crash(&mut table, 1_000 + n, &[10_000 + n], at(10 + n));
+        crash(&mut table, 2_000 + n, &[10_000 + n], at(10 + n));
+    }
+    let now = at(10 + 4 * SUSPECTS_MAX as u64);
+    assert!(trial_in(&table, &suspects(BAD, V1), now).is_some());
+    assert_eq!(table.len(), SUSPECTS_MAX);
+    let bytes = serde_json::to_vec(&table.messages_since(0, now))
+        .unwrap()
+        .len();
+    assert!(bytes <= 1024 * 1024, "{bytes} bytes");
+}
+
+#[test]
+fn a_refused_request_is_remembered_for_a_day_and_others_for_an_hour() {
+    let mut table = CrashTable::default();
+    for id in 1..=3 {
+        crash(&mut table, id, &[BAD], at(id));
+    }
+    crash(&mut table, 9, &[SOUND], at(3));
+    table.merge(Vec::new(), at(3) + CRASH_LIFETIME);
+    assert_eq!(table.count(Suspect::Request(SOUND)), 0);
+    assert_eq!(table.count(Suspect::Request(BAD)), 3);
+    table.merge(Vec::new(), at(3) + CRASH_LIFETIME_MAX);
+    assert!(table.is_empty());
+}
+
+#[test]
+fn crashes_are_understood_by_and_from_earlier_releases() {
+    let earlier = r#"[{"part":170,"crashes":[{"crash":1,"age_ms":0,"cleared":false}]}]"#;
+    let read: Vec<SuspectCrashes> = serde_json::from_str(earlier).unwrap();
+    assert_eq!(
+        read,
+        [held(
+            Suspect::PromptPart(PART),
+            CrashRecord {
+                crash: 1,
+                ..CrashRecord::default()
+            }
+        )]
+    );
+    let sent = serde_json::to_value(held(Suspect::Request(BAD), CrashRecord::default())).unwrap();
+    assert_eq!(sent["part"], BAD);
+    let back: SuspectCrashes = serde_json::from_value(sent).unwrap();
+    assert_eq!(back.suspect, Suspect::Request(BAD));
+}
--- a/crates/radishpin-gateway/src/connection.rs
+++ b/crates/radishpin-gateway/src/connection.rs
@@ -10,7 +10,7 @@
 mod shared_link;
 
 pub(crate) use body_budget::{BodyBudget, BodyError};
-pub(crate) use client::{Connection, ExchangeError, get, keep_alive, post};
+pub(crate) use client::{CONNECT_TIMEOUT, Connection, ExchangeError, get, keep_alive, post};
 pub(crate) use link::run_link;
 pub(crate) use pool::{Pool, PooledConnection};
 pub(crate) use server::{ServerLimits, serve};
--- a/crates/radishpin-gateway/src/connection/client.rs
+++ b/crates/radishpin-gateway/src/connection/client.rs
@@ -51,6 +51,16 @@
     }
 }
 
+impl ExchangeError {
+    /// Whether the host refused the connection, so that no process listens there.
+    pub(crate) fn is_connection_refused(&self) -> bool {
+        match self {
+            Self::Connect(cause) => cause.kind() == io::ErrorKind::ConnectionRefused,
+            Self::NotSent | Self::Broken(_) | Self::Body(_) => false,
+        }
+    }
+}
+
 /// A connection that carries one exchange at a time. Dropping it closes the socket.
 #[derive(Debug)]
 pub(crate) struct Connection {
--- a/crates/radishpin-gateway/src/connection/shared_link.rs
+++ b/crates/radishpin-gateway/src/connection/shared_link.rs
@@ -12,7 +12,7 @@
 /// Longest time for one exchange, connecting included.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Largest message that is read, in bytes: a whole table of crashes takes less.
-pub(crate) const SHARED_BYTES_MAX: usize = 256 * 1024;
+pub(crate) const SHARED_BYTES_MAX: usize = 1024 * 1024;
 
 /// A request to a sidecar; the answer goes to `reply`, where the sender waits for one.
 #[derive(Debug)]
--- a/crates/radishpin-gateway/src/process.rs
+++ b/crates/radishpin-gateway/src/process.rs
@@ -11,7 +11,7 @@
 
 pub(crate) use clock::Clock;
 pub use error::GatewayError;
-pub(crate) use gateway::{Gateway, PromptTrial};
+pub(crate) use gateway::{Gateway, TrialPermit};
 pub use gateway::{GatewayProcess, run_gateway};
 pub(crate) use metrics::{Metrics, serve_metrics};
 pub use settings::read_settings;
--- a/crates/radishpin-gateway/src/process/gateway.rs
+++ b/crates/radishpin-gateway/src/process/gateway.rs
@@ -1,12 +1,12 @@
 //! The gateway: receives callers' requests and forwards them to endpoints.
 
 mod availability;
+mod crashes;
 mod limits;
 mod links;
 mod listeners;
 mod news;
 mod origins;
-mod prompts;
 
 use super::{
     Clock, GatewayError, Metrics, Shutdown, StoreClient, read_settings, serve_metrics,
@@ -16,6 +16,8 @@
     connection::{BodyBudget, Pool, ServerLimits},
     version::{watch_catalog, watch_endpoint_list},
 };
+use crashes::CrashGuard;
+pub(crate) use crashes::TrialPermit;
 use event_listener::Event;
 use limits::LimitGuard;
 use links::Link;
@@ -23,8 +25,6 @@
 use news::NEWS_HOLDERS;
 use origins::OriginDirectory;
 use parking_lot::Mutex;
-use prompts::PromptGuard;
-pub(crate) use prompts::PromptTrial;
 use radishpin_adapter::Settings;
 use radishpin_core::{
     process::{
@@ -84,7 +84,7 @@
     pub(crate) body_budget: BodyBudget,
     pub(crate) retry_budgets: Mutex<RetryBudgets>,
     pub(crate) origins: OriginDirectory,
-    pub(crate) prompts: PromptGuard,
+    pub(crate) crash_guard: CrashGuard,
     pub(crate) limits: LimitGuard,
     pub(crate) shutdown: Arc<Shutdown>,
     pub(crate) metrics: Metrics,
@@ -114,7 +114,7 @@
             body_budget: BodyBudget::default(),
             retry_budgets: Mutex::new(RetryBudgets::new(burst * 2, burst)),
             origins: OriginDirectory::default(),
-            prompts: PromptGuard::default(),
+            crash_guard: CrashGuard::default(),
             limits: LimitGuard::default(),
             settings: Mutex::new(Arc::new(settings)),
             shutdown: Arc::default(),
@@ -179,6 +179,7 @@
         endpoint_list: &EndpointList,
         changes: &[EndpointChange],
     ) {
+        let crashed = self.crashed_endpoints(changes);
         self.fleet
             .lock()
             .update_endpoints(endpoint_list.entries(), changes);
@@ -188,7 +189,7 @@
         self.endpoint_list_read.store(true, Ordering::Relaxed);
         self.update_endpoint_gauges(endpoint_list);
         if !changes.is_empty() {
-            self.observe_changes(changes);
+            self.observe_crashed(&crashed);
             self.update_links();
             self.pool
                 .prune(|id| endpoint_list.entries().contains_key(id));
--- a/crates/radishpin-gateway/src/process/gateway/news.rs
+++ b/crates/radishpin-gateway/src/process/gateway/news.rs
@@ -99,13 +99,13 @@
         let answer = self.exchange(gateway, holder, &request, time_limit).await;
         let Some(SharedReply::News {
             seen,
-            parts,
+            crashes,
             limits,
         }) = answer
         else {
             return false;
         };
-        gateway.learn_crashes(parts);
+        gateway.learn_crashes(crashes);
         gateway.learn_limits(&limits);
         let is_new = seen.incarnation != self.seen.incarnation;
         self.seen = seen;
--- a/crates/radishpin-gateway/src/process/metrics.rs
+++ b/crates/radishpin-gateway/src/process/metrics.rs
@@ -45,6 +45,8 @@
     pub(crate) endpoints: IntGaugeVec,
     /// Prompt parts whose requests are refused because engines crashed under them.
     pub(crate) refused_prompt_parts: IntGauge,
+    /// Requests that are refused because endpoints crash under them.
+    pub(crate) refused_requests: IntGauge,
     /// Version of the configuration in force; 0 before the first one.
     pub(crate) configuration_version: IntGauge,
 }
@@ -114,6 +116,10 @@
             "radishpin_refused_prompt_parts",
             "Prompt parts that are refused because engines crashed under them",
         )?;
+        let refused_requests = gauge(
+            "radishpin_refused_requests",
+            "Requests that are refused because endpoints crashed under them",
+        )?;
         let configuration_version = gauge(
             "radishpin_configuration_version",
             "Version of the configuration in force",
@@ -132,6 +138,7 @@
             order_s,
             endpoints,
             refused_prompt_parts,
+            refused_requests,
             configuration_version,
         })
     }
--- a/crates/radishpin-gateway/src/process/sidecar/shared_state.rs
+++ b/crates/radishpin-gateway/src/process/sidecar/shared_state.rs
@@ -9,8 +9,8 @@
 use parking_lot::Mutex;
 use radishpin_core::{
     process::{
-        EndpointLimit, EndpointLimits, LIMITS_MAX, PartCrashes, PromptCrashes, SeenNews, SendSlots,
-        SharedReply, SharedRequest,
+        CrashTable, EndpointLimit, EndpointLimits, LIMITS_MAX, SeenNews, SendSlots, SharedReply,
+        SharedRequest, SuspectCrashes,
     },
     request::StreamOrigins,
 };
@@ -27,7 +27,7 @@
 #[derive(Debug, Default)]
 pub(super) struct SharedState {
     origins: Mutex<StreamOrigins>,
-    crashes: Mutex<PromptCrashes>,
+    crashes: Mutex<CrashTable>,
     limits: Mutex<EndpointLimits>,
     slots: Mutex<SendSlots>,
     /// Notified when crashes or limits have changed.
@@ -70,8 +70,8 @@
                 let origins = self.shared.origins.lock();
                 SharedReply::Origin(origins.find(&attempt, now).cloned())
             }
-            SharedRequest::MergeCrashes(parts) => {
-                self.merge_crashes(parts);
+            SharedRequest::MergeCrashes(crashes) => {
+                self.merge_crashes(crashes);
                 SharedReply::Kept
             }
             SharedRequest::RecordLimits(limits) => {
@@ -79,11 +79,15 @@
                 SharedReply::Kept
             }
             SharedRequest::Watch(seen) => self.watch_news(seen).await,
-            SharedRequest::TryPrompt(parts) => {
-                let granted = self.shared.crashes.lock().grant_trial(&parts, now);
-                log::info!(event = "prompt_trial", shared_parts:% = parts, granted = granted; "a gateway asked to try a refused prompt part");
+            SharedRequest::TrySuspects(suspects) => {
+                let granted = self.shared.crashes.lock().grant_trial(&suspects, now);
+                log::info!(event = "trial_asked", suspects:% = suspects, granted = granted; "a gateway asked to try a refused request or prompt part");
                 SharedReply::Permit(granted)
             }
+            SharedRequest::ReturnTrial(suspects) => {
+                self.shared.crashes.lock().return_trial(&suspects);
+                SharedReply::Kept
+            }
             SharedRequest::TakeSlot {
                 endpoint,
                 rate,
@@ -96,8 +100,9 @@
         }
     }
 
-    fn merge_crashes(&self, parts: Vec<PartCrashes>) {
-        let changed = self.shared.crashes.lock().merge(parts, self.clock.now());
+    fn merge_crashes(&self, crashes: Vec<SuspectCrashes>) {
+        let now = self.clock.now();
+        let changed = self.shared.crashes.lock().merge(crashes, now);
         if changed {
             self.shared.news.notify(usize::MAX);
         }
@@ -143,7 +148,7 @@
                 crashes_version: crashes.version(),
                 limits_version: limits.version(),
             },
-            parts: crashes.messages_since(seen.crashes_version, now),
+            crashes: crashes.messages_since(seen.crashes_version, now),
             limits: limits.since(seen.limits_version, now),
         }
     }
--- a/crates/radishpin-gateway/src/request/assignment.rs
+++ b/crates/radishpin-gateway/src/request/assignment.rs
@@ -1,11 +1,11 @@
 //! Assigns a request to an endpoint and records how it ended there.
 
 use super::call::Call;
-use crate::process::{Gateway, PromptTrial};
+use crate::process::{Gateway, TrialPermit};
 use futures_lite::future;
 use radishpin_core::process::{
-    EndpointSnapshot, Exposure, FIRST_TOKEN_LATENCY, LoadTarget, Pick, PickQuery, Refusal,
-    RequestOutcome, SlotWait, Wait,
+    EndpointSnapshot, ExposedRequest, Exposure, FIRST_TOKEN_LATENCY, LoadTarget, Pick, PickQuery,
+    Refusal, RequestOutcome, SlotWait, Wait, endpoint_variant,
 };
 use radishpin_protocol::{UnixMs, prelude::*};
 use radishpin_runtime::Runtime;
@@ -45,14 +45,12 @@
         let mut fleet = self.gateway.fleet.lock();
         fleet.end_request(&self.endpoint, self.call.target(), outcome, now);
         drop(fleet);
+        if let Some(exposure) = self.exposure.take() {
+            self.gateway.end_exposure(exposure, outcome, &self.call);
+        }
         if outcome == RequestOutcome::Broken {
             self.log_break();
-        }
-        if outcome == RequestOutcome::Unreachable {
-            self.gateway.engine_unreachable(&self.endpoint);
-        }
-        if let Some(exposure) = self.exposure.take() {
-            self.gateway.end_exposure(exposure, outcome);
+            self.gateway.check_endpoint(&self.endpoint, self.address);
         }
     }
 
@@ -68,11 +66,17 @@
     /// Keeps a response that is no success from speaking for the parts of its prompt.
     pub(crate) fn end_exposure(&mut self) {
         if let Some(exposure) = self.exposure.take() {
-            let outcome = RequestOutcome::Canceled;
-            self.gateway.end_exposure(exposure, outcome);
+            let outcome = RequestOutcome::Failed;
+            self.gateway.end_exposure(exposure, outcome, &self.call);
         }
     }
 
+    /// Records that the endpoint answered, so that it did not crash under the request.
+    pub(crate) fn answered(&self) {
+        let software_version = self.software_version.as_deref();
+        self.gateway.request_answered(&self.call, software_version);
+    }
+
     /// Returns the outcome of a response that is complete now.
     pub(crate) fn served(&self) -> RequestOutcome {
         let now = self.gateway.clock.now();
@@ -149,8 +153,8 @@
     pub(crate) software_version: Option<&'a str>,
     /// Time by which its caller must get the next part of the response.
     pub(crate) next_part_deadline: Duration,
-    /// Whether it may be sent although engines crashed under its prompt.
-    pub(crate) prompt_trial: PromptTrial,
+    /// Permit to send it although endpoints crashed under it or a part of its prompt.
+    pub(crate) trial: Option<&'a TrialPermit>,
 }
 
 /// Assigns a request to an endpoint, and waits for a load if the load can end in time for a response.
@@ -174,10 +178,16 @@
         let stopping = waits_until.is_some_and(|until| until < next_part_deadline);
         let waits_until =
             waits_until.map_or(next_part_deadline, |until| until.min(next_part_deadline));
+        let software_version = match constraints.trial {
+            Some(permit) => Ok(permit.software_version.clone()),
+            None => gateway.check_crashes(call, constraints.software_version),
+        };
         let query = PickQuery {
             service: &call.service,
             target: call.target(),
-            software_version: constraints.software_version,
+            software_version: software_version
+                .as_ref()
+                .map_or(constraints.software_version, |version| version.as_deref()),
             priority: call.route.priority,
             time_left: waits_until.saturating_sub(now),
             stopping,
@@ -192,11 +202,9 @@
         if query.reconsider {
             reconsidered_at = now;
         }
-        if constraints.prompt_trial == PromptTrial::No
-            && let Some(refusal) = gateway.refused_prompt(&call.shared_parts, call.random)
-        {
-            log_refusal(call, &refusal, &query);
-            return Err(refusal);
+        if let Err(refusal) = &software_version {
+            log_refusal(call, refusal, &query);
+            return Err(refusal.clone());
         }
         let slot = slot_at.take();
         let pick = match &slot {
@@ -210,10 +218,15 @@
                 snapshot,
             } => {
                 let has_slot = snapshot.limit.is_none() || slot.as_ref() == Some(&endpoint);
-                let exposure =
-                    gateway.begin_exposure(&endpoint, snapshot.started_unix_ms, &call.shared_parts);
+                let version = snapshot.software_version.as_deref();
+                let exposed = ExposedRequest {
+                    parts: call.shared_parts.clone(),
+                    variant: endpoint_variant(&call.service, version),
+                    trial: constraints.trial.is_some(),
+                };
+                let exposure = gateway.begin_exposure(&endpoint, snapshot.started_unix_ms, exposed);
                 let assignment = Assignment {
-                    exposure,
+                    exposure: Some(exposure),
                     gateway: Arc::clone(gateway),
                     call: Arc::clone(call),
                     endpoint,
--- a/crates/radishpin-gateway/src/request/attempt.rs
+++ b/crates/radishpin-gateway/src/request/attempt.rs
@@ -40,6 +40,16 @@
     TimedOut,
 }
 
+impl AttemptResult {
+    /// Whether an endpoint may have begun to run the request.
+    pub(crate) fn may_have_run(&self) -> bool {
+        match self {
+            Self::Complete { .. } | Self::Stream(_) | Self::Unknown { .. } | Self::TimedOut => true,
+            Self::NotRun { .. } | Self::NotSent { .. } => false,
+        }
+    }
+}
+
 /// A successful response to a streaming request, whose body has not been read yet.
 #[derive(Debug)]
 pub(crate) struct OpenStream {
@@ -99,6 +109,9 @@
                 };
             }
             Err(cause) => {
+                if cause.is_connection_refused() {
+                    gateway.endpoint_refuses_connections(&assignment.endpoint);
+                }
                 assignment.end(RequestOutcome::Unreachable);
                 return AttemptResult::NotSent {
                     cause: cause.to_string(),
@@ -231,6 +244,7 @@
     gateway
         .pool
         .release(&assignment.endpoint, pooled, keep_alive);
+    assignment.answered();
     let outcome = match head.status.is_server_error() {
         true => RequestOutcome::Failed,
         false => assignment.served(),
--- a/crates/radishpin-gateway/src/request/fingerprint.rs
+++ b/crates/radishpin-gateway/src/request/fingerprint.rs
@@ -24,8 +24,8 @@
     "x-trace-id",
 ];
 
-/// Computes the fingerprint of a request from its method, host, path, query, body, and the headers that
-/// tell who its caller is.
+/// Computes the fingerprint of a request from its method, host, path, query, body, the parts of its prompt
+/// that other requests may share, and the headers that tell who its caller is.
 ///
 /// The hash is cryptographic, so that no caller can craft a request with the fingerprint of another one.
 pub(crate) fn fingerprint(
@@ -53,7 +53,17 @@
         write(&mut hash, name.as_bytes());
         write(&mut hash, value);
     }
-    // The body comes last, after an empty name that no header has.
+    // Ends the headers, as none has an empty name.
+    write(&mut hash, &[]);
+    let prefix = headers.get(wire::PROMPT_PREFIX);
+    let prefix = prefix.and_then(|prefix| prefix.to_str().ok());
+    for part in prefix
+        .map(wire::parse_shared_parts)
+        .unwrap_or_default()
+        .ids()
+    {
+        write(&mut hash, &part.to_be_bytes());
+    }
     write(&mut hash, &[]);
     write(&mut hash, body);
     let digest = hash.finalize();
--- a/crates/radishpin-gateway/src/request/forward.rs
+++ b/crates/radishpin-gateway/src/request/forward.rs
@@ -11,7 +11,7 @@
     stream::stream_response,
     stream_version::StreamVersion,
 };
-use crate::process::Gateway;
+use crate::process::{Gateway, TrialPermit};
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header, response::Parts};
 use hyper::body::Incoming;
@@ -72,6 +72,8 @@
     sends_ran: u32,
     /// Sends that did not run: endpoints refused them, or they reached none.
     sends_refused: usize,
+    /// Permit to send the request although endpoints crashed under it, until an endpoint may have run it.
+    trial: Option<TrialPermit>,
     /// Error response of an endpoint, which is returned if no retry brings a better one.
     failed_response: Option<AttemptResult>,
 }
@@ -108,6 +110,7 @@
             stream_version: StreamVersion::Unbound,
             sends_ran: 0,
             sends_refused: 0,
+            trial: None,
             failed_response: None,
         }
     }
@@ -170,23 +173,34 @@
                 assignment.software_version.as_ref(),
             );
             let time_limit = self.attempt_timeout(remaining);
+            if let Some(permit) = &mut self.trial {
+                permit.set_used(true);
+            }
             let attempt = send(&self.gateway, &call, assignment, last_event_id, time_limit).await;
             self.tried.insert(endpoint.clone());
+            if attempt.may_have_run() {
+                self.trial = None;
+            } else if let Some(permit) = &mut self.trial {
+                permit.set_used(false);
+            }
             if let Some(done) = self.handle_result(attempt, &endpoint, now) {
                 return done;
             }
         }
     }
 
-    /// Assigns the request to an endpoint, unless engines crash under its prompt.
-    async fn assign(&self, call: &Arc<Call>) -> Result<Assignment, Refusal> {
+    /// Assigns the request to an endpoint, unless endpoints crash under it.
+    async fn assign(&mut self, call: &Arc<Call>) -> Result<Assignment, Refusal> {
         let gateway = &self.gateway;
-        let prompt_trial = gateway.admit_prompt(call).await?;
+        let bound = self.stream_version.bound();
+        if self.trial.is_none() {
+            self.trial = gateway.admit(call, bound).await?;
+        }
         let constraints = Constraints {
             tried: &self.tried,
-            software_version: self.stream_version.bound(),
+            software_version: bound,
             next_part_deadline: call.next_part_deadline(self.last_part_at),
-            prompt_trial,
+            trial: self.trial.as_ref(),
         };
         assign_endpoint(gateway, call, constraints).await
     }
--- a/crates/radishpin-gateway/src/request/stream.rs
+++ b/crates/radishpin-gateway/src/request/stream.rs
@@ -163,6 +163,7 @@
             } = open;
             let pool = &self.forward.gateway.pool;
             pool.release(&assignment.endpoint, pooled, keep_alive);
+            assignment.answered();
             let served = assignment.served();
             assignment.end(served);
         }
