Test gateways and sidecars that just started so that cutting their news fails

With `learn_crashes` cut out of the watch of news three tests of request crashes passed that are about news: each gateway that had just started crashed three endpoints of its own and then refused the request, within what one gateway is allowed. The request now pauses from its third crash until it must be known, and comes to five gateways, or to three new ones; the bound stays three for all together.

--- a/crates/radishpin-gateway/tests/serving/request_crashes.rs
+++ b/crates/radishpin-gateway/tests/serving/request_crashes.rs
@@ -79,25 +79,19 @@
             .sum()
     }
 
-    /// Sends the request, each time to the next gateway, until endpoints have crashed three times or
-    /// no longer do, and then for as long as gateways may take to notice.
+    /// Sends the request, each time to the next gateway, until endpoints have crashed three times, and
+    /// waits for as long as gateways may take to notice.
     fn send_until_noticed(&self, gateways: &[&GatewayProcess], request: &CallerRequest) {
-        let mut noticed_at = None;
         for n in 0..60 {
-            send(
-                &self.cluster,
-                gateways[n % gateways.len()],
-                request,
-                &format!("bad{n}"),
-            );
+            let gateway = gateways[n % gateways.len()];
+            send(&self.cluster, gateway, request, &format!("bad{n}"));
             thread::sleep(PAUSE);
-            if noticed_at.is_none() && self.crashes() >= CRASHES {
-                noticed_at = Some(Instant::now());
-            }
-            if noticed_at.is_some_and(|at: Instant| at.elapsed() >= CONTACT) {
-                return;
+            if self.crashes() >= CRASHES {
+                break;
             }
         }
+        assert!(self.crashes() >= CRASHES, "{} crashes", self.crashes());
+        thread::sleep(CONTACT);
     }
 
     /// Sends the request, each time to the next gateway, among sound ones; returns how often it reached
@@ -133,11 +127,9 @@
 
     /// Checks that the request is kept from endpoints and the sound ones are not.
     fn check(&self, request: &CallerRequest, sound: &[CallerRequest]) {
-        let (second, third) = (
-            self.cluster.start_gateway_on("host-2"),
-            self.cluster.start_gateway_on("host-3"),
-        );
-        let gateways = [&self.cluster.gateway, &second, &third];
+        let others = ["host-2", "host-3", "host-4", "host-5"];
+        let others = others.map(|host| self.cluster.start_gateway_on(host));
+        let gateways: Vec<_> = others.iter().chain([&self.cluster.gateway]).collect();
         self.cluster.wait_until_ready();
         self.send_until_noticed(&gateways, request);
         let late = self.late_arrivals(&gateways, request, sound);
@@ -257,10 +249,11 @@
     let gateway = &fixture.cluster.gateway;
     let bad = of_caller(order().body(BAD_BODY), "one");
     fixture.send_until_noticed(&[gateway], &bad);
+    send(&fixture.cluster, gateway, &bad, "tried");
+    thread::sleep(DOWNTIME);
     for endpoint in &fixture.endpoints {
         endpoint.crash_on_body(None);
     }
-    thread::sleep(DOWNTIME);
     let refused = send(&fixture.cluster, gateway, &bad, "same");
     assert_eq!(refused.status, 503, "{refused}");
     assert!(refused.header("retry-after").is_some(), "{refused}");
@@ -279,18 +272,24 @@
     }
 }
 
-/// The gateways that saw the crashes are gone.
+/// Starts gateways in place of the first one, which saw the crashes, and checks that few requests reach
+/// endpoints from all of them together.
+fn check_new_gateways(fixture: &Fixture, request: &CallerRequest) {
+    smol::block_on(fixture.cluster.gateway.stop());
+    let new = ["host-2", "host-3", "host-4"].map(|host| fixture.cluster.start_gateway_on(host));
+    thread::sleep(Duration::from_millis(1_500));
+    let new: Vec<_> = new.iter().collect();
+    let late = fixture.late_arrivals(&new, request, &[order(), lookup()]);
+    assert!(late <= LATE_MAX, "{late} reached endpoints late");
+}
+
 #[test]
-fn a_gateway_that_has_just_started_refuses_a_request_that_crashed_endpoints_before() {
+fn gateways_that_have_just_started_refuse_a_request_that_crashed_endpoints_before() {
     let fixture = Fixture::plain();
     fixture.cluster.wait_until_ready();
     let request = order().body(BAD_BODY);
     fixture.send_until_noticed(&[&fixture.cluster.gateway], &request);
-    smol::block_on(fixture.cluster.gateway.stop());
-    let new = fixture.cluster.start_gateway_on("host-2");
-    thread::sleep(Duration::from_millis(1_500));
-    let late = fixture.late_arrivals(&[&new], &request, &[order(), lookup()]);
-    assert!(late <= LATE_MAX, "{late} reached endpoints late");
+    check_new_gateways(&fixture, &request);
 }
 
 /// All sidecars restart, and then all gateways, so that only what the former were told again is left.
@@ -305,11 +304,7 @@
         fixture.sidecars[n] = fixture.cluster.restart_sidecar(sidecar, engine);
     }
     thread::sleep(Duration::from_secs(2));
-    smol::block_on(fixture.cluster.gateway.stop());
-    let new = fixture.cluster.start_gateway_on("host-2");
-    thread::sleep(Duration::from_millis(1_500));
-    let late = fixture.late_arrivals(&[&new], &request, &[order(), lookup()]);
-    assert!(late <= LATE_MAX, "{late} reached endpoints late");
+    check_new_gateways(&fixture, &request);
 }
 
 /// One caller polls with the same request, which runs beside the one that crashes the endpoints.
