Let gateways that have just started learn limits that were stated before

Callers could see: each gateway that started sent requests to an endpoint beyond the limit that it had stated. Cause: the clock of a process began at zero, so the time of a statement older than the process was cut to zero, and a limit learned at zero counted as no news. The class: times before the start of a clock that starts at zero; crashes that a holder which has just started hears of were cut alike, and two of one endpoint would have become one.

The clock begins later than any age that processes tell each other. The one duration since the start, before which a sidecar that restarted loads nothing from the weight store, is added to it.

--- a/crates/radishpin-gateway/src/process/clock.rs
+++ b/crates/radishpin-gateway/src/process/clock.rs
@@ -1,8 +1,13 @@
 //! The monotonic clock of the process.
 
+use radishpin_core::process::{CRASH_LIFETIME_MAX, LIMIT_LIFETIME};
 use std::time::{Duration, Instant};
 
-/// Measures the time since the process started.
+/// Time that the clock shows when the process starts. Other processes tell the ages of events, which may
+/// be before the start.
+const START: Duration = CRASH_LIFETIME_MAX.saturating_add(LIMIT_LIFETIME);
+
+/// Measures the time since the process started, from [`START`] on.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Clock {
     started_at: Instant,
@@ -15,7 +20,8 @@
         }
     }
 
+    /// Time after any event whose age another process tells.
     pub(crate) fn now(self) -> Duration {
-        self.started_at.elapsed()
+        START + self.started_at.elapsed()
     }
 }
--- a/crates/radishpin-gateway/src/process/sidecar.rs
+++ b/crates/radishpin-gateway/src/process/sidecar.rs
@@ -216,15 +216,17 @@
         let engine = settings
             .engine
             .ok_or(GatewayError::MissingSetting("address of an engine"))?;
-        let store_load_after = if settings.first_start {
+        let clock = Clock::start();
+        let store_load_delay = if settings.first_start {
             Duration::ZERO
         } else {
             settings.platform_limits.load_window
         };
+        let store_load_after = clock.now() + store_load_delay;
         let incarnation = rand::random();
         Ok(Self {
             runtime,
-            clock: Clock::start(),
+            clock,
             engine,
             incarnation,
             residency: Mutex::new(Residency::new(incarnation, store_load_after)),
--- a/crates/radishpin-gateway/tests/serving/limits.rs
+++ b/crates/radishpin-gateway/tests/serving/limits.rs
@@ -20,6 +20,9 @@
 /// Time for which callers send requests.
 const LOAD_TIME: Duration = Duration::from_secs(10);
 
+/// Gateways that start while an endpoint states a limit.
+const NEW_GATEWAYS: usize = 16;
+
 /// Most requests that an endpoint with this limit may get in a window.
 fn allowed(limit_per_s: f64) -> usize {
     (1.5 * limit_per_s * WINDOW.as_secs_f64() + 5.0) as usize
@@ -170,6 +173,7 @@
     assert!(most <= allowed(2.0), "{most} in a window");
 }
 
+/// Many gateways start, so that one request of each to the limited engine is more than it takes.
 #[test]
 fn a_gateway_that_has_just_started_keeps_to_a_limit() {
     let cluster = TestCluster::start();
@@ -184,9 +188,10 @@
         let first = &cluster.gateway;
         scope.spawn(move || load(cluster, &[first, &second], dictation));
         thread::sleep(CONTACT);
-        let third = cluster.start_gateway_on("host-3");
+        let new = (0..NEW_GATEWAYS).map(|n| cluster.start_gateway_on(&format!("host-new-{n}")));
+        let new: Vec<GatewayProcess> = new.collect();
         thread::sleep(Duration::from_secs(1));
-        load(cluster, &[&third, &third], dictation);
+        load(cluster, &new.iter().collect::<Vec<_>>(), dictation);
     });
     let most = fullest_window(&limited, stated_at);
     assert!(most <= allowed(1.0), "{most} in a window");
