Name what the choice of an endpoint depends on apart from the choice

The query and the decision stand in decision.rs, and which endpoints can serve a request at all in eligibility.rs; nothing else changes.

--- a/crates/radishpin-core/src/process/fleet.rs
+++ b/crates/radishpin-core/src/process/fleet.rs
@@ -1,6 +1,8 @@
 //! A gateway's view of the endpoints: chooses where requests go and which models to load.
 
 mod availability;
+mod decision;
+mod eligibility;
 mod endpoint;
 mod expected_retries;
 mod loader;
@@ -12,10 +14,9 @@
 mod stated_limit;
 
 pub use availability::REQUESTED_BACKOFF_MAX;
+pub use decision::{EndpointSnapshot, FIRST_TOKEN_LATENCY, Pick, PickQuery, SlotWait, Wait};
 pub use endpoint::{LinkLoss, RequestOutcome};
-pub use pick::{EndpointSnapshot, FIRST_TOKEN_LATENCY, Pick, PickQuery, Wait};
 pub use refusal::{Refusal, RefusalReason};
-pub use slot::SlotWait;
 
 use super::{
     Demand, DemandReason, EndpointChange, EndpointEntry, GatewayReport, ModelUsage, Status,
--- a/crates/radishpin-core/src/process/fleet/pick.rs
+++ b/crates/radishpin-core/src/process/fleet/pick.rs
@@ -1,12 +1,12 @@
 //! Routes a request: it is sent to an endpoint, waits for a load, or is refused.
 
 use super::{
-    Fleet, LoadTarget, Refusal, RefusalReason, WaitEntry, endpoint::Endpoint, loader::LoadQuery,
-    refusal::ABSENT_RETRY, slot::SlotWait,
+    FIRST_TOKEN_LATENCY, Fleet, LoadTarget, Pick, PickQuery, Refusal, RefusalReason, SlotWait,
+    Wait, WaitEntry, eligibility::is_usable, endpoint::Endpoint, loader::LoadQuery,
+    refusal::ABSENT_RETRY,
 };
-use crate::{rendezvous::rendezvous_hash, request::RequestRate};
-use radishpin_protocol::{UnixMs, prelude::*};
-use std::net::SocketAddr;
+use crate::rendezvous::rendezvous_hash;
+use radishpin_protocol::prelude::*;
 
 /// Cost of an endpoint in another availability zone. Costs are in units of endpoint load: 1.0 is
 /// an endpoint with all slots in use.
@@ -28,9 +28,6 @@
 const LOAD_MAX: f32 = 1.1;
 /// Longest wait of a request for an adapter load.
 const ADAPTER_WAIT_MAX: Duration = Duration::from_millis(2_500);
-/// Time from the end of a load to the first token; a request with no more time left than this
-/// stops waiting.
-pub const FIRST_TOKEN_LATENCY: Duration = Duration::from_millis(100);
 /// A waiting request moves to another endpoint only for a gain larger than this.
 const MOVE_GAIN_MIN: Duration = Duration::from_millis(600);
 /// Outstanding prefill time that costs as much as an endpoint with all slots in use.
@@ -40,94 +37,6 @@
 /// Retry-After base when the cheapest endpoint is full: by then slots should be free.
 const BUSY_RETRY: Duration = Duration::from_millis(700);
 
-/// A request to be routed, with what the choice depends on.
-#[derive(Clone, Debug)]
-pub struct PickQuery<'a> {
-    /// Service whose endpoints may serve it.
-    pub service: &'a str,
-    /// Model and adapter that it needs; `None` for a plain service.
-    pub target: Option<(&'a str, Option<&'a str>)>,
-    /// Software version of the endpoints that may serve it: a stream is resumed only at the
-    /// version that began it. `None` if any may.
-    pub software_version: Option<&'a str>,
-    /// Priority; 0 is the most urgent.
-    pub priority: u8,
-    /// Time until its caller leaves if no part of the answer arrives, or until the gateway refuses
-    /// waiting requests before it exits, whichever comes first.
-    pub time_left: Duration,
-    /// Whether the gateway stops before the caller would leave; the caller should then retry at
-    /// another gateway.
-    pub stopping: bool,
-    /// Time that it has waited for a load so far; zero before the first wait.
-    pub waited: Duration,
-    /// Whether a wait may move to another endpoint that could serve it sooner.
-    pub reconsider: bool,
-    /// Tokens of its prompt; 0 where there is none or the number is unknown.
-    pub prompt_tokens: u32,
-    /// Endpoints that it was already sent to; it is not sent to these again.
-    pub tried: &'a BTreeSet<EndpointId>,
-    /// Random number for the jitter of Retry-After times.
-    pub random: u64,
-}
-
-impl PickQuery<'_> {
-    /// What a caller with this request waits for; `None` for a plain service.
-    pub fn load_target(&self) -> Option<LoadTarget> {
-        let (model, adapter) = self.target?;
-        Some(LoadTarget {
-            model: model.to_owned(),
-            adapter: adapter.map(str::to_owned),
-            software_version: self.software_version.map(str::to_owned),
-        })
-    }
-}
-
-/// Routing decision for a request.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Pick {
-    /// Send it to this endpoint, where it is already counted as begun.
-    Send {
-        /// The endpoint.
-        endpoint: EndpointId,
-        /// Address for requests.
-        address: SocketAddr,
-        /// State of the endpoint before the request was counted, for the log line.
-        snapshot: EndpointSnapshot,
-    },
-    /// Wait for a load.
-    Wait(Wait),
-    /// Take a slot under the limit of an endpoint, and wait for it.
-    TakeSlot(SlotWait),
-    /// Refuse it, as it cannot be served in time; it has not run.
-    Refuse(Refusal),
-}
-
-/// State of an endpoint when a request was sent to it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct EndpointSnapshot {
-    /// Estimated number of requests that the endpoint runs or queues.
-    pub load: u32,
-    /// Version of its sidecar's status; 0 if there is none and only the platform lists it.
-    pub status_version: u64,
-    /// Age of that status; zero if there is none.
-    pub status_age: Duration,
-    /// Version of its software; `None` if it is not known for the endpoint's last start.
-    pub software_version: Option<SoftwareVersion>,
-    /// Unix time of its last known start in milliseconds; 0 if unknown.
-    pub started_unix_ms: UnixMs,
-    /// Requests a second that it takes from all gateways together; `None` if it states no limit.
-    pub limit: Option<RequestRate>,
-}
-
-/// A wait for a load.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Wait {
-    /// Endpoint that is to load the model or adapter.
-    pub endpoint: EndpointId,
-    /// Estimated time until it serves the request; zero for an adapter.
-    pub estimate: Duration,
-}
-
 impl Fleet {
     /// Decides where a request goes.
     ///
@@ -393,41 +302,6 @@
             None => Refusal::new(RefusalReason::NoEndpoint, ABSENT_RETRY, query.random),
         }
     }
-
-    /// Time until the first endpoint that could serve a request is back from the backoff that it asked
-    /// for; `None` if there is one without backoff, or none at all.
-    pub fn backoff_left(
-        &self,
-        service: &str,
-        model: Option<&str>,
-        software_version: Option<&str>,
-        now: Duration,
-    ) -> Option<Duration> {
-        let could_serve = self.endpoints.values().filter(|endpoint| {
-            endpoint.entry.service == service
-                && endpoint.is_ready()
-                && endpoint.may_serve_version(software_version)
-                && model
-                    .is_none_or(|model| endpoint.accepts_requests(now) && endpoint.serves(model))
-        });
-        let backoffs = could_serve.map(|endpoint| endpoint.requested_backoff_left(now));
-        backoffs.min().filter(|left| !left.is_zero())
-    }
-}
-
-/// Whether an endpoint can serve a request but for its limit.
-pub(super) fn is_usable(
-    id: &str,
-    endpoint: &Endpoint,
-    query: &PickQuery<'_>,
-    now: Duration,
-) -> bool {
-    endpoint.entry.service == query.service
-        && endpoint.accepts_requests(now)
-        && endpoint.requested_backoff_left(now).is_zero()
-        && endpoint.may_serve_version(query.software_version)
-        && !query.tried.contains(id)
-        && query.target.is_none_or(|(model, _)| endpoint.serves(model))
 }
 
 /// Keeps the endpoint that a request already waits for, unless another one is sooner by more
--- a/crates/radishpin-core/src/process/fleet/slot.rs
+++ b/crates/radishpin-core/src/process/fleet/slot.rs
@@ -1,23 +1,15 @@
 //! Requests to endpoints that state limits: what the limits are, and who has a slot under them.
 
-use super::{FIRST_TOKEN_LATENCY, Fleet, Pick, PickQuery, endpoint::Endpoint, pick::is_usable};
+use super::{
+    FIRST_TOKEN_LATENCY, Fleet, Pick, PickQuery, SlotWait,
+    eligibility::{has_adapter, is_usable},
+};
 use crate::{
     process::{EndpointLimit, SLOT_WAIT_MAX},
-    request::{LimitStatement, RequestRate},
+    request::LimitStatement,
 };
 use radishpin_protocol::prelude::*;
 
-/// A wait for a slot at an endpoint that states a limit.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct SlotWait {
-    /// The endpoint.
-    pub endpoint: EndpointId,
-    /// Requests a second that it takes from all gateways together.
-    pub limit: RequestRate,
-    /// Longest useful wait: later the request is served sooner elsewhere, or not in time.
-    pub wait_max: Duration,
-}
-
 impl Fleet {
     /// Records what the answer to a request that was sent at `sent_at` states about its endpoint's
     /// limit; returns whether the limit is another one now.
@@ -93,11 +85,3 @@
         Some((slot, wait))
     }
 }
-
-/// Whether an endpoint has loaded the adapter that a request needs, if any.
-fn has_adapter(endpoint: &Endpoint, query: &PickQuery<'_>) -> bool {
-    match query.target {
-        Some((model, Some(adapter))) => endpoint.has_adapter(model, adapter),
-        Some((_, None)) | None => true,
-    }
-}
