--- /dev/null
+++ b/crates/radishpin-core/tests/residency/main.rs
@@ -0,0 +1,5 @@
+//! Decisions of a sidecar about the models and adapters that its engine keeps loaded.
+
+mod choices;
+mod orders;
+mod support;
