Test draining, backoffs and a crashing request amid other trouble

Randomized, three gateways: endpoints drain and start again under another id, ask for backoffs, crash for other reasons and under one request, while sidecars restart and callers call.

--- a/crates/radishpin-gateway/tests/serving/main.rs
+++ b/crates/radishpin-gateway/tests/serving/main.rs
@@ -6,6 +6,7 @@
 mod draining;
 mod endless;
 mod endpoint;
+mod endpoint_runs;
 mod faults;
 mod framing;
 mod limits;
