Compute fingerprints in the core, and test and measure them there

What makes a request the same is a decision, so it stands in the core with tests of its own; the gateway names the headers.

--- a/crates/radishpin-core/examples/shared_state.rs
+++ b/crates/radishpin-core/examples/shared_state.rs
@@ -7,7 +7,7 @@
         CrashRecord, CrashTable, ExposedRequest, ExposureEnd, Exposures, SUSPECTS_MAX, SeenNews,
         SendSlots, SharedReply, SharedRequest, Suspect, SuspectCrashes, Suspects, choose_holders,
     },
-    request::{RequestRate, SharedParts, StreamOrigin, StreamOrigins},
+    request::{RequestIdentity, RequestRate, SharedParts, StreamOrigin, StreamOrigins},
 };
 use serde::Serialize;
 use std::{
@@ -26,6 +26,8 @@
     measure_holders();
     measure_exposures();
     measure_crashes();
+    measure_request_crashes();
+    measure_fingerprints();
     measure_slots();
 }
 
@@ -137,6 +139,69 @@
     });
 }
 
+/// Suspects as they are where whole requests crash endpoints.
+fn measure_request_crashes() {
+    let now = Duration::from_secs(1);
+    let crash = |crash: u64| CrashRecord {
+        crash: crash.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+        age_ms: 150,
+        variant: u64::MAX,
+        ..CrashRecord::default()
+    };
+    let against = |request: u64, crashes: u64| SuspectCrashes {
+        suspect: Suspect::Request(request.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
+        crashes: (0..crashes).map(crash).collect(),
+    };
+    print_size(
+        "message with a crash under one request",
+        &SharedRequest::MergeCrashes(vec![against(1, 1)]),
+    );
+    print_size(
+        "message with three crashes under one request",
+        &SharedRequest::MergeCrashes(vec![against(1, 3)]),
+    );
+    let mut full = CrashTable::default();
+    full.merge(
+        (0..SUSPECTS_MAX as u64).map(|n| against(n, 8)).collect(),
+        now,
+    );
+    print_size(
+        "a full table of requests with eight crashes each",
+        &SharedRequest::MergeCrashes(full.messages_since(0, now)),
+    );
+    let suspects = Suspects::new(&SharedParts::default(), Some(7), 1);
+    time("verdict on a request with a full table", |_| {
+        black_box(full.verdict(&suspects, now));
+    });
+    time("merge a crash under a request into a full table", |n| {
+        black_box(full.merge(vec![against(u64::from(n), 1)], now));
+    });
+    let mut exposures = Exposures::default();
+    time("begin and end a request of a plain service", |n| {
+        let now = Duration::from_millis(u64::from(n) * 43);
+        let exposure = exposures.begin("i-0123456789", 1, ExposedRequest::default());
+        exposures.end(exposure, ExposureEnd::Served, None, now);
+    });
+}
+
+fn measure_fingerprints() {
+    let parts: SharedParts = [1, 2].into_iter().collect();
+    for bytes in [0, 600, 1_700, 14_000, 100_000, 4 << 20] {
+        let body = vec![b'x'; bytes];
+        time(&format!("fingerprint of a body of {bytes} bytes"), |_| {
+            let identity = RequestIdentity {
+                method: "POST",
+                host: b"shop.example",
+                path: "/order/2f",
+                caller_headers: vec![("authorization", b"Bearer 0123456789abcdef")],
+                shared_parts: &parts,
+                body: &body,
+            };
+            black_box(identity.fingerprint());
+        });
+    }
+}
+
 fn measure_slots() {
     let Some(rate) = RequestRate::from_per_s(10.0) else {
         return;
--- a/crates/radishpin-core/src/request.rs
+++ b/crates/radishpin-core/src/request.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod attempt_ledger;
 mod event_scanner;
+mod fingerprint;
 mod keyed_call;
 mod load_limit;
 mod prefix_hints;
@@ -23,13 +24,14 @@
 pub use admission::{AdmissionRefusal, admit, estimate_wait, queue_wait, retry_after};
 pub use attempt_ledger::{AttemptAdmission, AttemptLedger, AttemptState, TombstoneOutcome};
 pub use event_scanner::EventScanner;
+pub use fingerprint::{RequestFingerprint, RequestIdentity};
 pub use keyed_call::{
     Dispatch, Fingerprint, INLINE_ANSWER_BYTES, KeyedCall, KeyedRow, KeyedStep, StoreReply,
     StoredAnswer, after_commit, after_read, after_tombstone, claim_key, finished_row, not_run_row,
 };
 pub use load_limit::LoadLimit;
 pub use prefix_hints::{CacheEvent, PrefixHash, PrefixHints};
-pub use prompt::{PromptPartId, PromptSize, RequestFingerprint, SHARED_PARTS_MAX, SharedParts};
+pub use prompt::{PromptPartId, PromptSize, SHARED_PARTS_MAX, SharedParts};
 pub use request_rate::{LimitStatement, RequestRate};
 pub use retry::{
     AttemptOutcome, MAX_ATTEMPTS, RetryContext, RetryDecision, RetryReason, TOMBSTONE_TIMEOUT,
--- a/crates/radishpin-core/src/request/prompt.rs
+++ b/crates/radishpin-core/src/request/prompt.rs
@@ -6,9 +6,6 @@
 /// Id of a part of a prompt; requests whose prompts hold the same part name the same id.
 pub type PromptPartId = u64;
 
-/// Hash of what makes a request the same for its endpoint: path, caller and body.
-pub type RequestFingerprint = u64;
-
 /// Largest number of shared parts that are read of one prompt.
 pub const SHARED_PARTS_MAX: usize = 64;
 
