--- a/src/command/explain/timeline.rs
+++ b/src/command/explain/timeline.rs
@@ -9,6 +9,8 @@
 const CONTEXT_AFTER: Duration = Duration::from_secs(2);
 /// Events of an engine, which its sidecar logs without the name of the endpoint.
 const ENGINE_EVENTS: [&str; 3] = ["engine_lost", "engine_regained", "engine_replaced"];
+/// Events that tell what an endpoint said in its answer to another request.
+const ENDPOINT_STATEMENTS: [&str; 2] = ["endpoint_drains", "endpoint_backoff"];
 /// Events that concern a process rather than a request or an endpoint.
 const PROCESS_EVENTS: [&str; 6] = [
     "started",
@@ -71,7 +73,8 @@
         .filter_map(|l| l.field("model"))
         .collect();
     let is_related = |line: &&LogLine| {
-        let other_request = line.field("request").is_some() || line.field("request_id").is_some();
+        let names_request = line.field("request").is_some() || line.field("request_id").is_some();
+        let other_request = names_request && !ENDPOINT_STATEMENTS.contains(&line.event());
         let other_model =
             line.event() == "order_sent" && !models.contains(line.field_or_dash("model"));
         if other_request || other_model {
@@ -136,6 +139,25 @@
             f("cause"),
             f("took_ms"),
         ),
+        "connection_broke" => format!(
+            "the connection to {} of version {} broke (fingerprint of the request {})",
+            f("endpoint"),
+            f("software_version"),
+            f("fingerprint"),
+        ),
+        "crash_refusal" => format!(
+            "endpoints crashed under its {} {}; next trial in {} ms, tried now: {}",
+            f("suspect"),
+            f("id"),
+            f("trial_in_ms"),
+            f("tried"),
+        ),
+        "endpoint_drains" => format!("{} said that it drains", f("endpoint")),
+        "endpoint_backoff" => format!(
+            "{} asked for a backoff of {} ms",
+            f("endpoint"),
+            f("backoff_ms"),
+        ),
         "stream_resumes" => format!("the stream broke off; goes on after event {}", f("after")),
         "stream_resumption" => format!(
             "its caller resumes the stream of {}, which began at software version {} (known from: {})",
@@ -206,6 +228,15 @@
         "no_loader" => "it did not run: no endpoint held its model, and none could load it",
         "busy" => "it did not run: the endpoints that hold its model had no place",
         "no_endpoint" => "it did not run: its service had no endpoint that takes requests",
+        "endpoint_backoff" => {
+            "it did not run: the endpoints that could serve it had asked for backoffs"
+        }
+        "limited" => {
+            "it did not run: the endpoints that could serve it limit their requests, and their next slots came too late"
+        }
+        "crashing_prompt" => "it did not run: engines crashed under a part of its prompt",
+        "crashing_request" => "it did not run: endpoints crashed under this request before",
+        "stopping" => "it did not run: its gateway was stopping",
         "version_gone" => {
             "it did not run: no endpoint runs the software version that began its stream"
         }
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -47,3 +47,31 @@
     let fault = explain_request("r", [("garbage", garbage)]).unwrap_err();
     assert_snapshot!(fault, @"no line about request r in 0 lines of 1 files, 4 unreadable; check the id, and whether the logs of all gateways of that time are given");
 }
+
+const CRASHES: &str = "\
+time=2026-07-22T07:06:04.100Z level=info event=request_sent request=r1 endpoint=i-1 load=0 status=0 status_age_ms=0 configuration=4 tried=0 waited_ms=0 left_ms=990
+time=2026-07-22T07:06:04.190Z level=info event=connection_broke request=r1 route=r-a endpoint=i-1 software_version=v1 fingerprint=8d1f6a02c4b7e953
+time=2026-07-22T07:06:04.191Z level=info event=endpoint_checked endpoint=i-1 refuses_connections=true
+time=2026-07-22T07:06:04.192Z level=info event=request_ended request=r1 outcome=failed status=502 reason=broken took_ms=92 sends_ran=1 sends_refused=0
+time=2026-07-22T07:06:09.500Z level=info event=crash_refusal request=r2 suspect=request id=8d1f6a02c4b7e953 trial_in_ms=600000 tried=false
+time=2026-07-22T07:06:09.501Z level=info event=request_ended request=r2 outcome=refused status=503 reason=crashing_request took_ms=1 sends_ran=0 sends_refused=0
+time=2026-07-22T07:06:20.000Z level=info event=endpoint_backoff request=r3 endpoint=i-2 started_unix_ms=100 backoff_ms=3000
+time=2026-07-22T07:06:20.500Z level=info event=request_sent request=r4 endpoint=i-2 load=0 status=0 status_age_ms=0 configuration=4 tried=0 waited_ms=0 left_ms=990
+time=2026-07-22T07:06:20.600Z level=info event=request_ended request=r4 outcome=refused status=503 reason=endpoint_backoff took_ms=100 sends_ran=0 sends_refused=1
+";
+
+fn explain_crashes(id: &str) -> String {
+    explain_request(id, [("gateway.log", CRASHES.as_bytes())])
+        .unwrap_or_else(|fault| format!("error: {fault}"))
+}
+
+#[test]
+fn a_request_that_crashed_its_endpoint_and_its_next_attempt() {
+    assert_snapshot!(explain_crashes("r1"));
+    assert_snapshot!(explain_crashes("r2"));
+}
+
+#[test]
+fn a_refusal_of_an_endpoint_that_told_another_request_of_its_backoff() {
+    assert_snapshot!(explain_crashes("r4"));
+}
