--- a/crates/radishpin-core/src/process/crash_table.rs
+++ b/crates/radishpin-core/src/process/crash_table.rs
@@ -9,12 +9,14 @@
 //! Processes merge each other's tables. A record is only ever added or cleared, so the order in which
 //! tables are merged does not matter; what is refused follows from the records alone.
 
+mod record;
 mod refused;
 mod trial;
 
-use super::{CrashId, CrashRecord, EndpointVariant, Suspect, SuspectCrashes, Suspects};
+use super::{CrashId, EndpointVariant, Suspect, SuspectCrashes, Suspects};
 use crate::request::{PromptPartId, RequestFingerprint};
 use radishpin_protocol::prelude::*;
+use record::{Crash, CrashKey, Crashes, held, merge_crash, message};
 use refused::refused_suspects;
 use trial::{REQUEST_TRIAL_INTERVAL, Trials, part_trial_at, request_trial_at};
 
@@ -29,10 +31,6 @@
 pub const SUSPECTS_MAX: usize = 256;
 /// Largest number of crashes that are kept of one suspect; beyond it the oldest are dropped.
 pub const CRASHES_PER_SUSPECT_MAX: usize = 8;
-/// Crashes of one run of an endpoint under one request within this time of each other are the same one,
-/// seen by two gateways. Endpoints whose entry does not tell when they started crash twice in one run.
-const SAME_CRASH_WINDOW: Duration = Duration::from_millis(400);
-
 /// Whether a request may be sent to an endpoint, as far as crashes are concerned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CrashVerdict {
@@ -61,21 +59,6 @@
     version: u64,
 }
 
-/// A crash of one run of an endpoint, and how many crashes of that run under the same suspect were known
-/// before it.
-type CrashKey = (CrashId, u32);
-
-/// Crashes that are held against one suspect, or were until it was cleared of them.
-type Crashes = BTreeMap<CrashKey, Crash>;
-
-#[derive(Clone, Copy, Debug)]
-struct Crash {
-    at: Duration,
-    cleared: bool,
-    variant: EndpointVariant,
-    trial: bool,
-}
-
 impl CrashTable {
     /// Adds what another process knows, or what this one saw; returns whether that was news.
     pub fn merge(&mut self, received: Vec<SuspectCrashes>, now: Duration) -> bool {
@@ -364,58 +347,3 @@
         }
     }
 }
-
-fn merge_crash(crashes: &mut Crashes, suspect: Suspect, received: CrashRecord, now: Duration) {
-    let age = Duration::from_millis(received.age_ms);
-    let lifetime = match suspect {
-        Suspect::PromptPart(_) => CRASH_LIFETIME,
-        Suspect::Request(_) => CRASH_LIFETIME_MAX,
-    };
-    if age >= lifetime {
-        return;
-    }
-    let at = now.saturating_sub(age);
-    let key = match suspect {
-        Suspect::PromptPart(_) => (received.crash, 0),
-        Suspect::Request(_) => request_crash_key(crashes, received.crash, at),
-    };
-    let crash = crashes.entry(key).or_insert(Crash {
-        at,
-        cleared: received.cleared,
-        variant: received.variant,
-        trial: received.trial,
-    });
-    crash.at = crash.at.min(at);
-    crash.cleared |= received.cleared;
-    crash.trial |= received.trial;
-}
-
-/// Key of a crash under a request: that of a known one, or a new one.
-fn request_crash_key(crashes: &Crashes, id: CrashId, at: Duration) -> CrashKey {
-    let of_run = crashes.range((id, 0)..=(id, u32::MAX));
-    let known = of_run
-        .clone()
-        .find(|(_, crash)| crash.at.abs_diff(at) < SAME_CRASH_WINDOW);
-    let next = of_run.last().map_or(0, |((_, number), _)| number + 1);
-    known.map_or((id, next), |(key, _)| *key)
-}
-
-fn message(suspect: Suspect, crashes: &Crashes, now: Duration) -> SuspectCrashes {
-    let crashes = crashes.iter().map(|((id, _), crash)| CrashRecord {
-        crash: *id,
-        age_ms: u64::try_from(now.saturating_sub(crash.at).as_millis()).unwrap_or(u64::MAX),
-        cleared: crash.cleared,
-        variant: crash.variant,
-        trial: crash.trial,
-    });
-    SuspectCrashes {
-        suspect,
-        crashes: crashes.collect(),
-    }
-}
-
-/// Crashes that are held against a suspect.
-fn held(crashes: &Crashes) -> impl Iterator<Item = (CrashKey, Crash)> {
-    let crashes = crashes.iter().map(|(key, crash)| (*key, *crash));
-    crashes.filter(|(_, crash)| !crash.cleared)
-}
--- a/crates/radishpin-core/src/process/crash_table/refused.rs
+++ b/crates/radishpin-core/src/process/crash_table/refused.rs
@@ -1,6 +1,9 @@
 //! Which suspects are refused, as it follows from the crashes that are held against all of them.
 
-use super::{CRASHES_TO_REFUSE, CrashKey, Crashes, held};
+use super::{
+    CRASHES_TO_REFUSE,
+    record::{CrashKey, Crashes, held},
+};
 use crate::process::{CrashId, Suspect};
 use radishpin_protocol::prelude::*;
 
--- a/crates/radishpin-core/src/process/crash_table/trial.rs
+++ b/crates/radishpin-core/src/process/crash_table/trial.rs
@@ -1,6 +1,9 @@
 //! When a refused suspect may be tried, to find out whether endpoints still crash under it.
 
-use super::{CRASH_LIFETIME_MAX, Crashes, held};
+use super::{
+    CRASH_LIFETIME_MAX,
+    record::{Crashes, held},
+};
 use radishpin_protocol::prelude::*;
 
 /// Crashes within this time of each other may have one cause, such as the loss of a rack.
--- a/crates/radishpin-gateway/src/process/gateway.rs
+++ b/crates/radishpin-gateway/src/process/gateway.rs
@@ -1,5 +1,6 @@
 //! The gateway: receives callers' requests and forwards them to endpoints.
 
+mod admission;
 mod availability;
 mod crashes;
 mod limits;
@@ -16,8 +17,8 @@
     connection::{BodyBudget, Pool, ServerLimits},
     version::{watch_catalog, watch_endpoint_list},
 };
+pub(crate) use admission::TrialPermit;
 use crashes::CrashGuard;
-pub(crate) use crashes::TrialPermit;
 use event_listener::Event;
 use limits::LimitGuard;
 use links::Link;
--- a/crates/radishpin-gateway/src/process/gateway/crashes.rs
+++ b/crates/radishpin-gateway/src/process/gateway/crashes.rs
@@ -1,15 +1,14 @@
 //! Keeps requests, and prompt parts, that crash endpoints from reaching more of them.
 
-use super::{Gateway, news::NEWS_KEY};
+use super::Gateway;
 use crate::{connection::CONNECT_TIMEOUT, request::Call};
 use parking_lot::Mutex;
 use radishpin_core::{
     process::{
-        CrashTable, CrashVerdict, EndpointChange, ExposedRequest, Exposure, ExposureEnd, Exposures,
-        Refusal, RequestOutcome, SharedReply, SharedRequest, Status, Suspect, SuspectCrashes,
-        Suspects, endpoint_variant,
+        CrashTable, EndpointChange, ExposedRequest, Exposure, ExposureEnd, Exposures,
+        RequestOutcome, SharedRequest, Status, Suspect, SuspectCrashes, endpoint_variant,
     },
-    request::{PromptPartId, RequestFingerprint},
+    request::PromptPartId,
 };
 use radishpin_protocol::{UnixMs, prelude::*};
 use radishpin_runtime::{Runtime, timeout};
@@ -24,46 +23,11 @@
 #[derive(Debug, Default)]
 pub(crate) struct CrashGuard {
     exposures: Mutex<Exposures>,
-    crashes: Mutex<CrashTable>,
+    pub(super) crashes: Mutex<CrashTable>,
     /// Endpoints that are being checked for whether they still accept connections.
     checks: Mutex<BTreeSet<EndpointId>>,
 }
 
-/// A permit to send a request once although endpoints crashed under it, to find out whether they still do.
-/// Dropping it unused gives it back.
-#[derive(Debug)]
-pub(crate) struct TrialPermit {
-    gateway: Arc<Gateway>,
-    suspects: Suspects,
-    /// Software version of the endpoints that the request may be sent to; `None` if it is not known.
-    pub(crate) software_version: Option<SoftwareVersion>,
-    is_used: bool,
-}
-
-impl TrialPermit {
-    /// Records whether an endpoint may have run the request. It may from the moment that it is sent.
-    pub(crate) fn set_used(&mut self, is_used: bool) {
-        self.is_used = is_used;
-    }
-}
-
-impl Drop for TrialPermit {
-    fn drop(&mut self) {
-        if !self.is_used {
-            self.gateway.return_trial(&self.suspects);
-        }
-    }
-}
-
-/// Why a request may not be sent to any endpoint of its service.
-#[derive(Debug)]
-struct RefusedSuspects {
-    suspects: Suspects,
-    software_version: Option<SoftwareVersion>,
-    suspect: Suspect,
-    trial_in: Duration,
-}
-
 impl Gateway {
     /// Records that a request is sent to an endpoint that started at this time.
     pub(crate) fn begin_exposure(
@@ -251,120 +215,6 @@
         (!messages.is_empty()).then_some(SharedRequest::MergeCrashes(messages))
     }
 
-    /// Decides whether a request may be sent, as far as crashes are concerned; returns the software version
-    /// of the endpoints that it may be sent to, `None` if it may be sent to all.
-    ///
-    /// # Errors
-    /// Endpoints of each version that the service runs crashed under it or a part of its prompt.
-    pub(crate) fn check_crashes(
-        &self,
-        call: &Call,
-        software_version: Option<&str>,
-    ) -> Result<Option<SoftwareVersion>, Refusal> {
-        let refused = |refused: RefusedSuspects| refused.refusal(call);
-        self.allowed_version(call, software_version)
-            .map_err(refused)
-    }
-
-    fn allowed_version(
-        &self,
-        call: &Call,
-        needed: Option<&str>,
-    ) -> Result<Option<SoftwareVersion>, RefusedSuspects> {
-        let needed = needed.map(str::to_owned);
-        if self.crash_guard.crashes.lock().refused().is_empty() {
-            return Ok(needed);
-        }
-        let fingerprint = self.fingerprint_if_suspected(call);
-        let versions = match &needed {
-            Some(version) => BTreeSet::from([Some(version.clone())]),
-            None => self.fleet.lock().ready_versions(&call.service),
-        };
-        let now = self.clock.now();
-        let crashes = self.crash_guard.crashes.lock();
-        let mut allowed = Vec::new();
-        let mut refused: Option<RefusedSuspects> = None;
-        for version in versions {
-            let variant = endpoint_variant(&call.service, version.as_deref());
-            let suspects = Suspects::new(&call.shared_parts, fingerprint, variant);
-            match crashes.verdict(&suspects, now) {
-                CrashVerdict::Allowed => allowed.push(version),
-                CrashVerdict::Refused { suspect, trial_in } => {
-                    let sooner = refused
-                        .as_ref()
-                        .is_none_or(|known| trial_in < known.trial_in);
-                    if sooner {
-                        refused = Some(RefusedSuspects {
-                            suspects,
-                            software_version: version,
-                            suspect,
-                            trial_in,
-                        });
-                    }
-                }
-            }
-        }
-        match (refused, allowed.into_iter().flatten().next()) {
-            (None, _) => Ok(needed),
-            (Some(_), Some(allowed)) => Ok(Some(allowed)),
-            (Some(refused), None) => Err(refused),
-        }
-    }
-
-    /// Fingerprint of a request, if any whole request is refused.
-    fn fingerprint_if_suspected(&self, call: &Call) -> Option<RequestFingerprint> {
-        let refuses_requests = self.crash_guard.crashes.lock().refuses_requests();
-        refuses_requests.then(|| call.fingerprint())
-    }
-
-    /// Decides whether a request may be sent, as far as crashes are concerned. Of all gateways one gets the
-    /// permit for a trial; there is none where none is needed.
-    ///
-    /// # Errors
-    /// Endpoints crashed under the request or a part of its prompt, and no trial is due.
-    pub(crate) async fn admit(
-        self: &Arc<Self>,
-        call: &Call,
-        software_version: Option<&str>,
-    ) -> Result<Option<TrialPermit>, Refusal> {
-        let Err(refused) = self.allowed_version(call, software_version) else {
-            return Ok(None);
-        };
-        let now = self.clock.now();
-        let due = self
-            .crash_guard
-            .crashes
-            .lock()
-            .grant_trial(&refused.suspects, now);
-        let granted = due && self.ask_for_trial(&refused.suspects).await;
-        log::info!(
-            event = "crash_refusal", request = call.id, suspect = refused.suspect.kind(),
-            id:% = format_args!("{:x}", refused.suspect.id()),
-            trial_in_ms = refused.trial_in.as_millis() as u64, tried = granted;
-            "endpoints crashed under the request or a part of its prompt"
-        );
-        if !granted {
-            return Err(refused.refusal(call));
-        }
-        Ok(Some(TrialPermit {
-            gateway: Arc::clone(self),
-            suspects: refused.suspects,
-            software_version: refused.software_version,
-            is_used: false,
-        }))
-    }
-
-    fn return_trial(&self, suspects: &Suspects) {
-        self.crash_guard.crashes.lock().return_trial(suspects);
-        self.tell_holders(&SharedRequest::ReturnTrial(suspects.clone()));
-    }
-
-    async fn ask_for_trial(&self, suspects: &Suspects) -> bool {
-        let request = |_| SharedRequest::TrySuspects(suspects.clone());
-        let answer = self.ask_holders(NEWS_KEY, request).await;
-        answer == Some(SharedReply::Permit(true))
-    }
-
     /// Merges what a holder knows, and clears prompt parts that are sound here.
     pub(super) fn learn_crashes(&self, crashes: Vec<SuspectCrashes>) {
         self.merge_crashes(crashes);
@@ -381,15 +231,6 @@
     }
 }
 
-impl RefusedSuspects {
-    fn refusal(&self, call: &Call) -> Refusal {
-        match self.suspect {
-            Suspect::PromptPart(_) => Refusal::crashing_prompt(self.trial_in, call.random),
-            Suspect::Request(_) => Refusal::crashing_request(self.trial_in, call.random),
-        }
-    }
-}
-
 /// Whether connections to an address are refused; a host that does not answer at all may be silent only.
 async fn refuses_connections(address: SocketAddr) -> bool {
     let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
