--- a/crates/radishpin-gateway/tests/serving/backoffs.rs
+++ b/crates/radishpin-gateway/tests/serving/backoffs.rs
@@ -1,7 +1,7 @@
 //! Endpoints turn requests away and ask for a backoff; few requests go to them until it ends.
 
 use super::{
-    caller::CallerRequest,
+    caller::{CallerRequest, CallerResponse, dictation, lookup, order, summary},
     cluster::TestCluster,
     endpoint::{Behavior, Endpoint},
     load::Load,
@@ -20,24 +20,6 @@
 /// More behaviors than an endpoint gets requests.
 const SCRIPT_LENGTH: usize = 5_000;
 
-fn lookup(id: &str) -> CallerRequest {
-    CallerRequest::new("/lookup/2f", id).deadline_ms(1_000)
-}
-
-fn order(id: &str) -> CallerRequest {
-    CallerRequest::new("/order/2f", id).deadline_ms(1_000)
-}
-
-fn dictation(id: &str) -> CallerRequest {
-    CallerRequest::new("/dictation/2f", id)
-        .model("m0")
-        .header("Radishpin-Prompt-Prefix", "aa:800,5e55:250")
-}
-
-fn summary(id: &str) -> CallerRequest {
-    CallerRequest::new("/summary/2f", id).model("m0")
-}
-
 /// Most requests at an endpoint within the backoff that one of its answers asked for.
 fn fullest_backoff(endpoint: &Endpoint, backoff: Duration) -> usize {
     let asked_at: Vec<Instant> = endpoint.with_received(|received| {
@@ -151,7 +133,7 @@
     resting.script(&[Behavior::Full]);
     let first = cluster.ask(&lookup("first"));
     let asked_at = Instant::now();
-    let told = |got: &super::caller::CallerResponse| -> f64 {
+    let told = |got: &CallerResponse| -> f64 {
         let text = got
             .header("retry-after")
             .expect("there is a time to come back");
--- a/crates/radishpin-gateway/tests/serving/caller.rs
+++ b/crates/radishpin-gateway/tests/serving/caller.rs
@@ -72,6 +72,28 @@
     }
 }
 
+/// A call to a plain service that may run once at most.
+pub fn order(id: &str) -> CallerRequest {
+    CallerRequest::new("/order/2f", id).deadline_ms(1_000)
+}
+
+/// A call to a plain service that may be repeated.
+pub fn lookup(id: &str) -> CallerRequest {
+    CallerRequest::new("/lookup/2f", id).deadline_ms(1_000)
+}
+
+/// A stream of a session, whose part is the last one of the prompt.
+pub fn dictation(id: &str) -> CallerRequest {
+    CallerRequest::new("/dictation/2f", id)
+        .model("m0")
+        .header("Radishpin-Prompt-Prefix", "aa:800,5e55:250")
+}
+
+/// A stream that may be resumed.
+pub fn summary(id: &str) -> CallerRequest {
+    CallerRequest::new("/summary/2f", id).model("m0")
+}
+
 /// A response as received by a caller.
 pub struct CallerResponse {
     pub status: u16,
--- a/crates/radishpin-gateway/tests/serving/draining.rs
+++ b/crates/radishpin-gateway/tests/serving/draining.rs
@@ -1,7 +1,7 @@
 //! Endpoints say in their answers that they drain; no more requests go to them.
 
 use super::{
-    caller::CallerRequest,
+    caller::{dictation, lookup, order, summary},
     cluster::TestCluster,
     endpoint::{Behavior, Endpoint},
     load::Load,
@@ -20,25 +20,6 @@
 /// More behaviors than an endpoint gets requests.
 const SCRIPT_LENGTH: usize = 5_000;
 
-fn lookup(id: &str) -> CallerRequest {
-    CallerRequest::new("/lookup/2f", id).deadline_ms(1_000)
-}
-
-fn order(id: &str) -> CallerRequest {
-    CallerRequest::new("/order/2f", id).deadline_ms(1_000)
-}
-
-/// A request of a session, whose part is the last one of the prompt.
-fn dictation(id: &str) -> CallerRequest {
-    CallerRequest::new("/dictation/2f", id)
-        .model("m0")
-        .header("Radishpin-Prompt-Prefix", "aa:800,5e55:250")
-}
-
-fn summary(id: &str) -> CallerRequest {
-    CallerRequest::new("/summary/2f", id).model("m0")
-}
-
 /// Requests at an endpoint from [`DRAIN_TIME`] after its first answer.
 fn late_requests(draining: &Endpoint) -> usize {
     let first_at = draining.with_received(|received| received.first().map(|one| one.at));
--- a/crates/radishpin-gateway/tests/serving/limits.rs
+++ b/crates/radishpin-gateway/tests/serving/limits.rs
@@ -1,7 +1,7 @@
 //! Endpoints state limits on the requests that they take from all gateways together.
 
 use super::{
-    caller::CallerRequest,
+    caller::{CallerRequest, dictation, lookup, summary},
     cluster::TestCluster,
     endpoint::{Behavior, Endpoint},
     load::Load,
@@ -53,18 +53,6 @@
     (load.sent, load.served)
 }
 
-fn dictation(id: &str) -> CallerRequest {
-    CallerRequest::new("/dictation/2f", id).model("m0")
-}
-
-fn summary(id: &str) -> CallerRequest {
-    CallerRequest::new("/summary/2f", id).model("m0")
-}
-
-fn lookup(id: &str) -> CallerRequest {
-    CallerRequest::new("/lookup/2f", id).deadline_ms(1_000)
-}
-
 fn start_gateways(cluster: &TestCluster) -> [GatewayProcess; 2] {
     ["host-2", "host-3"].map(|host| cluster.start_gateway_on(host))
 }
