Keep a backoff when an answer of an earlier process arrives after it

An endpoint that started again under its id asks for a backoff; then an answer of its earlier process, which was on its way, replaced that backoff by one that does not bind the new process, and requests went there. The later process's statement stays now. Two comments are put right.

--- a/crates/radishpin-core/src/process/crash_table.rs
+++ b/crates/radishpin-core/src/process/crash_table.rs
@@ -31,6 +31,7 @@
 pub const SUSPECTS_MAX: usize = 256;
 /// Largest number of crashes that are kept of one suspect; beyond it the oldest are dropped.
 pub const CRASHES_PER_SUSPECT_MAX: usize = 8;
+
 /// Whether a request may be sent to an endpoint, as far as crashes are concerned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CrashVerdict {
--- a/crates/radishpin-core/src/process/fleet/availability.rs
+++ b/crates/radishpin-core/src/process/fleet/availability.rs
@@ -43,13 +43,18 @@
     }
 
     /// Records that a process which started at this time wants no requests for `backoff`, at most
-    /// [`REQUESTED_BACKOFF_MAX`]. An earlier backoff that ends later stays in force.
+    /// [`REQUESTED_BACKOFF_MAX`]. An earlier backoff that ends later stays in force, and so does one that a
+    /// later process asked for.
     pub(super) fn record_backoff(
         &mut self,
         started_unix_ms: UnixMs,
         backoff: Duration,
         now: Duration,
     ) {
+        let is_outdated = |known: RequestedBackoff| started_unix_ms < known.started_unix_ms;
+        if self.backoff.is_some_and(is_outdated) {
+            return;
+        }
         let left = self.backoff_left(started_unix_ms, now);
         let backoff = backoff.min(REQUESTED_BACKOFF_MAX).max(left);
         self.backoff = Some(RequestedBackoff {
--- a/crates/radishpin-core/src/process/fleet/decision.rs
+++ b/crates/radishpin-core/src/process/fleet/decision.rs
@@ -16,8 +16,9 @@
     pub service: &'a str,
     /// Model and adapter that it needs; `None` for a plain service.
     pub target: Option<(&'a str, Option<&'a str>)>,
-    /// Software version of the endpoints that may serve it: a stream is resumed only at the
-    /// version that began it. `None` if any may.
+    /// Software version of the endpoints that may serve it: a stream is resumed only at the version that
+    /// began it, and a request that crashed endpoints of one version is sent to those of another one.
+    /// `None` if any may.
     pub software_version: Option<&'a str>,
     /// Priority; 0 is the most urgent.
     pub priority: u8,
--- a/crates/radishpin-core/tests/fleet/availability.rs
+++ b/crates/radishpin-core/tests/fleet/availability.rs
@@ -129,6 +129,17 @@
     assert_snapshot!(test.pick(&query("shop", None)), @"p1 with 0");
 }
 
+/// The answer of the earlier process was on its way.
+#[test]
+fn an_answer_of_an_earlier_process_does_not_end_the_backoff_of_a_later_one() {
+    let mut test = TestFleet::new();
+    test.add_endpoint("p1", "shop", "north", 4);
+    ask_for_backoff(&mut test, "p1", ms(3_000));
+    test.fleet
+        .record_backoff("p1", STARTED_UNIX_MS - 1, ms(500), ms(1_000));
+    assert!(!test.fleet.may_send("p1", ms(3_999)));
+}
+
 #[test]
 fn an_entry_that_lapsed_comes_back_with_its_backoff() {
     let mut test = TestFleet::new();
