Take a refused connection as proof that an endpoint ended

A request that is given up, as one that may be repeated is after 300 ms, leaves no broken connection behind. If its endpoint crashed under it a moment later and ran nothing else, the crash was held against nobody, as a sidecar that restarts reports its engine as down too. An address that refuses connections is proof; what sidecars and the list say is still taken with a broken connection alone. With the proof cut out the new test of core fails; with it 11 of 11 of exposures pass, and 21 of the serving path that concern crashes.

--- a/crates/radishpin-core/src/process/exposures.rs
+++ b/crates/radishpin-core/src/process/exposures.rs
@@ -77,8 +77,8 @@
 #[derive(Clone, Debug, Default)]
 struct EndpointRun {
     down_at: Option<Duration>,
-    /// Whether another run has begun, which proves that this one ended.
-    replaced: bool,
+    /// Whether it is certain that it ended: another run has begun, or its address refuses connections.
+    proven_down: bool,
     requests: BTreeMap<u64, RunRequest>,
 }
 
@@ -149,19 +149,27 @@
         }
     }
 
-    /// Records that an endpoint does not answer its sidecar or does not accept connections.
+    /// Records that an endpoint does not answer its sidecar, or is no longer listed.
     pub fn endpoint_down(&mut self, endpoint: &str, now: Duration) {
         for (_, run) in self.runs_of(endpoint) {
             run.down_at.get_or_insert(now);
         }
     }
 
+    /// Records that an endpoint refuses connections, so that its runs have ended.
+    pub fn endpoint_refuses(&mut self, endpoint: &str, now: Duration) {
+        for (_, run) in self.runs_of(endpoint) {
+            run.down_at.get_or_insert(now);
+            run.proven_down = true;
+        }
+    }
+
     /// Records that an endpoint started at this time, so that its earlier runs have ended.
     pub fn endpoint_started(&mut self, endpoint: &str, started_unix_ms: UnixMs, now: Duration) {
         for (run_started, run) in self.runs_of(endpoint) {
             if run_started < started_unix_ms {
                 run.down_at.get_or_insert(now);
-                run.replaced = true;
+                run.proven_down = true;
             }
         }
     }
@@ -256,7 +264,7 @@
             now,
             first_break: self.first_break(),
             down_at: self.down_at,
-            replaced: self.replaced,
+            proven_down: self.proven_down,
         };
         self.requests.retain(|_, request| {
             match context.judge(request.ended) {
@@ -294,7 +302,7 @@
     now: Duration,
     first_break: Option<Duration>,
     down_at: Option<Duration>,
-    replaced: bool,
+    proven_down: bool,
 }
 
 enum Judgment {
@@ -338,7 +346,7 @@
             return sound_if_served(end);
         }
         // A sidecar that restarts reports its engine as down for a moment.
-        let proven = self.first_break.is_some() || self.replaced;
+        let proven = self.first_break.is_some() || self.proven_down;
         match proven {
             true => Judgment::Blamed,
             false if self.has_passed(down_at) => Judgment::Unknown,
--- a/crates/radishpin-core/tests/exposures.rs
+++ b/crates/radishpin-core/tests/exposures.rs
@@ -188,3 +188,15 @@
     exposures.settle(ms(20_000));
     assert!(exposures.is_settled());
 }
+
+/// The gateway gave the request up before the endpoint crashed under it, and nothing else ran there.
+#[test]
+fn a_refused_connection_proves_a_crash_under_a_request_that_was_given_up() {
+    let mut exposures = Exposures::default();
+    let given_up = exposures.begin("p1", 0, prompt(&[]));
+    exposures.end(given_up, ExposureEnd::Other, Some(1), ms(300));
+    exposures.endpoint_down("p1", ms(700));
+    assert!(blamed_requests(&mut exposures, ms(700)).is_empty());
+    exposures.endpoint_refuses("p1", ms(800));
+    assert_eq!(blamed_requests(&mut exposures, ms(800)), [1]);
+}
--- a/crates/radishpin-gateway/src/process/gateway/crashes.rs
+++ b/crates/radishpin-gateway/src/process/gateway/crashes.rs
@@ -100,15 +100,12 @@
     /// Records that an endpoint refuses connections, so that its process has ended. The end of one that
     /// drains is no crash.
     pub(crate) fn endpoint_refuses_connections(&self, endpoint: &str) {
-        if self.fleet.lock().is_ready(endpoint) {
-            self.endpoint_crashed(endpoint);
+        if !self.fleet.lock().is_ready(endpoint) {
+            return;
         }
-    }
-
-    fn endpoint_crashed(&self, endpoint: &str) {
         let now = self.clock.now();
         let mut exposures = self.crash_guard.exposures.lock();
-        exposures.endpoint_down(endpoint, now);
+        exposures.endpoint_refuses(endpoint, now);
         drop(exposures);
         self.settle_exposures();
     }
@@ -142,9 +139,13 @@
 
     /// Records that endpoints ended, as the platform's list tells.
     pub(super) fn observe_crashed(&self, endpoints: &[EndpointId]) {
+        let now = self.clock.now();
+        let mut exposures = self.crash_guard.exposures.lock();
         for endpoint in endpoints {
-            self.endpoint_crashed(endpoint);
+            exposures.endpoint_down(endpoint, now);
         }
+        drop(exposures);
+        self.settle_exposures();
     }
 
     /// Draws the conclusions from requests that have ended, and tells the holders.
