Test that a request is not tried on and on where a part of its prompt is refused

Serving path: such a request reaches endpoints once a second, 5 times in 9 s, where 3 are allowed: gateways leave the fingerprint out unless a request is refused, so the request is taken for another suspect than itself.

The test that the part itself is still tried by others, so that a sound one is found to be sound, passes before.

--- a/crates/radishpin-core/tests/request_crashes.rs
+++ b/crates/radishpin-core/tests/request_crashes.rs
@@ -49,6 +49,25 @@
     table.merge(messages.collect(), now);
 }
 
+/// Holds a crash at an endpoint of the first variant against a request and the part of its prompt.
+fn crash_with_part(
+    table: &mut CrashTable,
+    id: CrashId,
+    request: RequestFingerprint,
+    trial: bool,
+    now: Duration,
+) {
+    let record = CrashRecord {
+        crash: id,
+        variant: V1,
+        trial,
+        ..CrashRecord::default()
+    };
+    let suspects = [Suspect::Request(request), Suspect::PromptPart(PART)];
+    let messages = suspects.map(|suspect| held(suspect, record));
+    table.merge(messages.into(), now);
+}
+
 /// Time until the trial of a refused request; `None` if it is allowed.
 fn trial_in(table: &CrashTable, suspects: &Suspects, now: Duration) -> Option<Duration> {
     match table.verdict(suspects, now) {
@@ -181,27 +200,52 @@
 #[test]
 fn a_request_is_refused_rather_than_the_prompt_parts_that_others_share() {
     let mut table = CrashTable::default();
-    let crash_with_part = |table: &mut CrashTable, id, request| {
-        crash(table, id, &[request], at(id));
-        let record = CrashRecord {
-            crash: id,
-            variant: V1,
-            ..CrashRecord::default()
-        };
-        table.merge(vec![held(Suspect::PromptPart(PART), record)], at(id));
-    };
     for id in 1..=3 {
-        crash_with_part(&mut table, id, BAD);
+        crash_with_part(&mut table, id, BAD, false, at(id));
     }
     assert!(trial_in(&table, &with_part(BAD), at(3)).is_some());
     assert_eq!(trial_in(&table, &with_part(SOUND), at(3)), None);
-    crash_with_part(&mut table, 4, 0x11);
+    crash_with_part(&mut table, 4, 0x11, false, at(4));
     assert!(
         trial_in(&table, &with_part(SOUND), at(4)).is_some(),
         "it is the part"
     );
 }
 
+/// The part is refused in its place, and tried far more often than a request may be.
+#[test]
+fn a_request_whose_prompt_part_is_refused_is_tried_three_times_a_day_at_most() {
+    let mut table = CrashTable::default();
+    for id in 1..=3 {
+        crash_with_part(&mut table, id, BAD, false, at(id));
+    }
+    crash_with_part(&mut table, 4, 0x11, false, at(4));
+    assert_eq!(table.refused().first(), Some(&Suspect::PromptPart(PART)));
+    let mut tried = 0;
+    for second in 5..24 * 3_600 {
+        let now = at(second);
+        if table.grant_trial(&with_part(BAD), now) {
+            tried += 1;
+            crash_with_part(&mut table, 100 + second, BAD, true, now);
+        }
+    }
+    assert!((1..=RETRIES_A_DAY_MAX).contains(&tried), "{tried} trials");
+}
+
+/// Other requests with the part go on to be tried, so that a sound part is found to be sound.
+#[test]
+fn a_prompt_part_is_tried_by_a_request_that_has_crashed_nothing() {
+    let mut table = CrashTable::default();
+    for id in 1..=3 {
+        crash_with_part(&mut table, id, BAD, false, at(id));
+    }
+    crash_with_part(&mut table, 4, 0x11, false, at(4));
+    assert!(table.grant_trial(&with_part(BAD), at(40)));
+    crash_with_part(&mut table, 5, BAD, true, at(40));
+    assert!(!table.grant_trial(&with_part(BAD), at(80)));
+    assert!(table.grant_trial(&with_part(SOUND), at(80)));
+}
+
 /// Endpoints whose entry does not tell when they started crash again under the same id.
 #[test]
 fn two_crashes_of_one_endpoint_are_told_from_one_that_two_gateways_saw() {
--- a/crates/radishpin-gateway/tests/serving/request_crashes.rs
+++ b/crates/radishpin-gateway/tests/serving/request_crashes.rs
@@ -213,6 +213,40 @@
     Fixture::engines(5).check(&with_prompt(BAD_BODY), &sound);
 }
 
+/// Engines crash under a part of its prompt, so the part is refused in its place once they crash under
+/// another request with the part.
+#[test]
+fn a_request_is_not_tried_each_second_once_a_part_of_its_prompt_is_refused() {
+    let fixture = Fixture::engines(6);
+    for engine in &fixture.engines {
+        engine.crash_on_body(None);
+        engine.crash_on_part("c1");
+    }
+    let others = ["host-2", "host-3"].map(|host| fixture.cluster.start_gateway_on(host));
+    let gateways: Vec<_> = others.iter().chain([&fixture.cluster.gateway]).collect();
+    fixture.cluster.wait_until_ready();
+    let with_part = |body| {
+        let request = dictation().body(body);
+        request.header("Radishpin-Prompt-Prefix", "aa:800,c1:410,5e55:250")
+    };
+    let request = with_part(BAD_BODY);
+    fixture.send_until_noticed(&gateways, &request);
+    send(
+        &fixture.cluster,
+        gateways[0],
+        &with_part("another"),
+        "other",
+    );
+    fixture
+        .cluster
+        .wait_until("the other request crashed an engine too", || {
+            fixture.crashes() > CRASHES
+        });
+    thread::sleep(DOWNTIME);
+    let late = fixture.late_arrivals(&gateways, &request, &[dictation()]);
+    assert!(late <= LATE_MAX, "{late} reached endpoints late");
+}
+
 #[test]
 fn resumed_streams_do_not_carry_a_request_that_crashes_engines_on() {
     let request = CallerRequest::new("/summary/2f", "")
