Number the trials of a request also where a part of its prompt is refused

Cause: the verdict looked at refused suspects alone, and once a part explains more crashes than the request, the request is not refused itself. The class: a limit that holds only while one of two explanations is believed.

A request that crashed endpoints three times now keeps to its own trials too whenever anything of it is refused. Requests that crashed fewer are not held up, so that a sound part is still found to be sound; nor is one that is not refused at all.

All of core's tests pass.

--- a/crates/radishpin-core/src/process/crash_table.rs
+++ b/crates/radishpin-core/src/process/crash_table.rs
@@ -39,7 +39,7 @@
     Allowed,
     /// It may not, unless it is granted as a trial.
     Refused {
-        /// The refused suspect whose next trial is the latest.
+        /// The suspect whose next trial is the latest.
         suspect: Suspect,
         /// Time until that trial; zero if it is due.
         trial_in: Duration,
@@ -150,10 +150,15 @@
 
     /// Whether a request with these suspects may be sent to an endpoint of their variant.
     pub fn verdict(&self, suspects: &Suspects, now: Duration) -> CrashVerdict {
-        let refused = suspects
+        let variant = suspects.variant();
+        let is_refused = |suspect| self.is_refused(suspect, variant);
+        if !suspects.iter().any(is_refused) {
+            return CrashVerdict::Allowed;
+        }
+        let limited = suspects
             .iter()
-            .filter(|suspect| self.is_refused(*suspect, suspects.variant()));
-        let trials = refused.filter_map(|suspect| {
+            .filter(|suspect| is_refused(*suspect) || self.is_limited(*suspect, variant));
+        let trials = limited.filter_map(|suspect| {
             let trial_at = self.trial_at(suspect, suspects)?;
             Some((trial_at.saturating_sub(now), suspect))
         });
@@ -163,19 +168,33 @@
         }
     }
 
+    /// Whether a whole request crashed endpoints of a variant so often that its own trials are numbered,
+    /// even if parts of its prompt are refused in its place.
+    fn is_limited(&self, suspect: Suspect, variant: EndpointVariant) -> bool {
+        let Suspect::Request(_) = suspect else {
+            return false;
+        };
+        self.count(suspect) >= CRASHES_TO_REFUSE && self.has_crashed(suspect, variant)
+    }
+
     /// Whether a suspect is refused at endpoints of a variant. A request is allowed at variants that it has
     /// not crashed.
     fn is_refused(&self, suspect: Suspect, variant: EndpointVariant) -> bool {
         self.refused.contains(&suspect)
             && match suspect {
                 Suspect::PromptPart(_) => true,
-                Suspect::Request(_) => self.suspects.get(&suspect).is_some_and(|crashes| {
-                    let mut held = held(crashes);
-                    held.any(|(_, crash)| crash.variant == variant)
-                }),
+                Suspect::Request(_) => self.has_crashed(suspect, variant),
             }
     }
 
+    /// Whether a crash at an endpoint of a variant is held against a suspect.
+    fn has_crashed(&self, suspect: Suspect, variant: EndpointVariant) -> bool {
+        self.suspects.get(&suspect).is_some_and(|crashes| {
+            let mut held = held(crashes);
+            held.any(|(_, crash)| crash.variant == variant)
+        })
+    }
+
     /// Grants one request with a refused suspect, to find out whether it is still to be refused. `false`
     /// if none is due, or nothing of it is refused here.
     pub fn grant_trial(&mut self, suspects: &Suspects, now: Duration) -> bool {
