Keep a request from counting as another suspect than itself

Callers saw: a request under which endpoints had crashed three times reached one more each second, once a part of its prompt was refused in its place. Cause: gateways left its fingerprint out of the suspects that they judge by, and ask holders about, unless a request was refused; so its own crashes looked like those of another suspect, that may explain the crashes under the part, and the part was tried every second.

The fingerprint is now among them whenever a crash is held against any whole request.

--- a/crates/radishpin-core/src/process/crash_table.rs
+++ b/crates/radishpin-core/src/process/crash_table.rs
@@ -261,12 +261,6 @@
         &self.refused
     }
 
-    /// Whether any whole request is refused.
-    pub fn refuses_requests(&self) -> bool {
-        let mut refused = self.refused.iter();
-        refused.any(|suspect| matches!(suspect, Suspect::Request(_)))
-    }
-
     /// Whether a crash is held against any whole request.
     pub fn suspects_requests(&self) -> bool {
         let mut suspects = self.suspects.iter();
--- a/crates/radishpin-gateway/src/process/gateway/admission.rs
+++ b/crates/radishpin-gateway/src/process/gateway/admission.rs
@@ -120,10 +120,10 @@
         }
     }
 
-    /// Fingerprint of a request, if any whole request is refused.
+    /// Fingerprint of a request, if a crash is held against any whole request.
     fn fingerprint_if_suspected(&self, call: &Call) -> Option<RequestFingerprint> {
-        let refuses_requests = self.crash_guard.crashes.lock().refuses_requests();
-        refuses_requests.then(|| call.fingerprint())
+        let suspects_requests = self.crash_guard.crashes.lock().suspects_requests();
+        suspects_requests.then(|| call.fingerprint())
     }
 
     /// Decides whether a request may be sent, as far as crashes are concerned. Of all gateways one gets the
