--- a/crates/radishpin-gateway/tests/serving/request_crashes.rs
+++ b/crates/radishpin-gateway/tests/serving/request_crashes.rs
@@ -371,19 +371,14 @@
     assert!(late <= LATE_MAX, "{late} reached endpoints late");
 }
 
-/// The request runs each time for so long that it is never answered before all endpoints are lost.
-#[test]
-fn a_sound_request_is_served_that_ran_when_all_endpoints_were_lost_three_times() {
-    let fixture = Fixture::plain();
-    let second = fixture.cluster.start_gateway_on("host-2");
-    let gateways = [&fixture.cluster.gateway, &second];
-    fixture.cluster.wait_until_ready();
+/// Loses all endpoints three times while they run the request, which is never answered before.
+fn lose_endpoints_three_times(fixture: &Fixture, gateways: &[&GatewayProcess]) {
     for round in 0..3 {
         for endpoint in &fixture.endpoints {
             endpoint.script(&[Behavior::Hang; 4]);
         }
         thread::scope(|scope| {
-            for (n, gateway) in gateways.into_iter().enumerate() {
+            for (n, gateway) in gateways.iter().enumerate() {
                 let cluster = &fixture.cluster;
                 scope.spawn(move || send(cluster, gateway, &order(), &format!("{round}-{n}")));
             }
@@ -395,6 +390,46 @@
         });
         thread::sleep(DOWNTIME + Duration::from_millis(300));
     }
+}
+
+/// No sidecar can permit a trial of the request for a while, as a rack with the holders was lost.
+#[test]
+fn a_sound_request_is_served_once_sidecars_that_permit_its_trial_are_back() {
+    let fixture = Fixture::plain();
+    let gateway = &fixture.cluster.gateway;
+    fixture.cluster.wait_until_ready();
+    lose_endpoints_three_times(&fixture, &[gateway]);
+    for engine in &fixture.engines {
+        fixture.cluster.store.remove("servers", &engine.id);
+    }
+    let until = Instant::now() + LATE_TIME;
+    for n in 0.. {
+        if Instant::now() >= until {
+            break;
+        }
+        send(&fixture.cluster, gateway, &order(), &format!("denied{n}"));
+        thread::sleep(PAUSE);
+    }
+    for engine in &fixture.engines {
+        fixture.cluster.list_endpoint(engine, "drafts", "ready");
+    }
+    thread::sleep(CONTACT);
+    let served = (0..10).filter(|n| {
+        thread::sleep(PAUSE);
+        let got = send(&fixture.cluster, gateway, &order(), &format!("later{n}"));
+        is_whole(&got)
+    });
+    let served = served.count();
+    assert!(served >= 9, "{served} of 10 served");
+}
+
+#[test]
+fn a_sound_request_is_served_that_ran_when_all_endpoints_were_lost_three_times() {
+    let fixture = Fixture::plain();
+    let second = fixture.cluster.start_gateway_on("host-2");
+    let gateways = [&fixture.cluster.gateway, &second];
+    fixture.cluster.wait_until_ready();
+    lose_endpoints_three_times(&fixture, &gateways);
     thread::sleep(CONTACT);
     let served = (0..20).filter(|n| {
         thread::sleep(PAUSE);
