Do not count a trial that no sidecar permitted

Callers would see: a sound request that ran whenever all endpoints were lost together is refused for ten minutes after they are back, if the sidecars that permit trials were lost too. Cause: a gateway counted the trial before it asked for the permit, and kept the count where none came; after two of these it waited as after two sends without a known end. The class: an attempt that is counted before it is known to take place.

A trial that no holder permits is taken back now, and asked for again a second later.

--- a/crates/radishpin-core/src/process/crash_table.rs
+++ b/crates/radishpin-core/src/process/crash_table.rs
@@ -155,10 +155,10 @@
         if !suspects.iter().any(is_refused) {
             return CrashVerdict::Allowed;
         }
-        let limited = suspects
+        let judged = suspects
             .iter()
-            .filter(|suspect| is_refused(*suspect) || self.is_limited(*suspect, variant));
-        let trials = limited.filter_map(|suspect| {
+            .filter(|suspect| is_refused(*suspect) || self.has_own_trials(*suspect, variant));
+        let trials = judged.filter_map(|suspect| {
             let trial_at = self.trial_at(suspect, suspects)?;
             Some((trial_at.saturating_sub(now), suspect))
         });
@@ -168,9 +168,9 @@
         }
     }
 
-    /// Whether a whole request crashed endpoints of a variant so often that its own trials are numbered,
-    /// even if parts of its prompt are refused in its place.
-    fn is_limited(&self, suspect: Suspect, variant: EndpointVariant) -> bool {
+    /// Whether a whole request crashed endpoints of a variant so often that it keeps to its own trials, even if
+    /// a part of its prompt is refused in its place.
+    fn has_own_trials(&self, suspect: Suspect, variant: EndpointVariant) -> bool {
         let Suspect::Request(_) = suspect else {
             return false;
         };
--- a/crates/radishpin-core/src/process/crash_table/trial.rs
+++ b/crates/radishpin-core/src/process/crash_table/trial.rs
@@ -56,7 +56,7 @@
         _ => CRASH_LIFETIME_MAX,
     };
     let after_trial = match trials.count {
-        0 => Duration::ZERO,
+        0 => TRIAL_DELAY_MIN,
         1 => TRIAL_NEWS_DELAY_MAX,
         _ => SECOND_TRIAL_DELAY,
     };
--- a/crates/radishpin-gateway/src/process/gateway/admission.rs
+++ b/crates/radishpin-gateway/src/process/gateway/admission.rs
@@ -139,13 +139,7 @@
         let Err(refused) = self.allowed_version(call, software_version) else {
             return Ok(None);
         };
-        let now = self.clock.now();
-        let due = self
-            .crash_guard
-            .crashes
-            .lock()
-            .grant_trial(&refused.suspects, now);
-        let granted = due && self.ask_for_trial(&refused.suspects).await;
+        let granted = self.obtain_trial(&refused.suspects).await;
         log::info!(
             event = "crash_refusal", request = call.id, suspect = refused.suspect.kind(),
             id:% = format_args!("{:x}", refused.suspect.id()),
@@ -163,6 +157,20 @@
         }))
     }
 
+    /// Obtains a trial if one is due. One that no holder permits does not count.
+    async fn obtain_trial(&self, suspects: &Suspects) -> bool {
+        let now = self.clock.now();
+        let due = self.crash_guard.crashes.lock().grant_trial(suspects, now);
+        if !due {
+            return false;
+        }
+        let permitted = self.ask_for_trial(suspects).await;
+        if !permitted {
+            self.crash_guard.crashes.lock().return_trial(suspects);
+        }
+        permitted
+    }
+
     fn return_trial(&self, suspects: &Suspects) {
         self.crash_guard.crashes.lock().return_trial(suspects);
         self.tell_holders(&SharedRequest::ReturnTrial(suspects.clone()));
