Test whom trials are granted to where a prompt part is refused in place of a request

- A request has used up its trials, and gets one more a second later at an endpoint whose version is not known.
- A part of its prompt is taken for one that may be innocent until three endpoints crashed under it without the request: in a row, one a second, though the first trial tells; and of a rack with five endpoints it is believed at once, so that all sound requests with the part are refused for 30 s or more.

--- a/crates/radishpin-core/tests/request_crashes.rs
+++ b/crates/radishpin-core/tests/request_crashes.rs
@@ -216,11 +216,7 @@
 #[test]
 fn a_request_whose_prompt_part_is_refused_is_tried_three_times_a_day_at_most() {
     let mut table = CrashTable::default();
-    for id in 1..=3 {
-        crash_with_part(&mut table, id, BAD, false, at(id));
-    }
-    crash_with_part(&mut table, 4, 0x11, false, at(4));
-    assert_eq!(table.refused().first(), Some(&Suspect::PromptPart(PART)));
+    refuse_part(&mut table, at(3), at(4));
     let mut tried = 0;
     for second in 5..24 * 3_600 {
         let now = at(second);
@@ -236,16 +232,66 @@
 #[test]
 fn a_prompt_part_is_tried_by_a_request_that_has_crashed_nothing() {
     let mut table = CrashTable::default();
-    for id in 1..=3 {
-        crash_with_part(&mut table, id, BAD, false, at(id));
-    }
-    crash_with_part(&mut table, 4, 0x11, false, at(4));
+    refuse_part(&mut table, at(3), at(4));
     assert!(table.grant_trial(&with_part(BAD), at(40)));
     crash_with_part(&mut table, 5, BAD, true, at(40));
     assert!(!table.grant_trial(&with_part(BAD), at(80)));
     assert!(table.grant_trial(&with_part(SOUND), at(80)));
 }
 
+/// Holds crashes of three endpoints against a request and the part of its prompt, and then one against
+/// another request with the part, so that the part is refused in the place of the request.
+fn refuse_part(table: &mut CrashTable, request_at: Duration, other_at: Duration) {
+    for id in 1..=3 {
+        crash_with_part(table, id, BAD, false, request_at);
+    }
+    crash_with_part(table, 4, 0x11, false, other_at);
+    assert_eq!(table.refused().first(), Some(&Suspect::PromptPart(PART)));
+}
+
+/// The version of an endpoint that restarted since it was listed is not known; it may be the same.
+#[test]
+fn a_request_has_no_more_trials_at_endpoints_of_unknown_version() {
+    let mut table = CrashTable::default();
+    refuse_part(&mut table, at(1), at(1));
+    assert!(table.grant_trial(&with_part(BAD), at(2)));
+    crash_with_part(&mut table, 5, BAD, true, at(2));
+    let parts: SharedParts = [PART].into_iter().collect();
+    let unknown = endpoint_variant("drafts", None);
+    let at_unknown = Suspects::new(&parts, Some(BAD), unknown);
+    assert!(!table.grant_trial(&at_unknown, at(4)));
+    let at_next = Suspects::new(&parts, Some(BAD), V2);
+    assert!(
+        table.grant_trial(&at_next, at(4)),
+        "the next version has one"
+    );
+}
+
+/// Only a crash that is not under the request tells that the part is to blame.
+#[test]
+fn a_prompt_part_is_to_blame_once_a_trial_without_the_request_crashed_an_endpoint() {
+    let mut table = CrashTable::default();
+    refuse_part(&mut table, at(1), at(2));
+    assert!(table.grant_trial(&with_part(0x12), at(3)));
+    crash_with_part(&mut table, 5, 0x12, true, at(3));
+    assert!(!table.grant_trial(&with_part(0x13), at(5)));
+}
+
+/// A rack was lost, so that many endpoints crashed with one cause.
+#[test]
+fn a_sound_prompt_part_is_tried_soon_after_a_rack_was_lost_beside_a_request_that_crashes_endpoints()
+{
+    let mut table = CrashTable::default();
+    for id in 1..=3 {
+        crash_with_part(&mut table, id, BAD, false, at(id));
+    }
+    for id in 11..=15 {
+        crash_with_part(&mut table, id, SOUND + id, false, at(5));
+    }
+    assert!(trial_in(&table, &with_part(SOUND), at(5)).is_some());
+    assert!(table.grant_trial(&with_part(SOUND), at(6)));
+}
+
 /// Endpoints whose entry does not tell when they started crash again under the same id.
 #[test]
 fn two_crashes_of_one_endpoint_are_told_from_one_that_two_gateways_saw() {
