Count an endpoint of unknown version as one of any version for trials

Callers saw: an engine that restarted under its id got a request that had used up its trials, once more. Cause: an endpoint whose version is not known, as it started after it was listed, counted as one of another version, at which a request has a trial of its own. The class: an unknown value that is taken for a different one.

Unknown is a variant of its own now, at which a request keeps to the trials that it has left, whatever version it crashed. A request that is refused alone still gets one chance there, as before: an answer there cannot clear it of crashes at known versions.

--- a/crates/radishpin-core/src/process.rs
+++ b/crates/radishpin-core/src/process.rs
@@ -17,7 +17,8 @@
 mod software_versions;
 
 pub use crash_suspect::{
-    CrashId, CrashRecord, EndpointVariant, Suspect, SuspectCrashes, Suspects, endpoint_variant,
+    CrashId, CrashRecord, EndpointVariant, Suspect, SuspectCrashes, Suspects, UNKNOWN_VARIANT,
+    endpoint_variant,
 };
 pub use crash_table::{
     CRASH_LIFETIME, CRASH_LIFETIME_MAX, CRASHES_PER_SUSPECT_MAX, CRASHES_TO_REFUSE, CrashTable,
--- a/crates/radishpin-core/src/process/crash_suspect.rs
+++ b/crates/radishpin-core/src/process/crash_suspect.rs
@@ -15,10 +15,14 @@
 /// well at others.
 pub type EndpointVariant = u64;
 
-/// Hash of a service and a software version; `None` if the version is not known.
+/// Variant of endpoints whose software version is not known; it may be that of any others.
+pub const UNKNOWN_VARIANT: EndpointVariant = 0;
+
+/// Hash of a service and a software version; [`UNKNOWN_VARIANT`] if the version is not known.
 pub fn endpoint_variant(service: &str, software_version: Option<&str>) -> EndpointVariant {
-    let version = software_version.unwrap_or_default();
-    mix(stable_hash(service.as_bytes()) ^ mix(stable_hash(version.as_bytes())))
+    let hash =
+        |version: &str| mix(stable_hash(service.as_bytes()) ^ mix(stable_hash(version.as_bytes())));
+    software_version.map_or(UNKNOWN_VARIANT, hash)
 }
 
 /// What may be to blame for a crash.
--- a/crates/radishpin-core/src/process/crash_table.rs
+++ b/crates/radishpin-core/src/process/crash_table.rs
@@ -13,7 +13,7 @@
 mod refused;
 mod trial;
 
-use super::{CrashId, EndpointVariant, Suspect, SuspectCrashes, Suspects};
+use super::{CrashId, EndpointVariant, Suspect, SuspectCrashes, Suspects, UNKNOWN_VARIANT};
 use crate::request::{PromptPartId, RequestFingerprint};
 use radishpin_protocol::prelude::*;
 use record::{Crash, CrashKey, Crashes, held, merge_crash, message};
@@ -174,7 +174,8 @@
         let Suspect::Request(_) = suspect else {
             return false;
         };
-        self.count(suspect) >= CRASHES_TO_REFUSE && self.has_crashed(suspect, variant)
+        let may_have_crashed = variant == UNKNOWN_VARIANT || self.has_crashed(suspect, variant);
+        may_have_crashed && self.count(suspect) >= CRASHES_TO_REFUSE
     }
 
     /// Whether a suspect is refused at endpoints of a variant. A request is allowed at variants that it has
