Believe a trial that tells a prompt part from the request that it may be mistaken for

Callers saw: a prompt part under which endpoints crash was tried each second, until three had crashed without the request that explains the other crashes too; and sound requests with a part were refused for 30 s and more after a rack with three endpoints or more was lost beside a request that crashes endpoints. Cause: crashes were counted one by one, where the question is on how many occasions: a rack is one, and a trial without the request is another one. The class: evidence that is counted without asking whether it is independent.

A request explains the crashes under a part now but for those of one occasion. Between two parts nothing changes.

--- a/crates/radishpin-core/src/process/crash_table.rs
+++ b/crates/radishpin-core/src/process/crash_table.rs
@@ -13,12 +13,12 @@
 mod refused;
 mod trial;
 
-use super::{CrashId, EndpointVariant, Suspect, SuspectCrashes, Suspects, UNKNOWN_VARIANT};
+use super::{EndpointVariant, Suspect, SuspectCrashes, Suspects, UNKNOWN_VARIANT};
 use crate::request::{PromptPartId, RequestFingerprint};
 use radishpin_protocol::prelude::*;
 use record::{Crash, CrashKey, Crashes, held, merge_crash, message};
 use refused::refused_suspects;
-use trial::{REQUEST_TRIAL_INTERVAL, Trials, part_trial_at, request_trial_at};
+use trial::{REQUEST_TRIAL_INTERVAL, Trials, explains, part_trial_at, request_trial_at};
 
 /// Crashes without any answered request after which a suspect is refused.
 pub const CRASHES_TO_REFUSE: usize = 3;
@@ -244,16 +244,12 @@
     }
 
     /// Whether another suspect, which this request lacks, explains the crashes that are held against
-    /// `suspect`, but for too few to refuse it: then the request tells which of the two is to blame.
+    /// `suspect`: then the request tells which of the two is to blame.
     fn may_be_innocent(&self, suspect: Suspect, crashes: &Crashes, suspects: &Suspects) -> bool {
         self.suspects.iter().any(|(other, other_crashes)| {
-            let other_held: BTreeSet<CrashId> =
-                held(other_crashes).map(|((id, _), _)| id).collect();
-            let unexplained = held(crashes).filter(|((id, _), _)| !other_held.contains(id));
             *other != suspect
                 && !suspects.contains(*other)
-                && other_held.len() >= CRASHES_TO_REFUSE
-                && unexplained.count() < CRASHES_TO_REFUSE
+                && explains(*other, other_crashes, crashes)
         })
     }
 
--- a/crates/radishpin-core/src/process/crash_table/trial.rs
+++ b/crates/radishpin-core/src/process/crash_table/trial.rs
@@ -1,9 +1,10 @@
 //! When a refused suspect may be tried, to find out whether endpoints still crash under it.
 
 use super::{
-    CRASH_LIFETIME_MAX,
+    CRASH_LIFETIME_MAX, CRASHES_TO_REFUSE,
     record::{Crashes, held},
 };
+use crate::process::{CrashId, Suspect};
 use radishpin_protocol::prelude::*;
 
 /// Crashes within this time of each other may have one cause, such as the loss of a rack.
@@ -39,9 +40,10 @@
 /// When a refused prompt part may be tried. `may_be_innocent` says whether something else explains its
 /// crashes too.
 pub(super) fn part_trial_at(crashes: &Crashes, trials: Trials, may_be_innocent: bool) -> Duration {
+    let times = held(crashes).map(|(_, crash)| crash.at);
     let delay = match may_be_innocent {
         true => TRIAL_DELAY_MIN,
-        false => part_trial_delay(occasions(crashes)),
+        false => part_trial_delay(occasions(times)),
     };
     last_crash_at(crashes).max(trials.last_at) + delay
 }
@@ -68,10 +70,22 @@
     last.unwrap_or_default()
 }
 
-/// Number of times at which crashes are held against a suspect, where those of one time may have one
-/// cause.
-fn occasions(crashes: &Crashes) -> usize {
-    let mut times: Vec<Duration> = held(crashes).map(|(_, crash)| crash.at).collect();
+/// Whether another suspect explains the crashes that are held against one, but for too few to blame that.
+pub(super) fn explains(other: Suspect, other_crashes: &Crashes, crashes: &Crashes) -> bool {
+    let explained: BTreeSet<CrashId> = held(other_crashes).map(|((id, _), _)| id).collect();
+    let unexplained = held(crashes).filter(|((id, _), _)| !explained.contains(id));
+    let unexplained = unexplained.map(|(_, crash)| crash.at);
+    explained.len() >= CRASHES_TO_REFUSE
+        && match other {
+            Suspect::PromptPart(_) => unexplained.count() < CRASHES_TO_REFUSE,
+            // One occasion may be the loss of a rack; a trial without the request is the next.
+            Suspect::Request(_) => occasions(unexplained) <= 1,
+        }
+}
+
+/// Number of occasions on which endpoints crashed; crashes of one occasion may have one cause.
+fn occasions(crashed_at: impl Iterator<Item = Duration>) -> usize {
+    let mut times: Vec<Duration> = crashed_at.collect();
     times.sort_unstable();
     let mut began_at: Option<Duration> = None;
     let mut count = 0;
