--- a/crates/radishpin-core/src/process/crash_suspect.rs
+++ b/crates/radishpin-core/src/process/crash_suspect.rs
@@ -15,7 +15,7 @@
 /// well at others.
 pub type EndpointVariant = u64;
 
-/// Variant of endpoints whose software version is not known; it may be that of any others.
+/// Variant of endpoints whose software version is not known. Each of them may run any version.
 pub const UNKNOWN_VARIANT: EndpointVariant = 0;
 
 /// Hash of a service and a software version; [`UNKNOWN_VARIANT`] if the version is not known.
--- a/crates/radishpin-core/src/process/crash_table/trial.rs
+++ b/crates/radishpin-core/src/process/crash_table/trial.rs
@@ -70,7 +70,8 @@
     last.unwrap_or_default()
 }
 
-/// Whether another suspect explains the crashes that are held against one, but for too few to blame that.
+/// Whether another suspect explains so many of the crashes that are held against one that this one may not
+/// have caused any.
 pub(super) fn explains(other: Suspect, other_crashes: &Crashes, crashes: &Crashes) -> bool {
     let explained: BTreeSet<CrashId> = held(other_crashes).map(|((id, _), _)| id).collect();
     let unexplained = held(crashes).filter(|((id, _), _)| !explained.contains(id));
