Test that a prompt part stays refused when an endpoint crashes twice under one known start

A trial crashed an endpoint whose later start was not known yet; the request counted that as a new crash and its part did not, so that the request seemed to explain all of the part's, and other requests with the part reached two endpoints more.

--- a/crates/radishpin-core/tests/request_crashes.rs
+++ b/crates/radishpin-core/tests/request_crashes.rs
@@ -267,6 +267,16 @@
     );
 }
 
+/// An endpoint crashed under a trial of the request for the second time, and its new start is not known yet.
+#[test]
+fn a_prompt_part_stays_refused_when_an_endpoint_crashes_again_under_the_same_listed_start() {
+    let mut table = CrashTable::default();
+    refuse_part(&mut table, at(1), at(1));
+    crash_with_part(&mut table, 1, BAD, true, at(3));
+    assert_eq!(table.count(Suspect::Request(BAD)), 4);
+    assert!(trial_in(&table, &with_part(SOUND), at(3)).is_some());
+}
+
 /// Only a crash that is not under the request tells that the part is to blame.
 #[test]
 fn a_prompt_part_is_to_blame_once_a_trial_without_the_request_crashed_an_endpoint() {
