Compare suspects by the runs of endpoints that crashed before they are by crashes

Callers saw: a prompt part under which endpoints crash was allowed again while the request in which it was tried crashed one more, and others with the part reached endpoints. Cause: crashes of an endpoint whose later start is not known yet are told apart under a request and not under a part, so that the request outnumbered its part and seemed to explain all. The class: two counts of one thing that are compared as if they were alike.

What is refused is decided by runs first, which both kinds count alike, and then by crashes. Three crashes are still enough, whichever run they are of.

Core's test failed before and passes now, with all of core's tests.

--- a/crates/radishpin-core/src/process/crash_table/refused.rs
+++ b/crates/radishpin-core/src/process/crash_table/refused.rs
@@ -18,7 +18,7 @@
     let mut refused = BTreeSet::new();
     loop {
         unexplained.retain(|_, crashes| crashes.len() >= CRASHES_TO_REFUSE);
-        let Some(most) = unexplained.values().map(BTreeSet::len).max() else {
+        let Some(most) = unexplained.values().map(weight).max() else {
             return refused;
         };
         let worst = most_suspicious(&unexplained, most);
@@ -35,14 +35,23 @@
     }
 }
 
-/// Suspects with this number of crashes: the requests, or the prompt parts if there is no request.
+/// What suspects are compared by: runs of endpoints that crashed, and then crashes. Where an endpoint's start is
+/// not known, its crashes under a request are told apart, and those under a prompt part are not.
+type Weight = (usize, usize);
+
+fn weight(crashes: &BTreeSet<CrashKey>) -> Weight {
+    let runs: BTreeSet<CrashId> = crashes.iter().map(|(id, _)| *id).collect();
+    (runs.len(), crashes.len())
+}
+
+/// Suspects of this weight: the requests, or the prompt parts if there is no request.
 fn most_suspicious(
     unexplained: &BTreeMap<Suspect, BTreeSet<CrashKey>>,
-    most: usize,
+    most: Weight,
 ) -> Vec<Suspect> {
     let worst = unexplained
         .iter()
-        .filter(|(_, crashes)| crashes.len() == most)
+        .filter(|(_, crashes)| weight(crashes) == most)
         .map(|(suspect, _)| *suspect);
     let (requests, parts): (Vec<Suspect>, Vec<Suspect>) =
         worst.partition(|suspect| matches!(suspect, Suspect::Request(_)));
