--- a/crates/radishpin-gateway/src/request/call.rs
+++ b/crates/radishpin-gateway/src/request/call.rs
@@ -193,11 +193,7 @@
 }
 
 fn caller_timeout(headers: &HeaderMap) -> Option<Duration> {
-    let milliseconds = header_text(headers, wire::DEADLINE_MS)?
-        .trim()
-        .parse()
-        .ok()?;
-    Some(Duration::from_millis(milliseconds))
+    wire::parse_deadline(header_text(headers, wire::DEADLINE_MS)?)
 }
 
 /// Returns the value of a header; `None` if it is absent or not visible ASCII.
