Handle stop and reload signals from before a role says that it started

SIGHUP was registered by a task that ran later still.

Change: StopSignals and ReloadSignal register first and keep what comes. One type for all roles in radishpin-runtime, in place of two functions.

Test: 150 starts of each role with SIGTERM, and with SIGHUP and SIGTERM, sent at once after event=started; none ended by the signal or without event=stopped.

--- a/crates/radishpin-gateway/src/process/gateway.rs
+++ b/crates/radishpin-gateway/src/process/gateway.rs
@@ -10,8 +10,8 @@
 mod origins;
 
 use super::{
-    Clock, GatewayError, Metrics, Shutdown, StoreClient, read_settings, serve_metrics,
-    wait_for_stop_signal, watch_settings,
+    Clock, GatewayError, Metrics, ReloadSignal, Shutdown, StoreClient, read_settings,
+    serve_metrics, watch_settings,
 };
 use crate::{
     connection::{BodyBudget, Pool, ServerLimits},
@@ -35,7 +35,7 @@
     version::{Catalog, Route},
 };
 use radishpin_protocol::prelude::*;
-use radishpin_runtime::{Runtime, timeout};
+use radishpin_runtime::{Runtime, StopSignals, timeout};
 use std::{
     net::SocketAddr,
     path::{Path, PathBuf},
@@ -379,20 +379,21 @@
     let settings = read_settings(&path)?;
     let runtime = Runtime::start(settings.cores)?;
     smol::block_on(async {
+        let mut stop_signals = StopSignals::register()?;
+        let reload_signal = ReloadSignal::register();
         let process = GatewayProcess::start(runtime, settings, metrics_port).await?;
-        spawn_settings_watch(&process.gateway, &path);
-        wait_for_stop_signal().await?;
+        spawn_settings_watch(&process.gateway, &path, reload_signal);
+        stop_signals.wait().await?;
         process.stop().await;
         Ok(())
     })
 }
 
-fn spawn_settings_watch(gateway: &Arc<Gateway>, path: &Path) {
+fn spawn_settings_watch(gateway: &Arc<Gateway>, path: &Path, reload_signal: ReloadSignal) {
     let watcher = Arc::clone(gateway);
     let path = path.to_owned();
-    gateway
-        .runtime
-        .spawn_detached(async move { watch_settings(&path, &watcher.settings).await });
+    let watch = async move { watch_settings(&path, &watcher.settings, reload_signal).await };
+    gateway.runtime.spawn_detached(watch);
 }
 
 fn spawn_store_watches(gateway: &Arc<Gateway>, address: SocketAddr) {
--- a/crates/radishpin-gateway/src/process/settings.rs
+++ b/crates/radishpin-gateway/src/process/settings.rs
@@ -16,14 +16,29 @@
     Settings::decode(&bytes).map_err(|cause| GatewayError::Settings(path.into(), cause))
 }
 
-/// Reloads the file at each SIGHUP. If that fails, the previous settings stay in force.
-pub(crate) async fn watch_settings(path: &Path, settings: &Mutex<Arc<Settings>>) {
-    let mut signals = match Signals::new([Signal::Hup]) {
-        Ok(signals) => signals,
-        Err(cause) => {
+/// SIGHUP, which no longer ends the process.
+#[derive(Debug)]
+pub(crate) struct ReloadSignal(Option<Signals>);
+
+impl ReloadSignal {
+    /// Handles the signal from now on. Where that fails, settings are not reloaded until a restart.
+    pub(crate) fn register() -> Self {
+        let signals = Signals::new([Signal::Hup]);
+        let signals = signals.inspect_err(|cause| {
             log::error!(event = "reload_unavailable", cause:% = cause; "cannot handle SIGHUP; settings are not reloaded until a restart");
-            return;
-        }
+        });
+        Self(signals.ok())
+    }
+}
+
+/// Reloads the file at each SIGHUP. If that fails, the previous settings stay in force.
+pub(crate) async fn watch_settings(
+    path: &Path,
+    settings: &Mutex<Arc<Settings>>,
+    reload_signal: ReloadSignal,
+) {
+    let Some(mut signals) = reload_signal.0 else {
+        return;
     };
     while signals.next().await.is_some() {
         match read_settings(path) {
--- a/crates/radishpin-gateway/src/process/shutdown.rs
+++ b/crates/radishpin-gateway/src/process/shutdown.rs
@@ -1,15 +1,10 @@
 //! The stages of a graceful shutdown: drain, close connections, stop listeners.
 
-use async_signal::{Signal, Signals};
 use event_listener::Event;
-use futures_lite::StreamExt;
 use radishpin_protocol::prelude::*;
-use std::{
-    io,
-    sync::{
-        OnceLock,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
-    },
+use std::sync::{
+    OnceLock,
+    atomic::{AtomicBool, AtomicUsize, Ordering},
 };
 
 /// The stage of the shutdown, and the number of open connections.
@@ -131,12 +126,3 @@
         self.shutdown.connection_closed.notify(usize::MAX);
     }
 }
-
-/// Waits for SIGINT or SIGTERM.
-pub(crate) async fn wait_for_stop_signal() -> io::Result<()> {
-    let mut signals = Signals::new([Signal::Int, Signal::Term])?;
-    match signals.next().await {
-        Some(Err(cause)) => Err(cause),
-        Some(Ok(_)) | None => Ok(()),
-    }
-}
--- a/crates/radishpin-gateway/src/process/sidecar.rs
+++ b/crates/radishpin-gateway/src/process/sidecar.rs
@@ -4,8 +4,8 @@
 mod shared_state;
 
 use super::{
-    Clock, GatewayError, Metrics, Shutdown, StoreClient, gateway::internal_limits, read_settings,
-    serve_metrics, wait_for_stop_signal, watch_settings,
+    Clock, GatewayError, Metrics, ReloadSignal, Shutdown, StoreClient, gateway::internal_limits,
+    read_settings, serve_metrics, watch_settings,
 };
 use crate::{
     connection::{Connection, ExchangeError, SHARED_STATE_PATH, get, serve},
@@ -23,7 +23,7 @@
     version::Catalog,
 };
 use radishpin_protocol::prelude::*;
-use radishpin_runtime::{Runtime, timeout};
+use radishpin_runtime::{Runtime, StopSignals, timeout};
 pub(crate) use shared_state::NEWS_WAIT;
 use shared_state::{SharedState, handle_shared_state};
 use std::{net::SocketAddr, path::PathBuf, sync::Arc};
@@ -113,11 +113,13 @@
     let settings = read_settings(&path)?;
     let runtime = Runtime::start(settings.cores)?;
     smol::block_on(async {
+        let mut stop_signals = StopSignals::register()?;
+        let reload_signal = ReloadSignal::register();
         let process = SidecarProcess::start(runtime.clone(), settings, metrics_port).await?;
         let watched = Arc::clone(&process.sidecar);
-        let watch = async move { watch_settings(&path, &watched.settings).await };
+        let watch = async move { watch_settings(&path, &watched.settings, reload_signal).await };
         runtime.spawn_detached(watch);
-        wait_for_stop_signal().await?;
+        stop_signals.wait().await?;
         process.stop();
         Ok(())
     })
--- a/src/command/standin.rs
+++ b/src/command/standin.rs
@@ -7,11 +7,10 @@
         Fault, Kind, Setting, Values,
         common::{LOG_LEVEL, SEED, THREADS},
     },
-    signals::wait_for_stop_signal,
 };
 use radishpin_http::Shutdown;
 use radishpin_local::{ClusterPlan, seed_platform};
-use radishpin_runtime::Runtime;
+use radishpin_runtime::{Runtime, StopSignals};
 use radishpin_standin::{
     Engine, EngineSettings, MemoryPlatform, PlainService, PlainServiceSettings, WeightStore,
     WeightStoreSettings,
@@ -115,8 +114,9 @@
         let address = listener.local_addr()?;
         let shutdown = Shutdown::default();
         let served = serve(settings, &runtime, listener, shutdown.clone())?;
+        let mut stop_signals = StopSignals::register()?;
         println!("ready http://{address}");
-        wait_for_stop_signal().await?;
+        stop_signals.wait().await?;
         shutdown.begin();
         served.await?;
         Ok(())
--- a/src/command/try.rs
+++ b/src/command/try.rs
@@ -7,11 +7,10 @@
         Fault, Kind, Setting, Values,
         common::{LOG_LEVEL, SEED, THREADS},
     },
-    signals::wait_for_stop_signal,
 };
 use futures_lite::future::or;
 use radishpin_local::{ClusterPlan, LocalCluster};
-use radishpin_runtime::Runtime;
+use radishpin_runtime::{Runtime, StopSignals};
 use std::{
     io::{self, Write},
     net::SocketAddr,
@@ -57,15 +56,16 @@
 fn start(settings: TrySettings) -> Result<(), CommandError> {
     let runtime = Runtime::start(settings.threads)?;
     smol::block_on(async {
+        let mut stop_signals = StopSignals::register()?;
         let plan = ClusterPlan::small(settings.listen, settings.seed);
         let cluster = LocalCluster::start(plan, runtime).await?;
         let ready = async {
             cluster.ready().await;
             print_ready(&cluster)
         };
-        let stop = async { wait_for_stop_signal().await.map(|()| false) };
+        let stop = async { stop_signals.wait().await.map(|()| false) };
         if or(stop, async { ready.await.map(|()| true) }).await? {
-            wait_for_stop_signal().await?;
+            stop_signals.wait().await?;
         }
         println!("draining");
         cluster.stop().await;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,7 +11,6 @@
 mod role;
 mod run;
 mod settings;
-mod signals;
 
 pub use command::{Command, CommandSpec, explain_request};
 pub use error::CommandError;
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -11,6 +11,7 @@
 };
 use parking_lot::Mutex;
 use std::{
+    cell::Cell,
     io::{self, Write},
     sync::{
         Arc,
@@ -38,6 +39,14 @@
 /// Interval at which the exit checks whether all lines are written.
 const FLUSH_POLL_INTERVAL: Duration = Duration::from_millis(1);
 
+/// Event that a process logs last. Tasks that still run after it log nothing more.
+const LAST_EVENT: &str = "stopped";
+
+thread_local! {
+    /// Whether the line that this thread formatted last is the last one of the process.
+    static IS_LAST_LINE: Cell<bool> = const { Cell::new(false) };
+}
+
 /// Number of lines that are queued but not yet written.
 #[derive(Clone, Debug, Default)]
 pub struct PendingLines(Arc<AtomicU64>);
@@ -86,6 +95,7 @@
             let line = dropped_lines_record(SystemTime::now(), count);
             writeln!(out, "{line} of={}", quote_if_needed(&event))?;
         }
+        IS_LAST_LINE.set(event == LAST_EVENT);
         if admitted {
             format_record(out, SystemTime::now(), record)?;
         }
@@ -105,6 +115,8 @@
     sender: SyncSender<Vec<u8>>,
     dropped: Arc<AtomicU64>,
     pending: PendingLines,
+    /// Whether the last line of the process is queued.
+    closed: bool,
 }
 
 impl NonBlockingWriter {
@@ -132,6 +144,7 @@
             sender,
             dropped,
             pending,
+            closed: false,
         }
     }
 
@@ -143,6 +156,10 @@
 
 impl Write for NonBlockingWriter {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        if self.closed {
+            return Ok(line.len());
+        }
+        self.closed = IS_LAST_LINE.take();
         self.pending.0.fetch_add(1, Ordering::Relaxed);
         if self.sender.try_send(line.to_vec()).is_err() {
             self.pending.0.fetch_sub(1, Ordering::Release);
--- a/src/role.rs
+++ b/src/role.rs
@@ -1,8 +1,9 @@
 //! Functions shared by the commands that run a role.
 
-use crate::{CommandError, signals::wait_for_stop_signal};
+use crate::CommandError;
 use radishpin_http::{Client, ClientLimits, Shutdown};
 use radishpin_platform::{HttpPlatform, Platform};
+use radishpin_runtime::StopSignals;
 use std::{future::Future, net::SocketAddr, sync::Arc};
 
 /// Creates a client of the platform at `address`, with default limits.
@@ -18,9 +19,10 @@
     shutdown: Shutdown,
     stopped: impl Future<Output = ()>,
 ) -> Result<(), CommandError> {
+    let mut stop_signals = StopSignals::register()?;
     // Written as a single line: the parent process may stop reading after it.
     println!("ready {addresses}");
-    wait_for_stop_signal().await?;
+    stop_signals.wait().await?;
     shutdown.begin();
     stopped.await;
     Ok(())
--- a/tests/boot.rs
+++ b/tests/boot.rs
@@ -4,8 +4,9 @@
 use std::{
     fs,
     io::{BufRead, BufReader, Read},
-    path::PathBuf,
-    process::{Command, Stdio},
+    path::{Path, PathBuf},
+    process::{Command, ExitStatus, Stdio},
+    thread,
 };
 
 fn radishpin(args: &[&str]) -> (Option<i32>, String) {
@@ -74,41 +75,80 @@
     );
 }
 
-/// An engineer on call reads the last line of a log first, so it must tell that the stop was
-/// complete.
-#[test]
-fn a_role_that_is_asked_to_stop_says_so_with_its_last_line() {
-    let settings = VALID_SETTINGS
+/// Settings with which either role starts, on ports that are free.
+fn startable_settings(grace_s: f64) -> String {
+    VALID_SETTINGS
         .replace("[7380, 7395]", "[0, 0]")
-        .replace("\"grace_s\": 8", "\"grace_s\": 1")
+        .replace("\"grace_s\": 8", &format!("\"grace_s\": {grace_s}"))
         .replace(
             "\"limits\"",
             r#""listen_addresses": {"front": "127.0.0.1:0", "ready": "127.0.0.1:0"},
                "app": "127.0.0.1:9", "limits""#,
-        );
-    let path = boot_file("stopped.json", &settings);
-    for role in ["gateway", "sidecar"] {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_radishpin"))
-            .args([role, "--boot"])
-            .arg(&path)
-            .stdout(Stdio::piped())
-            .spawn()
-            .expect("the binary starts");
-        let mut output = BufReader::new(child.stdout.take().expect("its output"));
-        let mut line = String::new();
-        while !line.contains("event=started") {
-            line.clear();
-            let read = output.read_line(&mut line).expect("its output");
-            assert!(read > 0, "{role} ended before it started");
-        }
+        )
+}
+
+/// Starts a role, sends it these signals at once after its first line, and returns how it ended and what it
+/// wrote after that line.
+fn signal_at_start(role: &str, boot: &Path, signals: &[&str]) -> (ExitStatus, String) {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_radishpin"))
+        .args([role, "--boot"])
+        .arg(boot)
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the binary starts");
+    let mut output = BufReader::new(child.stdout.take().expect("its output"));
+    let mut line = String::new();
+    while !line.contains("event=started") {
+        line.clear();
+        let read = output.read_line(&mut line).expect("its output");
+        assert!(read > 0, "{role} ended before it started");
+    }
+    for signal in signals {
         let kill = Command::new("kill")
-            .args(["-TERM", &child.id().to_string()])
+            .args([signal, child.id().to_string().as_str()])
             .status();
         assert!(kill.expect("kill runs").success());
-        let mut rest = String::new();
-        output.read_to_string(&mut rest).expect("its output");
-        assert!(child.wait().expect("its end").success());
+    }
+    let mut rest = String::new();
+    output.read_to_string(&mut rest).expect("its output");
+    (child.wait().expect("its end"), rest)
+}
+
+/// An engineer on call reads the last line of a log first, so it must tell that the stop was
+/// complete.
+#[test]
+fn a_role_that_is_asked_to_stop_says_so_with_its_last_line() {
+    let path = boot_file("stopped.json", &startable_settings(1.0));
+    for role in ["gateway", "sidecar"] {
+        let (status, rest) = signal_at_start(role, &path, &["-TERM"]);
+        assert!(status.success());
         let last = rest.lines().last().unwrap_or_default();
         assert!(last.contains("event=stopped"), "{role}: {rest}");
     }
 }
+
+/// Signals that came between the line `started` and the registration of their handlers ended the process.
+#[test]
+fn a_role_that_is_signalled_right_after_its_start_is_not_killed() {
+    const STARTS: usize = 150;
+    const AT_ONCE: usize = 10;
+    let path = boot_file("signalled.json", &startable_settings(0.1));
+    for role in ["gateway", "sidecar"] {
+        for signals in [&["-TERM"][..], &["-HUP", "-TERM"]] {
+            let start_some = || {
+                let runs = (0..STARTS / AT_ONCE).map(|_| signal_at_start(role, &path, signals));
+                let killed = runs.filter(|(status, rest)| {
+                    let last = rest.lines().last().unwrap_or_default();
+                    !status.success() || !last.contains("event=stopped")
+                });
+                killed.count()
+            };
+            let killed: usize = thread::scope(|scope| {
+                let starters: Vec<_> = (0..AT_ONCE).map(|_| scope.spawn(start_some)).collect();
+                let counts = starters.into_iter().map(|starter| starter.join().unwrap());
+                counts.sum()
+            });
+            assert_eq!(killed, 0, "{role} {signals:?}: killed of {STARTS}");
+        }
+    }
+}
