Give each test process a loopback network of its own

Change: a process holds a listener on 127.N.0.1 as long as it uses 127.N.0.0/16. Clusters get a gateway that can be killed, and one that starts later.

--- a/crates/radishpin-gateway/tests/serving/cluster.rs
+++ b/crates/radishpin-gateway/tests/serving/cluster.rs
@@ -13,18 +13,19 @@
     server::conn::http1,
     service::service_fn,
 };
+use parking_lot::Mutex;
 use radishpin_adapter::Settings;
 use radishpin_gateway::{GatewayProcess, SidecarProcess};
-use radishpin_runtime::Runtime;
+use radishpin_runtime::{IsolatedRuntime, Runtime};
 use serde_json::{Value, json};
 use smol::net::TcpListener;
 use smol_hyper::rt::FuturesIo;
 use std::{
     error::Error,
-    net::{IpAddr, SocketAddr},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     sync::{
-        Arc,
-        atomic::{AtomicU8, Ordering},
+        Arc, OnceLock,
+        atomic::{AtomicU16, Ordering},
     },
     time::Duration,
 };
@@ -32,14 +33,42 @@
 /// Models of the service `drafts`; the memory of an engine holds two of them.
 pub const MODELS: [&str; 4] = ["m0", "m1", "m2", "m3"];
 
-static NEXT_LOOPBACK_IP: AtomicU8 = AtomicU8::new(2);
+static NEXT_LOOPBACK_IP: AtomicU16 = AtomicU16::new(2);
 
-/// Returns a loopback address that no other caller of this function in the test process gets.
+/// Port whose listener on the first address of a loopback network reserves the network.
+const RESERVATION_PORT: u16 = 7_379;
+
+/// A loopback network that belongs to this test process as long as it holds the listener.
+struct LoopbackNetwork {
+    second_octet: u8,
+    _reservation: std::net::TcpListener,
+}
+
+impl LoopbackNetwork {
+    /// Reserves a network that no other running test process has.
+    fn reserve() -> Self {
+        let reserve = |second_octet| {
+            let first_address = Ipv4Addr::new(127, second_octet, 0, 1);
+            let listener = std::net::TcpListener::bind((first_address, RESERVATION_PORT)).ok()?;
+            Some(Self {
+                second_octet,
+                _reservation: listener,
+            })
+        };
+        let network = (1..=254).find_map(reserve);
+        network.expect("a loopback network is free")
+    }
+}
+
+/// Returns a loopback address that no other caller of this function gets, in this test process or
+/// another one.
 pub fn next_loopback_ip() -> String {
-    format!(
-        "127.0.7.{}",
-        NEXT_LOOPBACK_IP.fetch_add(1, Ordering::Relaxed)
-    )
+    static NETWORK: OnceLock<LoopbackNetwork> = OnceLock::new();
+    let network = NETWORK.get_or_init(LoopbackNetwork::reserve);
+    let [third, fourth] = NEXT_LOOPBACK_IP
+        .fetch_add(1, Ordering::Relaxed)
+        .to_be_bytes();
+    format!("127.{}.{third}.{fourth}", network.second_octet)
 }
 
 pub struct TestCluster {
@@ -49,6 +78,7 @@
     store_address: SocketAddr,
     internal_port: u16,
     pub gateway_runtime: Runtime,
+    gateway_process: Mutex<Option<IsolatedRuntime>>,
 }
 
 /// Time for which a crashed server refuses connections.
@@ -168,11 +198,12 @@
 fn start_gateway(
     runtime: &Runtime,
     host: &str,
+    first_start: bool,
     store: SocketAddr,
     internal_port: u16,
 ) -> GatewayProcess {
     let role = json!({
-        "node_name": host,
+        "node_name": host, "bootstrap": first_start,
         "listen_addresses": {"front": "127.0.0.1:0", "ready": "127.0.0.1:0"},
     });
     let settings = settings(role, store, internal_port);
@@ -199,7 +230,9 @@
             .local_addr()
             .expect("listener has an address")
             .port();
-        let gateway = start_gateway(&gateway_runtime, "host-1", store_address, internal_port);
+        let gateway_process = IsolatedRuntime::new(&gateway_runtime, 1);
+        let handle = gateway_process.handle();
+        let gateway = start_gateway(&handle, "host-1", true, store_address, internal_port);
         Self {
             runtime,
             store,
@@ -207,9 +240,31 @@
             store_address,
             internal_port,
             gateway_runtime,
+            gateway_process: Mutex::new(Some(gateway_process)),
         }
     }
 
+    /// Kills the cluster's first gateway: all its connections are closed.
+    pub fn kill_gateway(&self) {
+        self.gateway_process.lock().take();
+    }
+
+    /// Starts a gateway when the system has been running for a while, and waits until it is ready.
+    pub fn start_later_gateway(&self, host: &str) -> GatewayProcess {
+        let gateway = start_gateway(
+            &self.gateway_runtime,
+            host,
+            false,
+            self.store_address,
+            self.internal_port,
+        );
+        let readiness_address = gateway.readiness_address();
+        self.wait_until("the other gateway is ready", || {
+            readiness_status_at(readiness_address) == 200
+        });
+        gateway
+    }
+
     /// Starts another gateway, which serves beside the first one.
     pub fn start_other_gateway(&self) -> GatewayProcess {
         self.start_gateway_on("host-2")
@@ -220,6 +275,7 @@
         start_gateway(
             &self.gateway_runtime,
             host,
+            true,
             self.store_address,
             self.internal_port,
         )
@@ -227,7 +283,13 @@
 
     /// Starts a gateway whose store is at another address.
     pub fn start_gateway_at_store(&self, store: SocketAddr) -> GatewayProcess {
-        start_gateway(&self.gateway_runtime, "host-5", store, self.internal_port)
+        start_gateway(
+            &self.gateway_runtime,
+            "host-5",
+            true,
+            store,
+            self.internal_port,
+        )
     }
 
     /// The address at which gateways look for the sidecar of an engine with this IP address.
@@ -305,27 +367,7 @@
     }
 
     pub fn readiness_status(&self) -> u16 {
-        let probe = "GET /readiness HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
-        let readiness_address = self.gateway.readiness_address();
-        smol::block_on(async {
-            use smol::io::{AsyncReadExt, AsyncWriteExt};
-            let mut stream = smol::net::TcpStream::connect(readiness_address)
-                .await
-                .expect("gateway listens for probes");
-            stream
-                .write_all(probe.as_bytes())
-                .await
-                .expect("probe is sent");
-            let mut text = String::new();
-            stream
-                .read_to_string(&mut text)
-                .await
-                .expect("probe is answered");
-            text.split(' ')
-                .nth(1)
-                .and_then(|status| status.parse().ok())
-                .unwrap_or(0)
-        })
+        readiness_status_at(self.gateway.readiness_address())
     }
 
     /// Sends a request to a gateway other than the cluster's first one.
@@ -347,3 +389,26 @@
         panic!("condition not met within 10 s: {condition}");
     }
 }
+
+fn readiness_status_at(address: SocketAddr) -> u16 {
+    let probe = "GET /readiness HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+    smol::block_on(async {
+        use smol::io::{AsyncReadExt, AsyncWriteExt};
+        let mut stream = smol::net::TcpStream::connect(address)
+            .await
+            .expect("gateway listens for probes");
+        stream
+            .write_all(probe.as_bytes())
+            .await
+            .expect("probe is sent");
+        let mut text = String::new();
+        stream
+            .read_to_string(&mut text)
+            .await
+            .expect("probe is answered");
+        text.split(' ')
+            .nth(1)
+            .and_then(|status| status.parse().ok())
+            .unwrap_or(0)
+    })
+}
