Resume no stream at a version that may not have begun it

After all gateways were lost during a rollout, or when the old version had just left, both joined streams from two versions.

Change: a version counts as the only one if reads of the list go back a minute, from the first start of the system on, or by what other gateways told the sidecars that hold shared state (MergeVersions, exchanged every 5 s and at each new version). It is asked for before such a resumption. A gateway whose last read is older than 2 s does not rely on it. Else 503 as not run, with the time after which it may be known.

Tests: gateways_lost.rs (old version serving, draining, gone; none, half, all sidecars lost; at once, after 1, 3, 10 s; named and not; a plain service), a randomized test of the histories in core, copies that come 350 ms late. One test changed to be stricter: a caller is refused right after a gateway's first start and resumed after 3 s, where it asserted that it is resumed at once.

--- a/crates/radishpin-core/src/process.rs
+++ b/crates/radishpin-core/src/process.rs
@@ -54,4 +54,7 @@
 };
 pub use send_slots::{LIMITED_ENDPOINTS_MAX, SLOT_INTERVAL_MAX, SLOT_WAIT_MAX, SendSlots, Slot};
 pub use shared_state::{SeenNews, SharedReply, SharedRequest, choose_holders};
-pub use software_versions::{FULL_LIST_DELAY, SoftwareVersions};
+pub use software_versions::{
+    FULL_LIST_DELAY, ListedVersion, OnlyVersion, READ_AGE_MAX, READ_GAP_MAX, SoftwareVersions,
+    VERSION_LIFETIME, VersionHistory,
+};
--- a/crates/radishpin-core/src/process/shared_state.rs
+++ b/crates/radishpin-core/src/process/shared_state.rs
@@ -3,7 +3,7 @@
 //! Gateways do not know each other. Each fact has a few holders among the sidecars, which all gateways
 //! choose alike, so that it outlives the gateway that learned it and most of its holders.
 
-use super::{EndpointLimit, Slot, SuspectCrashes, Suspects};
+use super::{EndpointLimit, Slot, SuspectCrashes, Suspects, VersionHistory};
 use crate::{
     rendezvous::mix,
     request::{RequestRate, StreamOrigin},
@@ -31,6 +31,8 @@
     TrySuspects(Suspects),
     /// Take a permit back that was not used.
     ReturnTrial(Suspects),
+    /// Merge what this gateway knows of software versions, and answer with what all of them know.
+    MergeVersions(VersionHistory),
     /// Answer when a request may be sent to an endpoint that states a limit.
     TakeSlot {
         /// The endpoint.
@@ -72,6 +74,8 @@
         /// Limits that endpoints state.
         limits: Vec<EndpointLimit>,
     },
+    /// What all gateways together know of software versions.
+    Versions(VersionHistory),
     /// Whether the gateway may send the request that it asked for.
     Permit(bool),
     /// When the gateway may send a request to a limited endpoint.
--- a/crates/radishpin-gateway/src/connection/shared_link.rs
+++ b/crates/radishpin-gateway/src/connection/shared_link.rs
@@ -10,7 +10,7 @@
 /// Path at which sidecars take [`SharedRequest`]s.
 pub(crate) const SHARED_STATE_PATH: &str = "/shared-state";
 /// Longest time for one exchange, connecting included.
-const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(300);
+const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(600);
 /// Largest message that is read, in bytes: a whole table of crashes takes less.
 pub(crate) const SHARED_BYTES_MAX: usize = 1024 * 1024;
 
--- a/crates/radishpin-gateway/src/process/gateway.rs
+++ b/crates/radishpin-gateway/src/process/gateway.rs
@@ -114,7 +114,7 @@
             fleet_changed: Event::new(),
             body_budget: BodyBudget::default(),
             retry_budgets: Mutex::new(RetryBudgets::new(burst * 2, burst)),
-            origins: OriginDirectory::default(),
+            origins: OriginDirectory::new(settings.first_start),
             crash_guard: CrashGuard::default(),
             limits: LimitGuard::default(),
             settings: Mutex::new(Arc::new(settings)),
@@ -184,9 +184,7 @@
         self.fleet
             .lock()
             .update_endpoints(endpoint_list.entries(), changes);
-        let entries = endpoint_list.entries();
-        let now = self.clock.now();
-        self.origins.versions.lock().record(entries, now);
+        self.record_versions(endpoint_list.entries());
         self.endpoint_list_read.store(true, Ordering::Relaxed);
         self.update_endpoint_gauges(endpoint_list);
         if !changes.is_empty() {
--- a/crates/radishpin-gateway/src/process/gateway/news.rs
+++ b/crates/radishpin-gateway/src/process/gateway/news.rs
@@ -27,6 +27,7 @@
     connection: Option<Connection>,
     holder: Option<SocketAddr>,
     seen: SeenNews,
+    versions_exchanged_at: Option<Duration>,
 }
 
 impl Gateway {
@@ -94,6 +95,7 @@
                 ..Self::default()
             };
         }
+        self.exchange_versions(gateway, holder).await;
         let request = SharedRequest::Watch(self.seen);
         let time_limit = NEWS_WAIT + WATCH_SLACK;
         let answer = self.exchange(gateway, holder, &request, time_limit).await;
@@ -112,6 +114,22 @@
         !is_new || self.tell_all(gateway, holder).await
     }
 
+    /// Exchanges with a holder what both know of software versions, unless they just did. A holder
+    /// that does not answer may be one of an earlier version of this program.
+    async fn exchange_versions(&mut self, gateway: &Arc<Gateway>, holder: SocketAddr) {
+        let now = gateway.clock.now();
+        let last = self.versions_exchanged_at;
+        if last.is_some_and(|last| now.saturating_sub(last) < NEWS_WAIT) {
+            return;
+        }
+        self.versions_exchanged_at = Some(now);
+        let request = gateway.known_versions();
+        let answer = self.exchange(gateway, holder, &request, WATCH_SLACK).await;
+        if let Some(SharedReply::Versions(history)) = answer {
+            gateway.learn_versions(&history);
+        }
+    }
+
     /// Tells a holder, which may have just started, all that this gateway knows.
     async fn tell_all(&mut self, gateway: &Arc<Gateway>, holder: SocketAddr) -> bool {
         let requests = [gateway.known_crashes(), gateway.known_limits()];
--- a/crates/radishpin-gateway/src/process/gateway/origins.rs
+++ b/crates/radishpin-gateway/src/process/gateway/origins.rs
@@ -1,11 +1,11 @@
 //! What a gateway knows of the software versions that began streams: its own streams, copies at
 //! sidecars, and the versions that were listed.
 
-use super::Gateway;
+use super::{Gateway, news::NEWS_KEY};
 use crate::connection::SharedJob;
 use parking_lot::Mutex;
 use radishpin_core::{
-    process::{SharedReply, SharedRequest, SoftwareVersions},
+    process::{EndpointEntry, SharedReply, SharedRequest, SoftwareVersions, VersionHistory},
     request::{StreamOrigin, StreamOrigins},
 };
 use radishpin_protocol::prelude::*;
@@ -17,16 +17,56 @@
 /// Sidecars that are asked for a copy: more than have one, as lists of endpoints differ for a while.
 const COPIES_ASKED: usize = 5;
 /// Longest time to look for a copy; its caller waits meanwhile.
-const FIND_TIMEOUT: Duration = Duration::from_millis(200);
+const FIND_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Origins of this gateway's streams, and the software versions that were listed lately.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct OriginDirectory {
     own: Mutex<StreamOrigins>,
     pub(crate) versions: Mutex<SoftwareVersions>,
 }
 
+impl OriginDirectory {
+    /// Creates an empty directory. If the whole system is started for the first time, no stream
+    /// began before.
+    pub(super) fn new(first_start: bool) -> Self {
+        Self {
+            own: Mutex::default(),
+            versions: Mutex::new(SoftwareVersions::new(first_start)),
+        }
+    }
+}
+
 impl Gateway {
+    /// Records the versions of a list of endpoints, and tells the holders of shared state of new ones.
+    pub(super) fn record_versions(&self, entries: &BTreeMap<EndpointId, EndpointEntry>) {
+        let now = self.clock.now();
+        let has_new = self.origins.versions.lock().record(entries, now);
+        if has_new {
+            self.tell_holders(&self.known_versions());
+        }
+    }
+
+    /// The request that tells a holder of shared state what this gateway knows of versions.
+    pub(super) fn known_versions(&self) -> SharedRequest {
+        let history = self.origins.versions.lock().history(self.clock.now());
+        SharedRequest::MergeVersions(history)
+    }
+
+    /// Asks the holders of shared state, until one answers, what other gateways know of versions.
+    pub(crate) async fn ask_for_versions(&self) {
+        let request = |_| self.known_versions();
+        if let Some(SharedReply::Versions(history)) = self.ask_holders(NEWS_KEY, request).await {
+            self.learn_versions(&history);
+        }
+    }
+
+    /// Merges what the gateways that told a holder know of versions.
+    pub(super) fn learn_versions(&self, history: &VersionHistory) {
+        let now = self.clock.now();
+        self.origins.versions.lock().merge(history, now);
+    }
+
     /// Records the origin of a stream that this gateway begins, and sends copies to sidecars.
     pub(crate) fn record_origin(&self, origin: StreamOrigin) {
         let now = self.clock.now();
--- a/crates/radishpin-gateway/src/process/sidecar/shared_state.rs
+++ b/crates/radishpin-gateway/src/process/sidecar/shared_state.rs
@@ -10,7 +10,7 @@
 use radishpin_core::{
     process::{
         CrashTable, EndpointLimit, EndpointLimits, LIMITS_MAX, SeenNews, SendSlots, SharedReply,
-        SharedRequest, SuspectCrashes,
+        SharedRequest, SoftwareVersions, SuspectCrashes,
     },
     request::StreamOrigins,
 };
@@ -30,6 +30,7 @@
     crashes: Mutex<CrashTable>,
     limits: Mutex<EndpointLimits>,
     slots: Mutex<SendSlots>,
+    versions: Mutex<SoftwareVersions>,
     /// Notified when crashes or limits have changed.
     news: Event,
 }
@@ -79,6 +80,11 @@
                 SharedReply::Kept
             }
             SharedRequest::Watch(seen) => self.watch_news(seen).await,
+            SharedRequest::MergeVersions(history) => {
+                let mut versions = self.shared.versions.lock();
+                versions.merge(&history, now);
+                SharedReply::Versions(versions.history(now))
+            }
             SharedRequest::TrySuspects(suspects) => {
                 let granted = self.shared.crashes.lock().grant_trial(&suspects, now);
                 log::info!(event = "trial_asked", suspects:% = suspects, granted = granted; "a gateway asked to try a refused request or prompt part");
--- a/crates/radishpin-gateway/src/request/origin.rs
+++ b/crates/radishpin-gateway/src/request/origin.rs
@@ -2,7 +2,7 @@
 
 use super::{call::Call, stream_version::StreamVersion};
 use crate::process::Gateway;
-use radishpin_core::{request::StreamOrigin, version::RequestSemantics};
+use radishpin_core::{process::OnlyVersion, request::StreamOrigin, version::RequestSemantics};
 use radishpin_protocol::prelude::*;
 
 /// Longest attempt id, in bytes, whose origin is recorded, as callers choose the ids.
@@ -50,16 +50,17 @@
 }
 
 async fn find_version(gateway: &Gateway, call: &Call) -> (Source, StreamVersion) {
-    let Some(attempt) = &call.resumes else {
-        return only_version(gateway, call);
-    };
-    if let Some(origin) = gateway.own_origin(attempt) {
-        return (Source::Own, origin_version(&origin));
-    }
-    match gateway.find_copy(attempt).await {
-        Some(origin) => (Source::Copy, origin_version(&origin)),
-        None => only_version(gateway, call),
+    if let Some(attempt) = &call.resumes {
+        if let Some(origin) = gateway.own_origin(attempt) {
+            return (Source::Own, origin_version(&origin));
+        }
+        if let Some(origin) = gateway.find_copy(attempt).await {
+            return (Source::Copy, origin_version(&origin));
+        }
     }
+    // Another gateway may have seen a version that this one has not.
+    gateway.ask_for_versions().await;
+    only_version(gateway, call)
 }
 
 fn origin_version(origin: &StreamOrigin) -> StreamVersion {
@@ -68,21 +69,19 @@
     version
 }
 
-/// The version of all endpoints that could have begun the stream, if it is the same. Callers that do
-/// not name the attempt come from a platform without versions side by side; for others the list
-/// must be full.
+/// The version that all endpoints of the service have had for so long that no other one can have
+/// begun the stream.
 fn only_version(gateway: &Gateway, call: &Call) -> (Source, StreamVersion) {
     let versions = gateway.origins.versions.lock();
-    let full_list_in = versions.full_list_in(gateway.clock.now());
-    match versions.only_version(&call.service) {
-        Some(version) if call.resumes.is_none() || full_list_in.is_zero() => {
-            (Source::OnlyVersion, StreamVersion::Bound(version.clone()))
+    let known_in = match versions.only_version(&call.service, gateway.clock.now()) {
+        OnlyVersion::Known(version) => {
+            let version = StreamVersion::Bound(version.to_owned());
+            return (Source::OnlyVersion, version);
         }
-        only => {
-            let known_in = only.map(|_| full_list_in);
-            (Source::None, StreamVersion::Unknown { known_in })
-        }
-    }
+        OnlyVersion::KnownIn(delay) => Some(delay),
+        OnlyVersion::Ambiguous => None,
+    };
+    (Source::None, StreamVersion::Unknown { known_in })
 }
 
 /// Records the version of the endpoint that a request for a new stream is sent to, so that its
--- a/crates/radishpin-gateway/tests/serving/main.rs
+++ b/crates/radishpin-gateway/tests/serving/main.rs
@@ -9,6 +9,7 @@
 mod endpoint_runs;
 mod faults;
 mod framing;
+mod gateways_lost;
 mod limits;
 mod load;
 mod loads;
--- a/crates/radishpin-gateway/tests/serving/versions.rs
+++ b/crates/radishpin-gateway/tests/serving/versions.rs
@@ -152,14 +152,36 @@
     let cluster = TestCluster::start();
     let _engines = start_engines(&cluster, &["v1"]);
     cluster.wait_until_ready();
-    let unnamed = cluster.ask(&summary("s2").header("Last-Event-Id", "2"));
-    assert_eq!(unnamed.body, events_after_2());
     // A gateway that has just started may not have seen all versions yet.
+    let early = cluster.ask(&summary("s1").header("Last-Event-Id", "2"));
+    assert_eq!(early.status, 503, "{early}");
     thread::sleep(Duration::from_secs(3));
+    let unnamed = cluster.ask(&summary("s2").header("Last-Event-Id", "2"));
+    assert_eq!(unnamed.body, events_after_2());
     let unknown = cluster.ask(&resume("s3", "never-seen"));
     assert_eq!(unknown.body, events_after_2());
 }
 
+/// Hosts stand still for a moment, or are very busy.
+#[test]
+fn a_stream_is_resumed_at_another_gateway_though_its_copies_come_late() {
+    const DELAY: Duration = Duration::from_millis(350);
+    let cluster = TestCluster::start();
+    let engines = start_engines(&cluster, &["v1", "v2"]);
+    let other = cluster.start_other_gateway();
+    cluster.wait_until_ready();
+    begin_broken(&cluster, &engines, "s1");
+    // Both threads of the sidecars' runtime.
+    for _ in 0..2 {
+        let stand_still = async { thread::sleep(DELAY) };
+        cluster.runtime.spawn_detached(stand_still);
+    }
+    let got = cluster.ask_at(&other, &resume("t1", "s1"));
+    assert_eq!((got.status, got.complete), (200, true), "{got}");
+    let versions = versions_of(&engines, &["s1", "t1"]);
+    assert_eq!(versions.len(), 1, "met {versions:?}");
+}
+
 /// An engine restarts with other software under its id and address; the list lags behind.
 #[test]
 fn a_stream_is_not_resumed_at_an_engine_that_restarted_since_it_was_listed() {
