Box the futures of requests at connections

Cause: hyper keeps room for the handler's future at each connection, also an idle one, so a caller's connection took 38 KB after its first request.

Change: the future is boxed, for as long as its request lasts.

--- a/crates/radishpin-gateway/src/connection/server.rs
+++ b/crates/radishpin-gateway/src/connection/server.rs
@@ -125,7 +125,8 @@
         if request.version() < Version::HTTP_11 && !closes_by_reset.swap(true, Ordering::Relaxed) {
             log_failure(reset_on_close(&socket));
         }
-        let response = handler(request);
+        // Boxed, as hyper keeps room for the future also while the connection is idle.
+        let response = Box::pin(handler(request));
         async move { Ok::<_, Infallible>(response.await) }
     });
     let single_request = shutdown.is_closing();
