--- a/crates/radishpin-gateway/tests/serving/prompt_crash_runs.rs
+++ b/crates/radishpin-gateway/tests/serving/prompt_crash_runs.rs
@@ -6,6 +6,7 @@
 use radishpin_gateway::{GatewayProcess, SidecarProcess};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use std::{
+    collections::BTreeMap,
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -14,8 +15,10 @@
     time::{Duration, Instant},
 };
 
-/// Number of seeds from 1; more than the default by hand.
+/// Number of seeds; more than the default by hand.
 const SEEDS_VARIABLE: &str = "RADISHPIN_TEST_SEEDS";
+/// First seed, 1 by default.
+const FIRST_SEED_VARIABLE: &str = "RADISHPIN_TEST_FIRST_SEED";
 const SEEDS_DEFAULT: u64 = 1;
 const BAD_PART: &str = "bad0bad";
 const ENGINES: usize = 6;
@@ -40,6 +43,14 @@
     ended: AtomicBool,
     sent_in_calm: AtomicUsize,
     served_in_calm: AtomicUsize,
+    /// Requests of the calm that were not served, by status and body of the answer.
+    failed_in_calm: Mutex<BTreeMap<String, usize>>,
+}
+
+fn number_from(variable: &str, default: u64) -> u64 {
+    let number = std::env::var(variable).ok();
+    let number = number.and_then(|number| number.parse().ok());
+    number.unwrap_or(default)
 }
 
 impl Run {
@@ -61,11 +72,13 @@
             ended: AtomicBool::new(false),
             sent_in_calm: AtomicUsize::new(0),
             served_in_calm: AtomicUsize::new(0),
+            failed_in_calm: Mutex::default(),
         }
     }
 
-    /// Sends a request with this part to a random gateway; returns whether its answer was whole.
-    fn ask(&self, random: &mut SmallRng, id: &str, part: &str) -> bool {
+    /// Sends a request with this part to a random gateway; returns whether its answer was whole, or else
+    /// its status and body.
+    fn ask(&self, random: &mut SmallRng, id: &str, part: &str) -> Result<(), String> {
         let path = ["/dictation/2f", "/summary/2f"][random.random_range(0..2)];
         let request = CallerRequest::new(path, id)
             .model("m0")
@@ -76,7 +89,10 @@
             );
         let gateway = &self.gateways[random.random_range(0..self.gateways.len())];
         let got = self.cluster.ask_at(gateway, &request);
-        got.status == 200 && got.complete
+        match got.status == 200 && got.complete {
+            true => Ok(()),
+            false => Err(format!("{} {}", got.status, got.body)),
+        }
     }
 
     fn call_soundly(&self, seed: u64) {
@@ -90,8 +106,14 @@
             let served = self.ask(&mut random, &format!("5{seed}-{n}"), &part);
             if counted {
                 self.sent_in_calm.fetch_add(1, Ordering::Relaxed);
-                self.served_in_calm
-                    .fetch_add(usize::from(served), Ordering::Relaxed);
+                match served {
+                    Ok(()) => {
+                        self.served_in_calm.fetch_add(1, Ordering::Relaxed);
+                    }
+                    Err(failure) => {
+                        *self.failed_in_calm.lock().entry(failure).or_default() += 1;
+                    }
+                }
             }
             thread::sleep(Duration::from_millis(random.random_range(5..60)));
         }
@@ -103,7 +125,8 @@
             if self.ended.load(Ordering::Relaxed) {
                 return;
             }
-            self.ask(&mut random, &format!("bad{seed}-{n}"), BAD_PART);
+            // Whether it is served does not matter.
+            let _ = self.ask(&mut random, &format!("bad{seed}-{n}"), BAD_PART);
             thread::sleep(Duration::from_millis(random.random_range(50..400)));
         }
     }
@@ -151,9 +174,9 @@
 
 #[test]
 fn a_crashing_prompt_part_is_kept_from_engines_amid_other_trouble() {
-    let seeds = std::env::var(SEEDS_VARIABLE).ok();
-    let seeds = seeds.and_then(|seeds| seeds.parse().ok());
-    for seed in 1..=seeds.unwrap_or(SEEDS_DEFAULT) {
+    let first = number_from(FIRST_SEED_VARIABLE, 1);
+    let seeds = number_from(SEEDS_VARIABLE, SEEDS_DEFAULT);
+    for seed in first..first + seeds {
         let run = Run::start();
         let late = thread::scope(|scope| {
             for n in 0..SOUND_CALLERS {
@@ -175,6 +198,7 @@
         let sent = run.sent_in_calm.load(Ordering::Relaxed);
         let served = run.served_in_calm.load(Ordering::Relaxed);
         let all = run.bad_arrivals();
+        println!("not served in the calm: {:?}", run.failed_in_calm.lock());
         println!(
             "seed {seed}: {late} of {all} bad requests late; {served} of {sent} sound ones served"
         );
