Follow the sidecar that callers wait at also where relays are used

Cause: a caller who waits for a load or an adapter heard of its end through the relay, 0.25 s and more after it.

Change: as long as callers of a gateway wait at an engine, the gateway long-polls its sidecar itself.

--- a/crates/radishpin-core/src/process/fleet.rs
+++ b/crates/radishpin-core/src/process/fleet.rs
@@ -218,6 +218,12 @@
         }
     }
 
+    /// Whether callers wait for what an endpoint loads.
+    pub fn has_waiting_callers(&self, endpoint: &str) -> bool {
+        let mut waits = self.waits.values();
+        waits.any(|wait| wait.endpoint == endpoint)
+    }
+
     /// Counts a request for a model in the rates that size its replicas and rank evictions.
     pub fn count_request(&mut self, model: &str, now: Duration) {
         let rate = self.rates.entry(model.to_owned()).or_default();
--- a/crates/radishpin-gateway/src/connection/link.rs
+++ b/crates/radishpin-gateway/src/connection/link.rs
@@ -38,7 +38,8 @@
     future::or(link.poll_status(), link.push_demand(&demand_changed)).await;
 }
 
-/// Sends demand to a sidecar whose status comes through a relay, until the future is dropped.
+/// Sends demand to a sidecar whose status comes through a relay, and follows it as long as callers wait there,
+/// until the future is dropped.
 pub(crate) async fn run_demand_link(
     gateway: Arc<Gateway>,
     endpoint: EndpointId,
@@ -49,7 +50,12 @@
         endpoint: &endpoint,
         sidecar,
     };
-    link.push_demand(&gateway.demand_event(&endpoint)).await;
+    let demand_changed = gateway.demand_event(&endpoint);
+    future::or(
+        link.push_demand(&demand_changed),
+        link.follow_while_callers_wait(&demand_changed),
+    )
+    .await;
 }
 
 struct Link<'a> {
@@ -87,6 +93,21 @@
         }
     }
 
+    /// Long-polls the sidecar as long as callers of this gateway wait for what it loads.
+    async fn follow_while_callers_wait(&self, demand_changed: &Event) {
+        loop {
+            let demand = demand_changed.listen();
+            let mut connection = None;
+            while self.gateway.has_waiting_callers(self.endpoint) {
+                if self.exchange(&mut connection, EXCHANGE_WAIT).await.is_err() {
+                    break;
+                }
+                Runtime::sleep(EXCHANGE_INTERVAL_MIN).await;
+            }
+            demand.await;
+        }
+    }
+
     /// Makes one exchange and records the status that it returns.
     async fn exchange(
         &self,
--- a/crates/radishpin-gateway/src/process/gateway.rs
+++ b/crates/radishpin-gateway/src/process/gateway.rs
@@ -140,7 +140,7 @@
 
     /// Makes the link to an endpoint's sidecar report at once which models callers wait for.
     pub(crate) fn notify_demand(&self, endpoint: &str) {
-        self.demand_event(endpoint).notify(1);
+        self.demand_event(endpoint).notify(usize::MAX);
     }
 
     pub(crate) fn next_report(&self, endpoint: &str) -> GatewayReport {
--- a/crates/radishpin-gateway/src/process/gateway/links.rs
+++ b/crates/radishpin-gateway/src/process/gateway/links.rs
@@ -166,6 +166,10 @@
         self.fleet.lock().seen_status(endpoint)
     }
 
+    pub(crate) fn has_waiting_callers(&self, endpoint: &str) -> bool {
+        self.fleet.lock().has_waiting_callers(endpoint)
+    }
+
     pub(crate) fn has_leaving_model(&self, endpoint: &str) -> bool {
         self.fleet.lock().has_leaving_model(endpoint)
     }
