Wake waiting callers by the model that they wait for

Load pattern: a large fleet whose statuses change all the time, with many callers that wait. Each newer status of any engine woke each waiting caller, who looked at all engines: callers x changes x engines. Each report to a sidecar counted the holders of each of its models over all engines, too.

Change: a status says which models it concerns; their callers are woken, all of them only when an engine comes up or becomes known. Holders are counted once for all reports until one changes.

Tests: fleet/status_news.rs, which did not compile before.

--- a/crates/radishpin-core/src/process/fleet.rs
+++ b/crates/radishpin-core/src/process/fleet.rs
@@ -30,6 +30,17 @@
 use rate::Rate;
 use std::sync::Arc;
 
+/// What a status means for callers that wait for loads.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StatusNews {
+    /// Nothing.
+    None,
+    /// Callers that wait for one of these models may go on.
+    Models(BTreeSet<ModelId>),
+    /// Any caller may go on, as an engine came up or became known.
+    Engine,
+}
+
 /// Callers of this gateway that wait for one model or adapter, all at the same endpoint.
 #[derive(Clone, Debug)]
 struct WaitEntry {
@@ -64,6 +75,10 @@
     rates: BTreeMap<ModelId, Rate>,
     planned_demands: BTreeMap<EndpointId, Vec<Demand>>,
     kept_replicas: BTreeSet<(EndpointId, ModelId)>,
+    /// Number of ready endpoints that serve each model; `None` if it has to be counted anew.
+    holders: Option<BTreeMap<ModelId, usize>>,
+    /// Number of endpoints of each service.
+    endpoint_counts: BTreeMap<ServiceId, u32>,
     sequence: u64,
 }
 
@@ -86,6 +101,8 @@
             rates: BTreeMap::new(),
             planned_demands: BTreeMap::new(),
             kept_replicas: BTreeSet::new(),
+            holders: None,
+            endpoint_counts: BTreeMap::new(),
             sequence: 0,
         }
     }
@@ -125,6 +142,12 @@
                 }
             }
         }
+        self.holders = None;
+        self.endpoint_counts.clear();
+        for entry in entries.values() {
+            let count = self.endpoint_counts.entry(entry.service.clone());
+            *count.or_default() += 1;
+        }
     }
 
     /// Endpoints of services with model engines; only these have a sidecar.
@@ -137,16 +160,19 @@
         })
     }
 
-    /// Applies a sidecar's status; returns whether it is newer than the last one.
-    ///
-    /// Returns `false` for an endpoint that is not listed.
-    pub fn update_status(&mut self, id: &str, status: Status, now: Duration) -> bool {
+    /// Applies a sidecar's status, unless it is older than the last one or its endpoint is not listed;
+    /// returns what that means for callers that wait.
+    pub fn update_status(&mut self, id: &str, status: Status, now: Duration) -> StatusNews {
         let Some(endpoint) = self.endpoints.get_mut(id) else {
-            return false;
+            return StatusNews::None;
         };
         let reported_id = status.engine_id.as_ref();
         endpoint.replaced = reported_id.is_some_and(|reported_id| reported_id != id);
-        endpoint.update_status(status, now)
+        let news = endpoint.update_status(status, now);
+        if news != StatusNews::None {
+            self.holders = None;
+        }
+        news
     }
 
     /// Applies the load that a relay reports of an engine whose status is otherwise unchanged.
@@ -172,6 +198,7 @@
 
     /// Records that contact with a sidecar was lost; returns whether it had a status until now.
     pub fn link_lost(&mut self, endpoint: &str, loss: LinkLoss) -> bool {
+        self.holders = None;
         let endpoint = self.endpoints.get_mut(endpoint);
         endpoint.is_some_and(|endpoint| endpoint.link_lost(loss))
     }
@@ -242,6 +269,9 @@
             let rate = self.rates.entry(model.to_owned()).or_default();
             rate.record_duration(took);
         }
+        if outcome == RequestOutcome::Misdirected {
+            self.holders = None;
+        }
         if let Some(endpoint) = self.endpoints.get_mut(endpoint) {
             endpoint.end_request(target, outcome, now);
         }
@@ -257,6 +287,7 @@
     /// Records that the process of an endpoint which started at this time says that it drains; returns
     /// whether that is news.
     pub fn record_draining(&mut self, endpoint: &str, started_unix_ms: UnixMs) -> bool {
+        self.holders = None;
         let endpoint = self.endpoints.get_mut(endpoint);
         endpoint.is_some_and(|endpoint| endpoint.availability.record_draining(started_unix_ms))
     }
@@ -298,6 +329,7 @@
     /// Builds the next report to an endpoint's sidecar; each has a higher sequence number.
     pub fn next_report(&mut self, id: &str, now: Duration) -> GatewayReport {
         self.sequence += 1;
+        self.count_holders();
         let endpoint = self.endpoints.get(id);
         let status = endpoint.and_then(|endpoint| endpoint.status.as_ref());
         GatewayReport {
@@ -316,8 +348,23 @@
     }
 
     fn engine_count(&self, service: &str) -> u32 {
-        let in_service = |endpoint: &&Endpoint| endpoint.entry.service == service;
-        u32::try_from(self.endpoints.values().filter(in_service).count()).unwrap_or(u32::MAX)
+        self.endpoint_counts.get(service).copied().unwrap_or(0)
+    }
+
+    fn count_holders(&mut self) {
+        if self.holders.is_some() {
+            return;
+        }
+        let mut holders: BTreeMap<ModelId, usize> = BTreeMap::new();
+        for endpoint in self.endpoints.values().filter(|e| e.is_ready()) {
+            for model in endpoint
+                .held_models()
+                .filter(|model| endpoint.serves(model))
+            {
+                *holders.entry(model.clone()).or_default() += 1;
+            }
+        }
+        self.holders = Some(holders);
     }
 
     fn usage(&self, id: &str, endpoint: &Endpoint, now: Duration) -> BTreeMap<ModelId, ModelUsage> {
--- a/crates/radishpin-core/src/process/fleet/endpoint.rs
+++ b/crates/radishpin-core/src/process/fleet/endpoint.rs
@@ -1,6 +1,6 @@
 //! A gateway's view of one endpoint: load, failures and loaded models.
 
-use super::{EndpointSnapshot, availability::Availability, stated_limit::StatedLimit};
+use super::{EndpointSnapshot, StatusNews, availability::Availability, stated_limit::StatedLimit};
 use crate::process::{EndpointEntry, EndpointPhase, Status, StatusLoad};
 use radishpin_protocol::{UnixMs, prelude::*};
 
@@ -118,14 +118,14 @@
         self.status.take().is_some()
     }
 
-    /// Applies a sidecar's status; returns whether it is newer than the last one.
-    pub(super) fn update_status(&mut self, status: Status, now: Duration) -> bool {
+    /// Applies a sidecar's status unless it is older than the last one.
+    pub(super) fn update_status(&mut self, status: Status, now: Duration) -> StatusNews {
         self.unresponsive = false;
         let newer = self.status.as_ref().is_none_or(|last| {
             last.incarnation != status.incarnation || last.version <= status.version
         });
         if !newer {
-            return false;
+            return StatusNews::None;
         }
         let changed = self.status.as_ref().is_none_or(|last| {
             last.incarnation != status.incarnation || last.version != status.version
@@ -133,6 +133,10 @@
         if changed {
             self.misdirected_models.clear();
         }
+        let news = match changed {
+            true => status_news(self.status.as_ref(), &status),
+            false => StatusNews::None,
+        };
         let came_up = status.engine_up && !self.status.as_ref().is_some_and(|last| last.engine_up);
         if came_up {
             self.backoff_until = Duration::ZERO;
@@ -141,7 +145,7 @@
         self.record_load(status.running.saturating_add(status.waiting));
         self.status = Some(status);
         self.status_at = now;
-        changed
+        news
     }
 
     /// Applies a load that came later than the last status.
@@ -370,3 +374,22 @@
             .is_some_and(|status| status.engine_started_unix_ms >= self.entry.started_unix_ms)
     }
 }
+
+/// What a changed status means for callers that wait.
+fn status_news(before: Option<&Status>, after: &Status) -> StatusNews {
+    let Some(before) = before.filter(|before| before.engine_up == after.engine_up) else {
+        return StatusNews::Engine;
+    };
+    // Adapters wait until the engine has loaded or unloaded a model.
+    let is_free_again = before.busy && !after.busy;
+    let changed = after.models.iter().filter(|(model, held)| {
+        let known = before.models.get(*model);
+        let is_same =
+            known.is_some_and(|k| k.adapters == held.adapters && k.leaving == held.leaving);
+        is_free_again || !is_same
+    });
+    let lost = before.models.keys();
+    let lost = lost.filter(|model| !after.models.contains_key(*model));
+    let models = changed.map(|(model, _)| model).chain(lost);
+    StatusNews::Models(models.cloned().collect())
+}
--- a/crates/radishpin-core/src/process/fleet/plan.rs
+++ b/crates/radishpin-core/src/process/fleet/plan.rs
@@ -261,11 +261,10 @@
 
     /// Requests a second that would find no replica if one of the model's replicas was unloaded.
     pub(super) fn loss_per_s(&self, model: &str, per_s: f32) -> f32 {
-        let endpoints = self.endpoints.values();
-        let holders = endpoints.filter(|endpoint| endpoint.is_ready() && endpoint.serves(model));
-        match holders.count() {
-            0 | 1 => per_s,
-            holders => per_s * REDUNDANT_WEIGHT / holders as f32,
+        let holders = self.holders.as_ref();
+        match holders.and_then(|holders| holders.get(model)).copied() {
+            None | Some(0 | 1) => per_s,
+            Some(holders) => per_s * REDUNDANT_WEIGHT / holders as f32,
         }
     }
 }
--- a/crates/radishpin-core/tests/fleet/main.rs
+++ b/crates/radishpin-core/tests/fleet/main.rs
@@ -4,4 +4,5 @@
 mod limits;
 mod loads;
 mod routing;
+mod status_news;
 mod support;
--- a/crates/radishpin-gateway/src/process/gateway.rs
+++ b/crates/radishpin-gateway/src/process/gateway.rs
@@ -6,6 +6,7 @@
 mod limits;
 mod links;
 mod listeners;
+mod model_events;
 mod news;
 mod origins;
 
@@ -23,6 +24,7 @@
 use limits::LimitGuard;
 use links::Links;
 use listeners::{serve_callers, serve_readiness};
+use model_events::ModelEvents;
 use news::NEWS_HOLDERS;
 use origins::OriginDirectory;
 use parking_lot::Mutex;
@@ -30,6 +32,7 @@
 use radishpin_core::{
     process::{
         EndpointChange, EndpointList, EndpointPhase, Fleet, GatewayReport, LinkLoss, Status,
+        StatusNews,
     },
     request::RetryBudgets,
     version::{Catalog, Route},
@@ -79,8 +82,10 @@
     pub(crate) clock: Clock,
     pub(crate) settings: Mutex<Arc<Settings>>,
     pub(crate) fleet: Mutex<Fleet>,
-    /// Notified when a waiting request should look for an endpoint again.
+    /// Notified when each waiting request should look for an endpoint again.
     pub(crate) fleet_changed: Event,
+    /// Notified when requests that wait for a model should.
+    pub(crate) model_events: ModelEvents,
     pub(crate) pool: Pool,
     pub(crate) body_budget: BodyBudget,
     pub(crate) retry_budgets: Mutex<RetryBudgets>,
@@ -112,6 +117,7 @@
             clock,
             fleet: Mutex::new(fleet),
             fleet_changed: Event::new(),
+            model_events: ModelEvents::default(),
             body_budget: BodyBudget::default(),
             retry_budgets: Mutex::new(RetryBudgets::new(burst * 2, burst)),
             origins: OriginDirectory::new(settings.first_start),
@@ -149,12 +155,14 @@
 
     pub(crate) fn record_status(&self, endpoint: &str, status: Status) {
         self.observe_engine(endpoint, &status);
-        if self
-            .fleet
-            .lock()
-            .update_status(endpoint, status, self.clock.now())
-        {
-            self.fleet_changed.notify(usize::MAX);
+        let now = self.clock.now();
+        let news = self.fleet.lock().update_status(endpoint, status, now);
+        match news {
+            StatusNews::None => {}
+            StatusNews::Models(models) => self.model_events.notify(&models),
+            StatusNews::Engine => {
+                self.fleet_changed.notify(usize::MAX);
+            }
         }
     }
 
--- a/crates/radishpin-gateway/src/request/assignment.rs
+++ b/crates/radishpin-gateway/src/request/assignment.rs
@@ -172,6 +172,8 @@
     let mut slot_at: Option<EndpointId> = None;
     loop {
         let listener = gateway.fleet_changed.listen();
+        let target = call.target().filter(|_| waiting.is_some());
+        let model_listener = target.map(|(model, _)| gateway.model_events.listen(model));
         let now = gateway.clock.now();
         let next_part_deadline = constraints.next_part_deadline;
         let waits_until = gateway.waiting_deadline();
@@ -261,13 +263,24 @@
         };
         match &mut waiting {
             Some(waiting) => waiting.set_endpoint(&wait),
-            None => waiting = Some(LoadWait::begin(gateway, call, query.load_target(), &wait)),
+            None => {
+                waiting = Some(LoadWait::begin(gateway, call, query.load_target(), &wait));
+                // Nothing listened for the model yet, so a change may have been missed.
+                continue;
+            }
         }
         let recheck_after = query
             .time_left
             .saturating_sub(FIRST_TOKEN_LATENCY)
             .min(RECHECK_INTERVAL);
-        future::or(listener, Runtime::sleep(recheck_after)).await;
+        let model_changed = async {
+            match model_listener {
+                Some(model_listener) => model_listener.await,
+                None => std::future::pending().await,
+            }
+        };
+        let changed = future::or(listener, model_changed);
+        future::or(changed, Runtime::sleep(recheck_after)).await;
     }
 }
 
