--- a/crates/radishpin-gateway/src/process/gateway.rs
+++ b/crates/radishpin-gateway/src/process/gateway.rs
@@ -6,12 +6,13 @@
 mod limits;
 mod links;
 mod listeners;
+mod model_events;
 mod news;
 mod origins;
 
 use super::{
-    Clock, GatewayError, Metrics, Shutdown, StoreClient, read_settings, serve_metrics,
-    wait_for_stop_signal, watch_settings,
+    Clock, GatewayError, Metrics, ReloadSignal, Shutdown, StoreClient, read_settings,
+    serve_metrics, watch_settings,
 };
 use crate::{
     connection::{BodyBudget, Pool, ServerLimits},
@@ -21,8 +22,9 @@
 use crashes::CrashGuard;
 use event_listener::Event;
 use limits::LimitGuard;
-use links::Link;
+use links::Links;
 use listeners::{serve_callers, serve_readiness};
+use model_events::ModelEvents;
 use news::NEWS_HOLDERS;
 use origins::OriginDirectory;
 use parking_lot::Mutex;
@@ -30,12 +32,13 @@
 use radishpin_core::{
     process::{
         EndpointChange, EndpointList, EndpointPhase, Fleet, GatewayReport, LinkLoss, Status,
+        StatusNews,
     },
     request::RetryBudgets,
     version::{Catalog, Route},
 };
 use radishpin_protocol::prelude::*;
-use radishpin_runtime::{Runtime, timeout};
+use radishpin_runtime::{Runtime, StopSignals, timeout};
 use std::{
     net::SocketAddr,
     path::{Path, PathBuf},
@@ -79,8 +82,10 @@
     pub(crate) clock: Clock,
     pub(crate) settings: Mutex<Arc<Settings>>,
     pub(crate) fleet: Mutex<Fleet>,
-    /// Notified when a waiting request should look for an endpoint again.
+    /// Notified when each waiting request should look for an endpoint again.
     pub(crate) fleet_changed: Event,
+    /// Notified when requests that wait for a model should.
+    pub(crate) model_events: ModelEvents,
     pub(crate) pool: Pool,
     pub(crate) body_budget: BodyBudget,
     pub(crate) retry_budgets: Mutex<RetryBudgets>,
@@ -92,7 +97,7 @@
     catalog: Mutex<Option<Arc<Catalog>>>,
     endpoint_list_read: AtomicBool,
     demand_events: Mutex<BTreeMap<EndpointId, Arc<Event>>>,
-    links: Mutex<BTreeMap<EndpointId, Link>>,
+    links: Mutex<Links>,
 }
 
 impl Gateway {
@@ -112,9 +117,10 @@
             clock,
             fleet: Mutex::new(fleet),
             fleet_changed: Event::new(),
+            model_events: ModelEvents::default(),
             body_budget: BodyBudget::default(),
             retry_budgets: Mutex::new(RetryBudgets::new(burst * 2, burst)),
-            origins: OriginDirectory::default(),
+            origins: OriginDirectory::new(settings.first_start),
             crash_guard: CrashGuard::default(),
             limits: LimitGuard::default(),
             settings: Mutex::new(Arc::new(settings)),
@@ -140,7 +146,7 @@
 
     /// Makes the link to an endpoint's sidecar report at once which models callers wait for.
     pub(crate) fn notify_demand(&self, endpoint: &str) {
-        self.demand_event(endpoint).notify(1);
+        self.demand_event(endpoint).notify(usize::MAX);
     }
 
     pub(crate) fn next_report(&self, endpoint: &str) -> GatewayReport {
@@ -149,12 +155,14 @@
 
     pub(crate) fn record_status(&self, endpoint: &str, status: Status) {
         self.observe_engine(endpoint, &status);
-        if self
-            .fleet
-            .lock()
-            .update_status(endpoint, status, self.clock.now())
-        {
-            self.fleet_changed.notify(usize::MAX);
+        let now = self.clock.now();
+        let news = self.fleet.lock().update_status(endpoint, status, now);
+        match news {
+            StatusNews::None => {}
+            StatusNews::Models(models) => self.model_events.notify(&models),
+            StatusNews::Engine => {
+                self.fleet_changed.notify(usize::MAX);
+            }
         }
     }
 
@@ -184,9 +192,7 @@
         self.fleet
             .lock()
             .update_endpoints(endpoint_list.entries(), changes);
-        let entries = endpoint_list.entries();
-        let now = self.clock.now();
-        self.origins.versions.lock().record(entries, now);
+        self.record_versions(endpoint_list.entries());
         self.endpoint_list_read.store(true, Ordering::Relaxed);
         self.update_endpoint_gauges(endpoint_list);
         if !changes.is_empty() {
@@ -379,20 +385,21 @@
     let settings = read_settings(&path)?;
     let runtime = Runtime::start(settings.cores)?;
     smol::block_on(async {
+        let mut stop_signals = StopSignals::register()?;
+        let reload_signal = ReloadSignal::register();
         let process = GatewayProcess::start(runtime, settings, metrics_port).await?;
-        spawn_settings_watch(&process.gateway, &path);
-        wait_for_stop_signal().await?;
+        spawn_settings_watch(&process.gateway, &path, reload_signal);
+        stop_signals.wait().await?;
         process.stop().await;
         Ok(())
     })
 }
 
-fn spawn_settings_watch(gateway: &Arc<Gateway>, path: &Path) {
+fn spawn_settings_watch(gateway: &Arc<Gateway>, path: &Path, reload_signal: ReloadSignal) {
     let watcher = Arc::clone(gateway);
     let path = path.to_owned();
-    gateway
-        .runtime
-        .spawn_detached(async move { watch_settings(&path, &watcher.settings).await });
+    let watch = async move { watch_settings(&path, &watcher.settings, reload_signal).await };
+    gateway.runtime.spawn_detached(watch);
 }
 
 fn spawn_store_watches(gateway: &Arc<Gateway>, address: SocketAddr) {
