Count a group's engines as silent after two lost relays, and keep relayed reports

Found by reading: a lost zone was noticed only after eight relays had not answered, about 9 s; a group's link began without its group and waited 0.3 s; a direct report of a gateway shortened the life of the one that came through a relay, so that the sidecar forgot the gateway for a moment.

Test: a_direct_report_does_not_shorten_the_life_of_a_relayed_one.

--- a/crates/radishpin-core/src/process/residency.rs
+++ b/crates/radishpin-core/src/process/residency.rs
@@ -330,6 +330,8 @@
                 self.adapter_last_used.insert(key, now);
             }
         }
+        // A direct report does not shorten the time for which one that came through a relay is kept.
+        let expires_at = previous.map_or(expires_at, |known| known.expires_at.max(expires_at));
         let gateway = report.gateway.clone();
         self.gateways.insert(
             gateway,
--- a/crates/radishpin-core/tests/residency/orders.rs
+++ b/crates/radishpin-core/tests/residency/orders.rs
@@ -2,7 +2,10 @@
 
 use super::support::{Fixture, WINDOW, adapter_demand, ms, waiting_demand};
 use insta::assert_snapshot;
-use radishpin_core::process::{Action, ActionOutcome, EndpointReport, HeldModel, StoreLoadShare};
+use radishpin_core::process::{
+    Action, ActionOutcome, EndpointReport, GATEWAY_TIMEOUT, GatewayReport, HeldModel,
+    RELAYED_GATEWAY_TIMEOUT, StoreLoadShare,
+};
 
 /// Load pattern: model swaps and adapter requests at one engine. An engine refuses every order
 /// while it loads or unloads a model, and each refused order delays the next one.
@@ -211,3 +214,24 @@
         }
     }
 }
+
+/// A caller began to wait at the engine, so its gateway sent a report directly, too.
+#[test]
+fn a_direct_report_does_not_shorten_the_life_of_a_relayed_one() {
+    let report = |sequence| GatewayReport {
+        gateway: "g1".to_owned(),
+        incarnation: 1,
+        sequence,
+        ..GatewayReport::default()
+    };
+    let mut fixture = Fixture::with_loaded_models(&["a"]);
+    let residency = &mut fixture.residency;
+    residency.record_relayed_report(report(1), ms(0));
+    residency.record_gateway_report(report(2), ms(100));
+    let mut gateways_at = |now| {
+        residency.decide(now);
+        residency.status(now).gateways
+    };
+    assert_eq!(gateways_at(ms(100) + GATEWAY_TIMEOUT), 1);
+    assert_eq!(gateways_at(RELAYED_GATEWAY_TIMEOUT), 0);
+}
--- a/crates/radishpin-gateway/src/connection/relay_link.rs
+++ b/crates/radishpin-gateway/src/connection/relay_link.rs
@@ -20,6 +20,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// Pause after all candidates for the relay failed.
 const RETRY_BACKOFF: Duration = Duration::from_millis(300);
+/// Relays of a group that fail one after the other before its engines count as silent.
+const SILENT_AFTER_RELAYS: usize = 2;
 /// Time after which the first choice of a relay is tried again.
 const PREFERENCE_INTERVAL: Duration = Duration::from_secs(10);
 /// Largest answer that is read, in bytes.
@@ -121,21 +123,24 @@
         self.reports.clear();
     }
 
-    /// Goes on to the next candidate; returns the pause before it is tried. After the last one all engines
-    /// of the group count as silent.
+    /// Goes on to the next candidate; returns the pause before it is tried. The engines of the group count
+    /// as silent until one answers, unless only the first one failed.
     fn fail_over(&mut self) -> Duration {
         let failed = self.failed_candidates + 1;
         self.failed_at = self.gateway.clock.now();
         log::info!(event = "relay_lost", relay:? = self.relay(), failed = failed; "the relay of a group of engines is lost");
-        if failed < self.followed.candidates.len() {
-            self.use_candidate(failed);
-            return Duration::ZERO;
+        let are_all_lost = failed >= self.followed.candidates.len();
+        if failed >= SILENT_AFTER_RELAYS || are_all_lost {
+            for id in self.followed.members.values() {
+                self.gateway.link_lost(id, LinkLoss::TimedOut);
+            }
         }
-        self.use_candidate(0);
-        for id in self.followed.members.values() {
-            self.gateway.link_lost(id, LinkLoss::TimedOut);
+        if are_all_lost {
+            self.use_candidate(0);
+            return RETRY_BACKOFF;
         }
-        RETRY_BACKOFF
+        self.use_candidate(failed);
+        Duration::ZERO
     }
 
     /// Reports to engines that this gateway has not reported to for a while, or whose status it has to
--- a/crates/radishpin-gateway/src/process/gateway/links.rs
+++ b/crates/radishpin-gateway/src/process/gateway/links.rs
@@ -85,8 +85,8 @@
 }
 
 impl GroupLink {
-    fn start(gateway: &Arc<Gateway>) -> Self {
-        let group: Arc<Mutex<Group>> = Arc::default();
+    fn start(gateway: &Arc<Gateway>, group: Group) -> Self {
+        let group = Arc::new(Mutex::new(group));
         let following = run_relay_link(Arc::clone(gateway), Arc::clone(&group));
         Self {
             group,
@@ -114,9 +114,12 @@
     fn update_groups(&mut self, gateway: &Arc<Gateway>, groups: BTreeMap<GroupKey, Group>) {
         self.groups.retain(|key, _| groups.contains_key(key));
         for (key, group) in groups {
-            let start = || GroupLink::start(gateway);
-            let link = self.groups.entry(key).or_insert_with(start);
-            *link.group.lock() = group;
+            match self.groups.get(&key) {
+                Some(link) => *link.group.lock() = group,
+                None => {
+                    self.groups.insert(key, GroupLink::start(gateway, group));
+                }
+            }
         }
     }
 }
--- a/crates/radishpin-gateway/src/process/sidecar/relay.rs
+++ b/crates/radishpin-gateway/src/process/sidecar/relay.rs
@@ -16,13 +16,13 @@
 /// Path and query at which a sidecar takes the reports of several gateways.
 pub(super) const REPORTS_PATH: &str = "/reports";
 /// Time after which a sidecar responds even without a change.
-const FOLLOW_WAIT: Duration = Duration::from_millis(200);
+const EXCHANGE_WAIT: Duration = Duration::from_millis(200);
 /// Longest time for an exchange in addition to its wait for a change.
-const FOLLOW_TIMEOUT: Duration = Duration::from_millis(600);
+const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(600);
 /// Pause between two exchanges.
-const FOLLOW_INTERVAL: Duration = Duration::from_millis(80);
+const EXCHANGE_INTERVAL: Duration = Duration::from_millis(80);
 /// Pause after a failed exchange.
-const FOLLOW_BACKOFF: Duration = Duration::from_millis(300);
+const EXCHANGE_BACKOFF: Duration = Duration::from_millis(300);
 /// Largest status that is read, in bytes.
 const STATUS_BYTES_MAX: usize = 4 * 1024 * 1024;
 
@@ -111,7 +111,7 @@
                 reports: self.relayed.relay.lock().take_reports(member),
             };
             let exchange = self.exchange_reports(&mut connection, member, &reports);
-            let state = match timeout(FOLLOW_WAIT + FOLLOW_TIMEOUT, exchange).await {
+            let state = match timeout(EXCHANGE_WAIT + EXCHANGE_TIMEOUT, exchange).await {
                 Some(Ok(status)) => {
                     seen = (status.incarnation, status.version);
                     RelayedState::Up(Box::new(status))
@@ -129,8 +129,8 @@
             }
             self.relayed.record_state(member, state, self.clock.now());
             let pause = match failed {
-                true => FOLLOW_BACKOFF,
-                false => FOLLOW_INTERVAL,
+                true => EXCHANGE_BACKOFF,
+                false => EXCHANGE_INTERVAL,
             };
             Runtime::sleep(pause).await;
         }
@@ -152,7 +152,7 @@
             Some(connection) => connection,
             None => Connection::open(&self.runtime, member).await?,
         };
-        let path = format!("{REPORTS_PATH}?wait_ms={}", FOLLOW_WAIT.as_millis());
+        let path = format!("{REPORTS_PATH}?wait_ms={}", EXCHANGE_WAIT.as_millis());
         let body = serde_json::to_vec(reports)?;
         let response = post(&mut connection, member, &path, &[], body, STATUS_BYTES_MAX).await?;
         if response.status != 200 {
