Answer the end of a poll with a change that came just then

Found by reading: a relay answered a poll whose wait ended with its newest version and no change, though a change may have come between the two; the gateway would have missed it until the next one of that sidecar.

Test: a change at the end of the wait is in the answer (core's tests/relay.rs).

--- a/crates/radishpin-core/examples/fleet_links.rs
+++ b/crates/radishpin-core/examples/fleet_links.rs
@@ -226,12 +226,7 @@
                 return 0;
             };
             self.relay.record_poll(&poll, now);
-            answer = encode(
-                &self
-                    .relay
-                    .answer(&poll)
-                    .unwrap_or_else(|| self.relay.unchanged()),
-            );
+            answer = encode(&self.relay.answer_now(&poll));
             request.len() + answer.len()
         });
         gateway.add(|| {
--- a/crates/radishpin-core/src/process/relay.rs
+++ b/crates/radishpin-core/src/process/relay.rs
@@ -277,15 +277,16 @@
             Some((*sidecar, state))
         });
         let changed: Vec<_> = changed.collect();
-        (!changed.is_empty()).then(|| self.empty_answer(changed))
+        (!changed.is_empty()).then(|| self.answer_with(changed))
     }
 
-    /// The answer to a poll after which nothing changed.
-    pub fn unchanged(&self) -> RelayAnswer {
-        self.empty_answer(Vec::new())
+    /// The answer to a poll whose wait ends, even if it contains nothing new.
+    pub fn answer_now(&self, poll: &RelayPoll) -> RelayAnswer {
+        self.answer(poll)
+            .unwrap_or_else(|| self.answer_with(Vec::new()))
     }
 
-    fn empty_answer(&self, changed: Vec<(SocketAddr, RelayedState)>) -> RelayAnswer {
+    fn answer_with(&self, changed: Vec<(SocketAddr, RelayedState)>) -> RelayAnswer {
         RelayAnswer {
             incarnation: self.incarnation,
             version: self.version,
--- a/crates/radishpin-core/tests/relay.rs
+++ b/crates/radishpin-core/tests/relay.rs
@@ -137,6 +137,10 @@
     relay.record_state(member, up(1, 2, 4), ms(200));
     let third = relay.answer(&poll).unwrap();
     assert_eq!(third.changed, [(member, up(1, 2, 4))]);
+    // A change that comes when the wait of a poll ends is in its answer.
+    assert_eq!(relay.answer_now(&poll), third);
+    poll.seen_version = third.version;
+    assert_eq!(relay.answer_now(&poll).changed, []);
     // A gateway that saw another relay, or an earlier process of this one, gets all.
     poll.seen_incarnation = 8;
     poll.seen_version = 1_000;
--- a/crates/radishpin-gateway/src/process/sidecar/relay.rs
+++ b/crates/radishpin-gateway/src/process/sidecar/relay.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, sync::Arc};
 
-/// Path and query at which a sidecar takes the reports of several gateways.
+/// Path at which a sidecar takes the reports of several gateways.
 pub(super) const REPORTS_PATH: &str = "/reports";
 /// Time after which a sidecar responds even without a change.
 const EXCHANGE_WAIT: Duration = Duration::from_millis(200);
@@ -85,7 +85,8 @@
         sidecar.runtime.spawn_detached(follow);
     }
     let answer = timeout(wait, sidecar.next_answer(&poll)).await;
-    let answer = answer.unwrap_or_else(|| sidecar.relayed.relay.lock().unchanged());
+    // A change may have come just when the wait ended.
+    let answer = answer.unwrap_or_else(|| sidecar.relayed.relay.lock().answer_now(&poll));
     json_response(&answer)
 }
 
