--- a/crates/radishpin-core/tests/fleet/status_news.rs
+++ b/crates/radishpin-core/tests/fleet/status_news.rs
@@ -2,7 +2,6 @@
 
 use super::support::{TestFleet, ms};
 use radishpin_core::process::{LinkLoss, ModelStatus, Status, StatusNews};
-use radishpin_protocol::prelude::*;
 
 fn models(names: &[&str]) -> StatusNews {
     StatusNews::Models(names.iter().map(|name| (*name).to_owned()).collect())
