Let only as many engines load from the weight store as it serves at full speed

Cause: loads from the weight store were limited by how many begin in a second, by each sidecar alone, and never by how many run. With 180 engines hundreds may run where two run at full speed; each then takes minutes, and its engine takes no other order meanwhile, so it can't load in 1.6 s what is on its disk. Gateways estimate by the loads that they see, but many gateways decide before they see each other's. Change: gateways choose the engines that may fetch: those that do already, then empty ones, then others by a hash, as many as the store is taken to serve at full speed. An engine carries out one load at a time, so their number bounds the loads at once, whatever the gateways want and however late they see it. Prefetches keep to the same engines.

--- a/crates/radishpin-core/src/process/fleet/loader.rs
+++ b/crates/radishpin-core/src/process/fleet/loader.rs
@@ -35,8 +35,12 @@
         excluded: &[EndpointId],
         now: Duration,
     ) -> Option<(EndpointId, Duration)> {
+        let store_loaders = self.store_loaders(query.service, query.software_version);
         let candidates = self.endpoints.keys().filter(|id| !excluded.contains(id));
         let estimates = candidates.filter_map(|id| {
+            if self.needs_store(id, query.model) && !store_loaders.contains(id) {
+                return None;
+            }
             let estimate = self.load_estimate(id, query, now)?;
             let step = estimate.as_millis() / ESTIMATE_STEP_MS;
             Some((step, rendezvous_hash(query.model, id), id, estimate))
@@ -102,6 +106,46 @@
         Some(queue_time + load_time + room_time + kept_cost + limited_cost)
     }
 
+    /// The endpoints that may load from the weight store: those that do, then those that have nothing loaded, as many as
+    /// the store serves at full speed. An endpoint carries out one load at a time, so no more loads than that run at
+    /// once, whichever models the gateways want.
+    pub(super) fn store_loaders(
+        &self,
+        service: &str,
+        software_version: Option<&str>,
+    ) -> BTreeSet<EndpointId> {
+        let eligible = self.endpoints.iter().filter(|(_, endpoint)| {
+            endpoint.entry.service == service
+                && endpoint.accepts_loads()
+                && endpoint.may_serve_version(software_version)
+        });
+        let mut ranked: Vec<_> = eligible
+            .filter_map(|(id, endpoint)| {
+                let status = endpoint.status.as_ref()?;
+                let loads = status.loading.as_ref();
+                let is_loader = loads.is_some_and(|loading| loading.tier == Tier::Remote);
+                let is_filled = !status.models.is_empty();
+                Some((!is_loader, is_filled, rendezvous_hash(service, id), id))
+            })
+            .collect();
+        ranked.sort_unstable();
+        let first = ranked.into_iter().take(FULL_SPEED_LOADS as usize);
+        first.map(|(.., id)| id.clone()).collect()
+    }
+
+    /// Whether an endpoint has to fetch a model from the weight store to load it.
+    fn needs_store(&self, id: &str, model: &str) -> bool {
+        let endpoint = self.endpoints.get(id);
+        let status = endpoint.and_then(|endpoint| endpoint.status.as_ref());
+        status.is_some_and(|status| {
+            let loads = status
+                .loading
+                .as_ref()
+                .is_some_and(|loading| loading.model == model);
+            !loads && !status.models.contains_key(model) && status.tier(model) == Tier::Remote
+        })
+    }
+
     /// Whether an endpoint's sidecar reports that it is loading a model.
     pub(super) fn is_loading(&self, id: &str, model: &str) -> bool {
         let endpoint = self.endpoints.get(id);
--- a/crates/radishpin-core/src/process/fleet/plan.rs
+++ b/crates/radishpin-core/src/process/fleet/plan.rs
@@ -221,6 +221,7 @@
     fn plan_prefetch(&mut self, service: &str, engine: &EngineSpec) {
         let mut nearby_models: BTreeSet<&ModelId> = BTreeSet::new();
         let mut idle: Vec<EndpointId> = Vec::new();
+        let store_loaders = self.store_loaders(service, None);
         let mut engines = 0;
         for (id, status) in self.statuses(service) {
             engines += 1;
@@ -228,7 +229,8 @@
             nearby_models.extend(&status.in_memory);
             nearby_models.extend(&status.on_disk);
             nearby_models.extend(status.loading.iter().map(|loading| &loading.model));
-            if status.loading.is_none() && !status.busy && status.queue.is_empty() {
+            let is_idle = status.loading.is_none() && !status.busy && status.queue.is_empty();
+            if is_idle && store_loaders.contains(id) {
                 idle.push(id.clone());
             }
         }
