Choose the engines that load from the weight store alike before all are known

Cause: the engines that may fetch were chosen among those with a status, and a gateway that has just started knows a part of them, each gateway another. Change: engines without a status count in the choice, as the platform's list is the same for all. Nothing is sent to one that is chosen and does not answer, so fewer loads run while it is listed.

--- a/crates/radishpin-core/src/process/fleet/loader.rs
+++ b/crates/radishpin-core/src/process/fleet/loader.rs
@@ -109,6 +109,8 @@
     /// The endpoints that may load from the weight store: those that do, then those that have nothing loaded, as many as
     /// the store serves at full speed. An endpoint carries out one load at a time, so no more loads than that run at
     /// once, whichever models the gateways want.
+    ///
+    /// Endpoints without a status count too, so that gateways that know different ones choose alike.
     pub(super) fn store_loaders(
         &self,
         service: &str,
@@ -116,18 +118,26 @@
     ) -> BTreeSet<EndpointId> {
         let eligible = self.endpoints.iter().filter(|(_, endpoint)| {
             endpoint.entry.service == service
-                && endpoint.accepts_loads()
+                && endpoint.is_ready()
+                && endpoint
+                    .status
+                    .as_ref()
+                    .is_none_or(|status| status.engine_up)
                 && endpoint.may_serve_version(software_version)
         });
-        let mut ranked: Vec<_> = eligible
-            .filter_map(|(id, endpoint)| {
-                let status = endpoint.status.as_ref()?;
-                let loads = status.loading.as_ref();
-                let is_loader = loads.is_some_and(|loading| loading.tier == Tier::Remote);
-                let is_filled = !status.models.is_empty();
-                Some((!is_loader, is_filled, rendezvous_hash(service, id), id))
-            })
-            .collect();
+        let ranked = eligible.map(|(id, endpoint)| {
+            let status = endpoint.status.as_ref();
+            let loading = status.and_then(|status| status.loading.as_ref());
+            let is_loader = loading.is_some_and(|loading| loading.tier == Tier::Remote);
+            let may_hold_models = status.is_none_or(|status| !status.models.is_empty());
+            (
+                !is_loader,
+                may_hold_models,
+                rendezvous_hash(service, id),
+                id,
+            )
+        });
+        let mut ranked: Vec<_> = ranked.collect();
         ranked.sort_unstable();
         let first = ranked.into_iter().take(FULL_SPEED_LOADS as usize);
         first.map(|(.., id)| id.clone()).collect()
--- a/crates/radishpin-core/tests/fleet/loads.rs
+++ b/crates/radishpin-core/tests/fleet/loads.rs
@@ -178,3 +178,33 @@
     test.fleet.update_status("i9", status, ms(900));
     assert_snapshot!(test.pick(&query("drafts", Some(("a", None)))), @"i9 with 0");
 }
+
+/// Load pattern: gateways that have just started ask for models that only the weight store has, each before it knows all
+/// engines.
+#[test]
+fn gateways_with_parts_of_the_statuses_ask_the_same_engines_to_load_from_the_weight_store() {
+    /// What the weight store is taken to serve at full speed.
+    const STORE_WIDTH: usize = 4;
+    const ENGINES: usize = 24;
+    let mut asked: BTreeSet<String> = BTreeSet::new();
+    for known in 1..ENGINES {
+        let mut test = TestFleet::new();
+        for engine in 0..ENGINES {
+            let id = format!("i{engine}");
+            match engine % known {
+                0 => drop(test.add_engine(&id, &["a"])),
+                _ => test.add_endpoint(&id, "drafts", "north", 10),
+            }
+        }
+        // f is in the weight store only.
+        let long_wait = PickQuery {
+            time_left: ms(20_000),
+            ..query("drafts", Some(("f", None)))
+        };
+        let picked = test.pick(&long_wait);
+        if let Some(wait) = picked.strip_prefix("wait for ") {
+            asked.extend(wait.split(' ').next().map(str::to_owned));
+        }
+    }
+    assert!((1..=STORE_WIDTH).contains(&asked.len()), "{asked:?}");
+}
