Plan replicas and estimate loads without a pass over the fleet for each step

Cause: a plan counted the kept replicas of an engine by a pass over all kept replicas, for each holder, each model and each candidate; looked through all statuses for each busy model; estimates counted the loads from the store once for each engine; and reports counted all holders anew after each status. All of it runs under the lock that each request takes. Change: kept replicas by endpoint, holders by model once a plan, the use of the weight store once a plan, holders counted anew with a plan. No decision changes but that these are up to 200 ms old. No test: no test here asserts on the clock.

--- a/crates/radishpin-core/src/process/fleet.rs
+++ b/crates/radishpin-core/src/process/fleet.rs
@@ -12,6 +12,7 @@
 mod refusal;
 mod slot;
 mod stated_limit;
+mod store_use;
 
 pub use availability::REQUESTED_BACKOFF_MAX;
 pub use decision::{EndpointSnapshot, FIRST_TOKEN_LATENCY, Pick, PickQuery, SlotWait, Wait};
@@ -29,6 +30,7 @@
 use radishpin_protocol::{UnixMs, prelude::*};
 use rate::Rate;
 use std::sync::Arc;
+use store_use::StoreUse;
 
 /// What a status means for callers that wait for loads.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -74,7 +76,10 @@
     expected_retries: ExpectedRetries,
     rates: BTreeMap<ModelId, Rate>,
     planned_demands: BTreeMap<EndpointId, Vec<Demand>>,
-    kept_replicas: BTreeSet<(EndpointId, ModelId)>,
+    /// Models that each endpoint should keep loaded.
+    kept_replicas: BTreeMap<EndpointId, BTreeSet<ModelId>>,
+    /// `None` before the first plan.
+    store_use: Option<StoreUse>,
     /// Number of ready endpoints that serve each model; `None` if it has to be counted anew.
     holders: Option<BTreeMap<ModelId, usize>>,
     /// Number of endpoints of each service.
@@ -100,7 +105,8 @@
             expected_retries: ExpectedRetries::default(),
             rates: BTreeMap::new(),
             planned_demands: BTreeMap::new(),
-            kept_replicas: BTreeSet::new(),
+            kept_replicas: BTreeMap::new(),
+            store_use: None,
             holders: None,
             endpoint_counts: BTreeMap::new(),
             sequence: 0,
@@ -168,11 +174,7 @@
         };
         let reported_id = status.engine_id.as_ref();
         endpoint.replaced = reported_id.is_some_and(|reported_id| reported_id != id);
-        let news = endpoint.update_status(status, now);
-        if news != StatusNews::None {
-            self.holders = None;
-        }
-        news
+        endpoint.update_status(status, now)
     }
 
     /// Applies the load that a relay reports of an engine whose status is otherwise unchanged.
@@ -370,6 +372,7 @@
     fn usage(&self, id: &str, endpoint: &Endpoint, now: Duration) -> BTreeMap<ModelId, ModelUsage> {
         let held = endpoint.held_models();
         let models: BTreeSet<&ModelId> = held.chain(endpoint.active.keys()).collect();
+        let kept = self.kept_replicas.get(id);
         let usage = models.into_iter().map(|model| {
             let rate = self.rates.get(model).copied().unwrap_or_default();
             let active = endpoint.active.get(model);
@@ -377,7 +380,7 @@
                 per_s: rate.recent_per_s(now),
                 loss_per_s: self.loss_per_s(model, rate.per_s(now)),
                 active: active.map_or(0, |active| active.requests),
-                keep: self.kept_replicas.contains(&(id.to_owned(), model.clone())),
+                keep: kept.is_some_and(|kept| kept.contains(model)),
                 adapters: active
                     .map(endpoint::ActiveRequests::adapters)
                     .unwrap_or_default(),
--- a/crates/radishpin-core/src/process/fleet/loader.rs
+++ b/crates/radishpin-core/src/process/fleet/loader.rs
@@ -1,7 +1,7 @@
 //! Estimates of how soon each endpoint could serve a model that it has not loaded.
 
 use super::{Fleet, endpoint::Endpoint};
-use crate::{rendezvous::rendezvous_hash, request::Tier, version::ModelSpec};
+use crate::{process::Status, rendezvous::rendezvous_hash, request::Tier, version::ModelSpec};
 use radishpin_protocol::prelude::*;
 
 /// Concurrent loads that the weight store serves at full speed; with more, each slows down in
@@ -28,19 +28,22 @@
 }
 
 impl Fleet {
-    /// The endpoint outside `excluded` that could serve a model soonest, with its estimated time.
+    /// The endpoint that could serve a model soonest, of those that `may_load` it, with its estimated time.
     pub(super) fn best_loader(
         &self,
         query: LoadQuery<'_>,
-        excluded: &[EndpointId],
+        may_load: impl Fn(&EndpointId, &Status) -> bool,
         now: Duration,
     ) -> Option<(EndpointId, Duration)> {
         let store_loaders = self.store_loaders(query.service, query.software_version);
-        let candidates = self.endpoints.keys().filter(|id| !excluded.contains(id));
-        let estimates = candidates.filter_map(|id| {
-            if self.needs_store(id, query.model) && !store_loaders.contains(id) {
-                return None;
-            }
+        let candidates = self.endpoints.iter().filter(|(id, endpoint)| {
+            let status = endpoint.status.as_ref();
+            status.is_some_and(|status| {
+                may_load(id, status)
+                    && (!needs_store(status, query.model) || store_loaders.contains(*id))
+            })
+        });
+        let estimates = candidates.filter_map(|(id, _)| {
             let estimate = self.load_estimate(id, query, now)?;
             let step = estimate.as_millis() / ESTIMATE_STEP_MS;
             Some((step, rendezvous_hash(query.model, id), id, estimate))
@@ -106,56 +109,6 @@
         Some(queue_time + load_time + room_time + kept_cost + limited_cost)
     }
 
-    /// The endpoints that may load from the weight store: those that do, then those that have nothing loaded, as many as
-    /// the store serves at full speed. An endpoint carries out one load at a time, so no more loads than that run at
-    /// once, whichever models the gateways want.
-    ///
-    /// Endpoints without a status count too, so that gateways that know different ones choose alike.
-    pub(super) fn store_loaders(
-        &self,
-        service: &str,
-        software_version: Option<&str>,
-    ) -> BTreeSet<EndpointId> {
-        let eligible = self.endpoints.iter().filter(|(_, endpoint)| {
-            endpoint.entry.service == service
-                && endpoint.is_ready()
-                && endpoint
-                    .status
-                    .as_ref()
-                    .is_none_or(|status| status.engine_up)
-                && endpoint.may_serve_version(software_version)
-        });
-        let ranked = eligible.map(|(id, endpoint)| {
-            let status = endpoint.status.as_ref();
-            let loading = status.and_then(|status| status.loading.as_ref());
-            let is_loader = loading.is_some_and(|loading| loading.tier == Tier::Remote);
-            let may_hold_models = status.is_none_or(|status| !status.models.is_empty());
-            (
-                !is_loader,
-                may_hold_models,
-                rendezvous_hash(service, id),
-                id,
-            )
-        });
-        let mut ranked: Vec<_> = ranked.collect();
-        ranked.sort_unstable();
-        let first = ranked.into_iter().take(FULL_SPEED_LOADS as usize);
-        first.map(|(.., id)| id.clone()).collect()
-    }
-
-    /// Whether an endpoint has to fetch a model from the weight store to load it.
-    fn needs_store(&self, id: &str, model: &str) -> bool {
-        let endpoint = self.endpoints.get(id);
-        let status = endpoint.and_then(|endpoint| endpoint.status.as_ref());
-        status.is_some_and(|status| {
-            let loads = status
-                .loading
-                .as_ref()
-                .is_some_and(|loading| loading.model == model);
-            !loads && !status.models.contains_key(model) && status.tier(model) == Tier::Remote
-        })
-    }
-
     /// Whether an endpoint's sidecar reports that it is loading a model.
     pub(super) fn is_loading(&self, id: &str, model: &str) -> bool {
         let endpoint = self.endpoints.get(id);
@@ -172,12 +125,11 @@
         let loads = self.store_loads() + 1;
         (f64::from(loads) / f64::from(FULL_SPEED_LOADS)).max(1.0)
     }
+}
 
-    /// Loads in progress from the weight store, over all endpoints with a status.
-    pub(super) fn store_loads(&self) -> u32 {
-        let statuses = self.endpoints.values().filter_map(|e| e.status.as_ref());
-        let loads = statuses.filter_map(|status| status.loading.as_ref());
-        let count = loads.filter(|loading| loading.tier == Tier::Remote).count();
-        u32::try_from(count).unwrap_or(u32::MAX)
-    }
+/// Whether an endpoint has to fetch a model from the weight store to load it.
+fn needs_store(status: &Status, model: &str) -> bool {
+    let loading = status.loading.as_ref();
+    let is_loading = loading.is_some_and(|loading| loading.model == model);
+    !is_loading && !status.models.contains_key(model) && status.tier(model) == Tier::Remote
 }
--- a/crates/radishpin-core/src/process/fleet/pick.rs
+++ b/crates/radishpin-core/src/process/fleet/pick.rs
@@ -202,6 +202,9 @@
             spec,
             software_version: query.software_version,
         };
+        if self.store_use.is_none() {
+            self.store_use = Some(self.find_store_use());
+        }
         let waiting_at = self.waits.get(&target).map(|wait| wait.endpoint.clone());
         let assigned = waiting_at.or_else(|| self.expected_retries.endpoint(&target, now).cloned());
         let current = assigned.and_then(|id| {
@@ -211,7 +214,7 @@
         let best = match current {
             Some(current) if !query.reconsider => Some(current),
             current => {
-                let best = self.best_loader(load, &[], now);
+                let best = self.best_loader(load, |_, _| true, now);
                 keep_or_move(current, best)
             }
         };
--- a/crates/radishpin-core/src/process/fleet/plan.rs
+++ b/crates/radishpin-core/src/process/fleet/plan.rs
@@ -30,6 +30,12 @@
     model: ModelId,
     /// Replicas to keep, including the spare ones.
     replicas: usize,
+    placement: Placement,
+}
+
+/// Where a model is.
+#[derive(Clone, Debug, Default)]
+struct Placement {
     /// Endpoints that have loaded it and were not yet chosen to keep it.
     holders: Vec<EndpointId>,
     /// Number of endpoints that are loading it.
@@ -43,6 +49,8 @@
     pub fn plan(&mut self, now: Duration) {
         self.planned_demands.clear();
         self.kept_replicas.clear();
+        self.holders = None;
+        self.store_use = Some(self.find_store_use());
         let catalog = Arc::clone(&self.catalog);
         for (name, service) in &catalog.services {
             if let Some(engine) = &service.engine {
@@ -53,10 +61,14 @@
 
     fn plan_service(&mut self, service: &str, engine: &EngineSpec, now: Duration) {
         let demand = self.demand(service, now);
+        let mut placements = self.placements(service);
         let busy = demand
             .into_iter()
             .filter(|(model, per_s)| *per_s >= BUSY_PER_S && engine.models.contains_key(model))
-            .map(|(model, per_s)| self.busy_model(service, engine, model, per_s))
+            .map(|(model, per_s)| {
+                let placement = placements.remove(&model).unwrap_or_default();
+                self.busy_model(engine, model, per_s, placement)
+            })
             .collect();
         self.plan_replicas(service, engine, busy, now);
         self.plan_prefetch(service, engine);
@@ -90,12 +102,30 @@
         })
     }
 
+    /// Where each model is loaded or being loaded.
+    fn placements(&self, service: &str) -> BTreeMap<ModelId, Placement> {
+        let mut placements: BTreeMap<ModelId, Placement> = BTreeMap::new();
+        for (id, status) in self.statuses(service) {
+            for (model, held) in &status.models {
+                let placement = placements.entry(model.clone()).or_default();
+                if !held.leaving {
+                    placement.holders.push(id.clone());
+                }
+            }
+            if let Some(loading) = &status.loading {
+                let placement = placements.entry(loading.model.clone()).or_default();
+                placement.loads_in_progress += 1;
+            }
+        }
+        placements
+    }
+
     fn busy_model(
         &self,
-        service: &str,
         engine: &EngineSpec,
         model: ModelId,
         per_s: f32,
+        placement: Placement,
     ) -> BusyModel {
         let duration_s = self
             .rates
@@ -106,24 +136,10 @@
         let slots_per_model = (engine.slots.max(1) as f32) * SLOT_SHARE_PER_MODEL;
         let requests_per_replica = slots_per_model.min(REQUESTS_PER_REPLICA);
         let needed_replicas = (per_s * duration_s / requests_per_replica).ceil().max(1.0) as usize;
-        let mut holders = Vec::new();
-        let mut loads_in_progress = 0;
-        for (id, status) in self.statuses(service) {
-            if status.models.get(&model).is_some_and(|held| !held.leaving) {
-                holders.push(id.clone());
-            } else if status
-                .loading
-                .as_ref()
-                .is_some_and(|load| load.model == model)
-            {
-                loads_in_progress += 1;
-            }
-        }
         BusyModel {
             model,
             replicas: needed_replicas + SPARE_REPLICAS,
-            holders,
-            loads_in_progress,
+            placement,
         }
     }
 
@@ -143,10 +159,11 @@
         for round in 0..rounds {
             for busy in busy.iter_mut().filter(|busy| round < busy.replicas) {
                 if let Some(id) = self.next_holder_to_keep(busy, max_kept) {
-                    busy.holders.retain(|holder| *holder != id);
-                    self.kept_replicas.insert((id, busy.model.clone()));
-                } else if busy.loads_in_progress > 0 {
-                    busy.loads_in_progress -= 1;
+                    busy.placement.holders.retain(|holder| *holder != id);
+                    let kept = self.kept_replicas.entry(id).or_default();
+                    kept.insert(busy.model.clone());
+                } else if busy.placement.loads_in_progress > 0 {
+                    busy.placement.loads_in_progress -= 1;
                 } else {
                     self.plan_replica(service, engine, &busy.model, max_kept, now);
                     busy.replicas = 0;
@@ -158,6 +175,7 @@
     /// The holder with the fewest kept replicas; `None` if all holders are at `max_kept`.
     fn next_holder_to_keep(&self, busy: &BusyModel, max_kept: usize) -> Option<EndpointId> {
         let with_room = busy
+            .placement
             .holders
             .iter()
             .filter(|id| self.kept_replicas_at(id) < max_kept);
@@ -177,21 +195,16 @@
         let Some(spec) = engine.models.get(model) else {
             return;
         };
-        let has_model_or_full = |id: &EndpointId, status: &Status| {
-            status.models.contains_key(model) || self.kept_replicas_at(id) >= max_kept
+        let may_load = |id: &EndpointId, status: &Status| {
+            !status.models.contains_key(model) && self.kept_replicas_at(id) < max_kept
         };
-        let excluded: Vec<EndpointId> = self
-            .statuses(service)
-            .filter(|(id, status)| has_model_or_full(id, status))
-            .map(|(id, _)| id.clone())
-            .collect();
         let query = LoadQuery {
             service,
             model,
             spec,
             software_version: None,
         };
-        let best = self.best_loader(query, &excluded, now);
+        let best = self.best_loader(query, may_load, now);
         let Some((endpoint, _)) = best else {
             return;
         };
@@ -208,10 +221,7 @@
 
     /// Number of replicas that an endpoint should keep for busy models.
     pub(super) fn kept_replicas_at(&self, endpoint: &str) -> usize {
-        self.kept_replicas
-            .iter()
-            .filter(|(id, _)| id == endpoint)
-            .count()
+        self.kept_replicas.get(endpoint).map_or(0, BTreeSet::len)
     }
 
     /// Lets idle endpoints load models whose weights no endpoint has in memory or on disk, up to
@@ -219,9 +229,9 @@
     ///
     /// Depends only on the statuses, so that gateways with the same statuses plan the same loads.
     fn plan_prefetch(&mut self, service: &str, engine: &EngineSpec) {
+        let store_loaders = self.store_loaders(service, None);
         let mut nearby_models: BTreeSet<&ModelId> = BTreeSet::new();
         let mut idle: Vec<EndpointId> = Vec::new();
-        let store_loaders = self.store_loaders(service, None);
         let mut engines = 0;
         for (id, status) in self.statuses(service) {
             engines += 1;
