Keep no replica of a busy model beyond what its load needs

What callers saw: callers of rarely used models waited for loads longer than they could, though no engine was full. Cause: each busy model kept one replica more than its load needs, in case an engine is lost. On an engine that holds three models that left one place for all rare ones, so each load there waited until the answers of the model before it had ended. Losing a replica costs a load from a disk; a place less costs one for each rare request. The new test failed before (two replicas kept).

--- a/crates/radishpin-core/src/process/fleet/plan.rs
+++ b/crates/radishpin-core/src/process/fleet/plan.rs
@@ -19,8 +19,6 @@
 /// Most concurrent requests planned for one replica of a busy model: an engine prefills new
 /// requests between the tokens of others, whose latency grows with the number of requests.
 const REQUESTS_PER_REPLICA: f32 = 14.0;
-/// Extra replicas of a busy model beyond those that its load needs, in case an endpoint is lost.
-const SPARE_REPLICAS: usize = 1;
 /// Factor for the cost of losing one of several replicas: the others take over its requests.
 const REDUNDANT_WEIGHT: f32 = 0.1;
 
@@ -28,7 +26,7 @@
 #[derive(Clone, Debug)]
 struct BusyModel {
     model: ModelId,
-    /// Replicas to keep, including the spare ones.
+    /// Replicas to keep: those that its load needs.
     replicas: usize,
     placement: Placement,
 }
@@ -138,7 +136,7 @@
         let needed_replicas = (per_s * duration_s / requests_per_replica).ceil().max(1.0) as usize;
         BusyModel {
             model,
-            replicas: needed_replicas + SPARE_REPLICAS,
+            replicas: needed_replicas,
             placement,
         }
     }
--- a/crates/radishpin-core/tests/fleet/loads.rs
+++ b/crates/radishpin-core/tests/fleet/loads.rs
@@ -208,3 +208,22 @@
     }
     assert!((1..=STORE_WIDTH).contains(&asked.len()), "{asked:?}");
 }
+
+/// Load pattern: many rarely used models beside busy ones that have a replica more than their load needs. Their callers
+/// could only wait while each engine but one place kept replicas.
+#[test]
+fn a_replica_beyond_the_load_is_not_kept_from_callers_of_rare_models() {
+    let mut test = TestFleet::new();
+    for id in ["i1", "i2"] {
+        test.add_engine(id, &["a"]);
+    }
+    for n in 0..20 {
+        test.fleet.count_request("a", ms(n * 600));
+    }
+    test.fleet.plan(ms(12_000));
+    let kept = ["i1", "i2"].into_iter().filter(|id| {
+        let report = test.fleet.next_report(id, ms(12_000));
+        report.usage["a"].keep
+    });
+    assert_eq!(kept.count(), 1);
+}
