--- a/crates/radishpin-gateway/tests/serving/main.rs
+++ b/crates/radishpin-gateway/tests/serving/main.rs
@@ -13,6 +13,7 @@
 mod limits;
 mod load;
 mod loads;
+mod odd_entries;
 mod prompt_crash_runs;
 mod prompt_crashes;
 mod raw_endpoint;
