Take no refusal that comes again for the response to another request

Cause: a response is told by the id of its request. A request without id, or a second one with the id of one that was refused, went over a kept connection, and a refusal that the endpoint wrote once more there passed for its response. Change: a connection remembers the ids that were refused on it. A request with such an id, or without one, gets another connection. Requests with ids of their own keep theirs, and no connection more is opened for them. Tests: the refusal once more at once, 30 ms later and before the next response; another id, no id, the same id; order and lookup. Those without id and with the same id failed before (503), the one with another id passed. Orders of sidecars open a connection each, so no response can come again there. Reads of the store were not tried.

--- a/crates/radishpin-gateway/src/request/attempt.rs
+++ b/crates/radishpin-gateway/src/request/attempt.rs
@@ -98,7 +98,7 @@
     loop {
         let acquired = gateway
             .pool
-            .take(&assignment.endpoint, assignment.address, limit)
+            .take(&assignment.endpoint, assignment.address, limit, &call.id)
             .await;
         let mut pooled = match acquired {
             Ok(Some(pooled)) => pooled,
@@ -162,7 +162,7 @@
     gateway: &Gateway,
     call: &Call,
     mut assignment: Assignment,
-    pooled: PooledConnection,
+    mut pooled: PooledConnection,
     head: Parts,
     body: Incoming,
 ) -> AttemptResult {
@@ -218,6 +218,7 @@
             .await
             .is_some_and(|body| body.is_ok())
         {
+            pooled.record_refusal(&call.id);
             let pool = &gateway.pool;
             pool.release(&assignment.endpoint, pooled, keep_alive);
         }
--- a/crates/radishpin-gateway/tests/serving/main.rs
+++ b/crates/radishpin-gateway/tests/serving/main.rs
@@ -18,6 +18,7 @@
 mod prompt_crashes;
 mod raw_endpoint;
 mod relays;
+mod repeated_refusals;
 mod request_crashes;
 mod requests;
 mod resumptions;
