Continue a stream only with a response of its status and media type

Cause: any signed response with a status of 200 to 299 could continue a stream, and its body passed for events. Change: a response continues a stream if it has the status and media type of the one that the caller got; else the stream breaks off there. Tests: twelve errors of the next endpoint, of which '200 text/plain' failed before (complete, with 'out of memory' in it) and hid the ones after it; a stream that cannot be resumed ends where it broke.

--- a/crates/radishpin-gateway/src/request/events.rs
+++ b/crates/radishpin-gateway/src/request/events.rs
@@ -2,7 +2,7 @@
 
 use super::response::BodyFraming;
 use bytes::{Bytes, BytesMut};
-use http::{HeaderMap, header};
+use http::{HeaderMap, header, response::Parts};
 use radishpin_core::request::EventScanner;
 
 const EVENT_STREAM: &str = "text/event-stream";
@@ -25,17 +25,19 @@
     /// Determines the content from the headers of a response; one without a media type on a
     /// streaming route holds events.
     pub(crate) fn of(headers: &HeaderMap, resumable: bool) -> Self {
-        let media_type = headers
-            .get(header::CONTENT_TYPE)
-            .and_then(|value| value.to_str().ok())
-            .and_then(|text| text.split(';').next());
-        match media_type {
-            Some(name) if !name.trim().eq_ignore_ascii_case(EVENT_STREAM) => Self::Opaque,
+        match media_type(headers) {
+            Some(name) if name != EVENT_STREAM => Self::Opaque,
             _ if resumable => Self::ResumableEvents(EventBuffer::default()),
             _ => Self::Events(EventScanner::default()),
         }
     }
 
+    /// Whether a response can continue a stream that began with the head `begun`: it has the same status and media type,
+    /// so that no error of another endpoint gets into the stream.
+    pub(crate) fn continues(begun: &Parts, next: &Parts) -> bool {
+        next.status == begun.status && media_type(&next.headers) == media_type(&begun.headers)
+    }
+
     /// Takes the next bytes and returns those that may be relayed now; empty if there are none.
     pub(crate) fn push(&mut self, chunk: Bytes) -> Bytes {
         match self {
@@ -74,6 +76,13 @@
     }
 }
 
+/// Media type of a body in lowercase, without parameters; `None` if its headers state none.
+fn media_type(headers: &HeaderMap) -> Option<String> {
+    let text = headers.get(header::CONTENT_TYPE)?.to_str().ok()?;
+    let name = text.split(';').next()?;
+    Some(name.trim().to_ascii_lowercase())
+}
+
 /// Buffers an incomplete event until its end arrives, and keeps the id of the last complete one.
 #[derive(Debug, Default)]
 pub(crate) struct EventBuffer {
--- a/crates/radishpin-gateway/src/request/stream.rs
+++ b/crates/radishpin-gateway/src/request/stream.rs
@@ -8,7 +8,7 @@
 };
 use bytes::Bytes;
 use futures_lite::stream::unfold;
-use http::{Response, StatusCode};
+use http::{Response, StatusCode, response::Parts};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use radishpin_core::{process::RequestOutcome, version::RequestSemantics};
@@ -20,6 +20,8 @@
 struct StreamRelay {
     forward: Forward,
     open: Option<OpenStream>,
+    /// Head of the response that the caller got.
+    head: Parts,
     content: StreamContent,
     timing: StreamTiming,
     ended: bool,
@@ -52,6 +54,7 @@
     let relay = StreamRelay {
         forward,
         content: StreamContent::of(&open.head.headers, resumable),
+        head: open.head.clone(),
         open: Some(open),
         timing: StreamTiming::default(),
         ended: false,
@@ -222,8 +225,13 @@
         );
         match self.forward.forward(last_id.as_deref()).await {
             ForwardOutcome::Answered(AttemptResult::Stream(open)) => {
-                self.open = Some(*open);
-                true
+                let continues = StreamContent::continues(&self.head, &open.head);
+                if continues {
+                    self.open = Some(*open);
+                } else {
+                    open.assignment.end(RequestOutcome::Failed);
+                }
+                continues
             }
             _ => false,
         }
--- a/crates/radishpin-gateway/tests/serving/main.rs
+++ b/crates/radishpin-gateway/tests/serving/main.rs
@@ -13,6 +13,7 @@
 mod limits;
 mod load;
 mod loads;
+mod next_endpoint_errors;
 mod odd_entries;
 mod prompt_crash_runs;
 mod prompt_crashes;
