Tell in the line of an order where a load comes from

Cause: whether engines were held by loads from the weight store could be seen in statuses only, which no line shows.

--- a/crates/radishpin-core/src/process/residency.rs
+++ b/crates/radishpin-core/src/process/residency.rs
@@ -421,7 +421,7 @@
     }
 
     /// The fastest tier from which the engine can load a model.
-    fn tier(&self, model: &str) -> Tier {
+    pub fn tier(&self, model: &str) -> Tier {
         match &self.report {
             Some(report) if report.in_memory.contains(model) => Tier::Memory,
             Some(report) if report.on_disk.contains(model) => Tier::Disk,
--- a/crates/radishpin-core/src/request/routing.rs
+++ b/crates/radishpin-core/src/request/routing.rs
@@ -22,6 +22,17 @@
     Remote,
 }
 
+impl Tier {
+    /// Name in log lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Memory => "memory",
+            Self::Disk => "disk",
+            Self::Remote => "store",
+        }
+    }
+}
+
 /// How soon a replica can serve; decides which candidates are preferred.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ReplicaReadiness {
--- a/crates/radishpin-gateway/src/process/sidecar/orders.rs
+++ b/crates/radishpin-gateway/src/process/sidecar/orders.rs
@@ -25,6 +25,10 @@
         let (Some((action, sequence)), Some(endpoint)) = (decision, endpoint) else {
             return false;
         };
+        let tier = match &action {
+            Action::Load(model) => self.residency.lock().tier(model).name(),
+            Action::Unload(_) | Action::LoadAdapter(..) | Action::UnloadAdapter(..) => "-",
+        };
         let action_outcome =
             timeout(ORDER_TIMEOUT, self.send_order(&action, sequence, &endpoint)).await;
         let action_outcome = action_outcome.unwrap_or(ActionOutcome::Unknown);
@@ -37,8 +41,8 @@
             .with_label_values(&[kind, outcome])
             .inc();
         log::info!(
-            event = "order_sent", kind = kind, model = model, adapter = adapter.unwrap_or("-"), endpoint = endpoint,
-            sequence = sequence, outcome = outcome, took_ms = took.as_millis() as u64;
+            event = "order_sent", kind = kind, model = model, adapter = adapter.unwrap_or("-"), tier = tier,
+            endpoint = endpoint, sequence = sequence, outcome = outcome, took_ms = took.as_millis() as u64;
             "order settled"
         );
         self.residency
