--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -13,7 +13,7 @@
     process::{Child, Command, Stdio},
     sync::{
         Arc, Condvar, Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -247,6 +247,18 @@
         true
     }
 
+    /// Starts a store elsewhere with the same rows and versions.
+    pub fn move_to(&self, address: SocketAddr) -> Arc<Self> {
+        let store = Self::start(address);
+        let state = self.state.lock().unwrap();
+        let mut moved = store.state.lock().unwrap();
+        moved.log.clone_from(&state.log);
+        moved.version = state.version;
+        drop(moved);
+        drop(state);
+        store
+    }
+
     pub fn version(&self) -> u64 {
         self.state.lock().unwrap().version
     }
@@ -436,6 +448,10 @@
     pub network: u8,
     pub folder: PathBuf,
     _reservation: TcpListener,
+    /// Last byte of the store's address, as new settings name it.
+    store_host: AtomicU8,
+    /// `grace_s`, as new settings name it.
+    grace_s: AtomicU64,
     children: Mutex<Vec<(String, Child)>>,
 }
 
@@ -463,6 +479,8 @@
             network,
             folder,
             _reservation: reservation,
+            store_host: AtomicU8::new(7),
+            grace_s: AtomicU64::new(8),
             children: Mutex::default(),
         })
     }
@@ -476,14 +494,23 @@
         format!("{a}.{b}.{c}.{d}")
     }
 
+    /// Address of the store, as settings that are written from now on name it.
     pub fn store_address(&self) -> SocketAddr {
-        (self.ip(200, 7), STORE_PORT).into()
+        (self.ip(200, self.store_host.load(Ordering::SeqCst)), STORE_PORT).into()
+    }
+
+    pub fn set_store_host(&self, host: u8) {
+        self.store_host.store(host, Ordering::SeqCst);
     }
 
     pub fn front(&self, gateway: u8) -> SocketAddr {
         (self.ip(1, gateway), FRONT_PORT).into()
     }
 
+    pub fn set_grace_s(&self, grace_s: u64) {
+        self.grace_s.store(grace_s, Ordering::SeqCst);
+    }
+
     fn settings(&self, name: &str, ip: &str, role: &str, bootstrap: bool, memory_mb: u32) -> String {
         format!(
             r#"{{"node_name":"{name}","zone":"gondar","region":"amhara-highlands","zones":{{"gondar":"amhara-highlands"}},
@@ -492,10 +519,11 @@
 "data_directory":null,"discovery":"platform","entry":"virtual_ip","heartbeat_interval_ms":1200,
 "contracts":["base","drain","config","cost","retry","recover","fleet","stream","engine","platform"],
 "fault_tolerance":{{"machines":2,"zones":0,"regions":0}},
-"bounds":{{"seed_lag_s":3,"reuse_after_s":2,"contact_ms":3000,"acknowledge_ms":4000,"catch_up_s":4,"drain_ms":2000,"grace_s":8,"loss_slack_ms":200,"configuration_ms":2000,"rollback_slack_ms":250,"stretch_maximum_ms":5000,"budget_ratio":0.2,"budget_window_s":10,"retry_slack":54,"recovery_s":12,"pass_ms":120,"retry_after_s":0,"require_fencing":false,"lease_ms":3000,"thaw_slack_ms":300,"ceiling_window_s":5,"ceiling_overshoot":1.1}},
+"bounds":{{"seed_lag_s":3,"reuse_after_s":2,"contact_ms":3000,"acknowledge_ms":4000,"catch_up_s":4,"drain_ms":2000,"grace_s":{grace_s},"loss_slack_ms":200,"configuration_ms":2000,"rollback_slack_ms":250,"stretch_maximum_ms":5000,"budget_ratio":0.2,"budget_window_s":10,"retry_slack":54,"recovery_s":12,"pass_ms":120,"retry_after_s":0,"require_fencing":false,"lease_ms":3000,"thaw_slack_ms":300,"ceiling_window_s":5,"ceiling_overshoot":1.1}},
 "platform":{{"address":"{store}","form":"table","writes_per_s":400,"reads_per_s":2000,"transaction_ms":5.0,"part_writes_per_s":200,"row_bytes":65536,"across":false,"history_s":20,"blob_bytes":8388608,"blob_ms":25.0,"blob_mb_per_s":80.0}},
 {role}}}"#,
-            store = self.store_address()
+            store = self.store_address(),
+            grace_s = self.grace_s.load(Ordering::SeqCst),
         )
     }
 
@@ -526,14 +554,27 @@
         }
     }
 
-    pub fn start_gateway(&self, number: u8, bootstrap: bool) -> u32 {
-        let name = format!("front-{number}");
+    fn gateway_settings(&self, number: u8, bootstrap: bool) -> String {
         let ip = self.ip_text(1, number);
         let role = format!(
             r#""role":"gateway","machine_class":"front","serves":["front"],"listen_addresses":{{"front":"{ip}:{FRONT_PORT}","ready":"{ip}:{READY_PORT}","control":"{ip}:{CONTROL_PORT}"}}"#
         );
-        let settings = self.settings(&name, &ip, &role, bootstrap, 260);
-        self.spawn(&name, "gateway", &settings)
+        self.settings(&format!("front-{number}"), &ip, &role, bootstrap, 260)
+    }
+
+    pub fn start_gateway(&self, number: u8, bootstrap: bool) -> u32 {
+        let settings = self.gateway_settings(number, bootstrap);
+        self.spawn(&format!("front-{number}"), "gateway", &settings)
+    }
+
+    /// Replaces the settings file of a gateway that runs.
+    pub fn rewrite_gateway_settings(&self, number: u8) {
+        let boot = self.folder.join(format!("front-{number}.json"));
+        let new = self.folder.join(format!("front-{number}.json.new"));
+        let written = fs::write(&new, self.gateway_settings(number, false));
+        if written.and_then(|()| fs::rename(new, boot)).is_err() {
+            cannot_run("cannot write a settings file");
+        }
     }
 
     pub fn start_sidecar(&self, number: u8, service: &str, bootstrap: bool) -> u32 {
