Take free ports in the scripts of the review, and end processes in any case

Cause: fixed ports may be in use elsewhere, and a script that failed midway left its processes running. Change: ports are chosen at the start, signals are sent without another program, and a script that panics or takes 112 s ends its processes.

--- a/review/standins/big_bodies.rs
+++ b/review/standins/big_bodies.rs
@@ -98,7 +98,7 @@
 "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#);
     let runs: Runs = Runs::default();
     for number in 1..=4 {
-        let address = (deployment.ip(3, number), 8_080).into();
+        let address = (deployment.ip(3, number), ports().app).into();
         let work = Duration::from_millis(30);
         let runner = PlainRunner::start(&format!("i-{number}"), "logbook-app", address, work, &runs);
         beat(&store, &runner, "", HEARTBEAT * u32::from(number) / 4);
--- a/review/standins/clock_back.rs
+++ b/review/standins/clock_back.rs
@@ -187,7 +187,7 @@
     let deployment = Deployment::prepare();
     let store = Store::start(deployment.store_address());
     store.put("op", "config", configuration());
-    let address = |number| SocketAddr::from((deployment.ip(3, number), 8_080));
+    let address = |number| SocketAddr::from((deployment.ip(3, number), ports().app));
     let leaver = Runner::new("i-leaver", address(1));
     let others = [Runner::new("i-second", address(2)), Runner::new("i-third", address(3))];
     for runner in &others {
--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -12,7 +12,7 @@
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
-        Arc, Condvar, Mutex,
+        Arc, Condvar, Mutex, OnceLock,
         atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering},
     },
     thread,
@@ -38,6 +38,9 @@
 /// Ends the script as one that could not run.
 pub fn cannot_run(why: &str) -> ! {
     eprintln!("cannot run: {why}");
+    if let Some(deployment) = DEPLOYMENT.get() {
+        deployment.end();
+    }
     std::process::exit(2);
 }
 
@@ -450,16 +453,43 @@
     _reservation: TcpListener,
     /// Last byte of the store's address, as new settings name it.
     store_host: AtomicU8,
-    /// `grace_s`, as new settings name it.
-    grace_s: AtomicU64,
     children: Mutex<Vec<(String, Child)>>,
 }
 
-pub const FRONT_PORT: u16 = 8_149;
-pub const READY_PORT: u16 = 8_141;
-pub const CONTROL_PORT: u16 = 8_144;
-pub const STORE_PORT: u16 = 8_142;
-pub const APP_PORT: u16 = 8_145;
+/// Ports of the deployment, the same on all of its machines.
+pub struct Ports {
+    pub front: u16,
+    pub ready: u16,
+    pub control: u16,
+    pub store: u16,
+    pub app: u16,
+    pub internal: u16,
+}
+
+/// Ports that were free when the script started.
+pub fn ports() -> &'static Ports {
+    static PORTS: OnceLock<Ports> = OnceLock::new();
+    PORTS.get_or_init(|| {
+        let listeners: Vec<TcpListener> = (0..6).filter_map(|_| TcpListener::bind("0.0.0.0:0").ok()).collect();
+        let ports: Vec<u16> = listeners
+            .iter()
+            .filter_map(|listener| listener.local_addr().ok().map(|address| address.port()))
+            .collect();
+        let [front, ready, control, store, app, internal] = ports[..] else {
+            cannot_run("no ports are free");
+        };
+        Ports { front, ready, control, store, app, internal }
+    })
+}
+
+/// The deployment of this script, so that its processes are ended however the script ends.
+static DEPLOYMENT: OnceLock<Arc<Deployment>> = OnceLock::new();
+/// Longest time that a script runs.
+const SCRIPT_TIME_MAX: Duration = Duration::from_secs(112);
+
+unsafe extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
+}
 
 impl Deployment {
     pub fn prepare() -> Arc<Self> {
@@ -475,14 +505,20 @@
         if let Err(cause) = fs::create_dir_all(&folder) {
             cannot_run(&format!("cannot create {}: {cause}", folder.display()));
         }
-        Arc::new(Self {
+        let deployment = Arc::new(Self {
             network,
             folder,
             _reservation: reservation,
             store_host: AtomicU8::new(7),
-            grace_s: AtomicU64::new(8),
             children: Mutex::default(),
-        })
+        });
+        let _ = DEPLOYMENT.set(Arc::clone(&deployment));
+        std::panic::set_hook(Box::new(|panic| cannot_run(&panic.to_string())));
+        thread::spawn(|| {
+            thread::sleep(SCRIPT_TIME_MAX);
+            cannot_run("the script takes too long");
+        });
+        deployment
     }
 
     pub fn ip(&self, group: u8, number: u8) -> [u8; 4] {
@@ -496,7 +532,7 @@
 
     /// Address of the store, as settings that are written from now on name it.
     pub fn store_address(&self) -> SocketAddr {
-        (self.ip(200, self.store_host.load(Ordering::SeqCst)), STORE_PORT).into()
+        (self.ip(200, self.store_host.load(Ordering::SeqCst)), ports().store).into()
     }
 
     pub fn set_store_host(&self, host: u8) {
@@ -504,26 +540,22 @@
     }
 
     pub fn front(&self, gateway: u8) -> SocketAddr {
-        (self.ip(1, gateway), FRONT_PORT).into()
-    }
-
-    pub fn set_grace_s(&self, grace_s: u64) {
-        self.grace_s.store(grace_s, Ordering::SeqCst);
+        (self.ip(1, gateway), ports().front).into()
     }
 
     fn settings(&self, name: &str, ip: &str, role: &str, bootstrap: bool, memory_mb: u32) -> String {
         format!(
             r#"{{"node_name":"{name}","zone":"gondar","region":"amhara-highlands","zones":{{"gondar":"amhara-highlands"}},
-"ip_address":"{ip}","internal_ports":[7380,7395],"seeds":[],"bootstrap":{bootstrap},"in_tolerance":false,
+"ip_address":"{ip}","internal_ports":[{internal},{internal}],"seeds":[],"bootstrap":{bootstrap},"in_tolerance":false,
 "limits":{{"cpu_share":0.2,"cores":1,"memory_mb":{memory_mb},"file_descriptors":4100,"link_mbps":1000.0,"disk_mb":0}},
 "data_directory":null,"discovery":"platform","entry":"virtual_ip","heartbeat_interval_ms":1200,
 "contracts":["base","drain","config","cost","retry","recover","fleet","stream","engine","platform"],
 "fault_tolerance":{{"machines":2,"zones":0,"regions":0}},
-"bounds":{{"seed_lag_s":3,"reuse_after_s":2,"contact_ms":3000,"acknowledge_ms":4000,"catch_up_s":4,"drain_ms":2000,"grace_s":{grace_s},"loss_slack_ms":200,"configuration_ms":2000,"rollback_slack_ms":250,"stretch_maximum_ms":5000,"budget_ratio":0.2,"budget_window_s":10,"retry_slack":54,"recovery_s":12,"pass_ms":120,"retry_after_s":0,"require_fencing":false,"lease_ms":3000,"thaw_slack_ms":300,"ceiling_window_s":5,"ceiling_overshoot":1.1}},
+"bounds":{{"seed_lag_s":3,"reuse_after_s":2,"contact_ms":3000,"acknowledge_ms":4000,"catch_up_s":4,"drain_ms":2000,"grace_s":8,"loss_slack_ms":200,"configuration_ms":2000,"rollback_slack_ms":250,"stretch_maximum_ms":5000,"budget_ratio":0.2,"budget_window_s":10,"retry_slack":54,"recovery_s":12,"pass_ms":120,"retry_after_s":0,"require_fencing":false,"lease_ms":3000,"thaw_slack_ms":300,"ceiling_window_s":5,"ceiling_overshoot":1.1}},
 "platform":{{"address":"{store}","form":"table","writes_per_s":400,"reads_per_s":2000,"transaction_ms":5.0,"part_writes_per_s":200,"row_bytes":65536,"across":false,"history_s":20,"blob_bytes":8388608,"blob_ms":25.0,"blob_mb_per_s":80.0}},
 {role}}}"#,
             store = self.store_address(),
-            grace_s = self.grace_s.load(Ordering::SeqCst),
+            internal = ports().internal,
         )
     }
 
@@ -556,8 +588,9 @@
 
     fn gateway_settings(&self, number: u8, bootstrap: bool) -> String {
         let ip = self.ip_text(1, number);
+        let Ports { front, ready, control, .. } = ports();
         let role = format!(
-            r#""role":"gateway","machine_class":"front","serves":["front"],"listen_addresses":{{"front":"{ip}:{FRONT_PORT}","ready":"{ip}:{READY_PORT}","control":"{ip}:{CONTROL_PORT}"}}"#
+            r#""role":"gateway","machine_class":"front","serves":["front"],"listen_addresses":{{"front":"{ip}:{front}","ready":"{ip}:{ready}","control":"{ip}:{control}"}}"#
         );
         self.settings(&format!("front-{number}"), &ip, &role, bootstrap, 260)
     }
@@ -580,15 +613,16 @@
     pub fn start_sidecar(&self, number: u8, service: &str, bootstrap: bool) -> u32 {
         let name = format!("side-{number}");
         let ip = self.ip_text(2, number);
+        let app = ports().app;
         let role = format!(
-            r#""role":"sidecar","machine_class":"side","serves":["side"],"listen_addresses":{{}},"app":"{ip}:{APP_PORT}","service":"{service}""#
+            r#""role":"sidecar","machine_class":"side","serves":["side"],"listen_addresses":{{}},"app":"{ip}:{app}","service":"{service}""#
         );
         let settings = self.settings(&name, &ip, &role, bootstrap, 192);
         self.spawn(&name, "sidecar", &settings)
     }
 
     pub fn is_ready(&self, gateway: u8) -> bool {
-        let address: SocketAddr = (self.ip(1, gateway), READY_PORT).into();
+        let address: SocketAddr = (self.ip(1, gateway), ports().ready).into();
         let request = "GET /readiness HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
         let asked = || -> io::Result<u16> {
             let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
@@ -615,7 +649,16 @@
 
     /// Sends a signal to a process that this script started.
     pub fn signal(&self, pid: u32, signal: &str) {
-        let _ = Command::new("kill").args([&format!("-{signal}"), &pid.to_string()]).status();
+        let number = match signal {
+            "HUP" => 1,
+            "KILL" => 9,
+            _ => 15,
+        };
+        if self.has_ended(pid) {
+            return;
+        }
+        // SAFETY: the call takes two numbers; the process is a child that has not been waited for.
+        let _ = unsafe { kill(pid as i32, number) };
     }
 
     /// Whether a process that this script started has ended.
--- a/review/standins/drill.rs
+++ b/review/standins/drill.rs
@@ -74,14 +74,14 @@
     ];
     store.put("op", "config", &configuration(7, &old));
     for number in 1..=ENGINES {
-        let address = (deployment.ip(2, number), APP_PORT).into();
+        let address = (deployment.ip(2, number), ports().app).into();
         let engine = start_engine(&format!("i-engine{number}"), "scribe-models", address, MODELS);
         beat(&store, &engine, MODELS, HEARTBEAT * u32::from(number) / 13);
         deployment.start_sidecar(number, "scribe-models", true);
     }
     for (group, service) in [(3, "logbook-app"), (4, "logbook-next")] {
         for number in 1..=PLAIN_RUNNERS {
-            let address = (deployment.ip(group, number), 8_080).into();
+            let address = (deployment.ip(group, number), ports().app).into();
             let id = format!("i-{service}{number}");
             let runner = PlainRunner::start(&id, service, address, Duration::from_millis(30), &runs);
             let place = u32::from(group - 3) * 2 + u32::from(number) + 8;
--- a/review/standins/hup.rs
+++ b/review/standins/hup.rs
@@ -40,7 +40,7 @@
     first_store.put("op", "config", &configuration(7, "logbook-app"));
     for (group, service) in [(3, "logbook-app"), (4, "logbook-next")] {
         for number in 1..=2 {
-            let address = (deployment.ip(group, number), 8_080).into();
+            let address = (deployment.ip(group, number), ports().app).into();
             let id = format!("i-{service}{number}");
             let runner = PlainRunner::start(&id, service, address, Duration::from_millis(30), &runs);
             let store = Arc::clone(&store);
--- a/review/standins/late_order.rs
+++ b/review/standins/late_order.rs
@@ -293,7 +293,7 @@
     store.put("op", "config", &configuration());
     let names = |models: &[&str]| models.iter().map(|name| (*name).to_owned()).collect::<BTreeSet<String>>();
     let engine = Arc::new(Engine {
-        address: (deployment.ip(2, 1), APP_PORT).into(),
+        address: (deployment.ip(2, 1), ports().app).into(),
         trouble,
         up: AtomicBool::new(false),
         state: Mutex::new(State {
