--- a/review/standins/clock_back.rs
+++ b/review/standins/clock_back.rs
@@ -34,7 +34,7 @@
 }
 
 fn main() {
-    let folder = PathBuf::from(std::env::args().nth(1).unwrap_or_else(|| "review/2".to_owned()));
+    let folder = PathBuf::from(std::env::args().nth(1).unwrap_or_else(|| "review/3".to_owned()));
     let trouble = with_trouble();
     let record = Record::start();
     let deployment = Deployment::prepare();
--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -262,6 +262,13 @@
         store
     }
 
+    /// When a row was last written.
+    pub fn last_write(&self, table: &str, key: &str) -> Option<Instant> {
+        let state = self.state.lock().unwrap();
+        let mut writes = state.log.iter().filter(|write| write.table == table && write.key == key);
+        writes.next_back().map(|write| write.at)
+    }
+
     pub fn version(&self) -> u64 {
         self.state.lock().unwrap().version
     }
