--- a/review/standins/big_bodies.rs
+++ b/review/standins/big_bodies.rs
@@ -54,7 +54,9 @@
         if rss > MEMORY_KIB {
             deployment.signal(pid, "KILL");
             ends.lock().unwrap()[usize::from(gateway) - 1] += 1;
-            record.tell(format!("front-{gateway} has {rss} KiB of {MEMORY_KIB} KiB and is killed"));
+            record.tell(format!(
+                "front-{gateway} has {rss} KiB of {MEMORY_KIB} KiB and is killed"
+            ));
             thread::sleep(RESTART_AFTER);
             pid = deployment.start_gateway(gateway, false);
         } else if rss == 0 && deployment.has_ended(pid) {
@@ -85,7 +87,11 @@
 }
 
 fn main() {
-    let folder = PathBuf::from(std::env::args().nth(1).unwrap_or_else(|| "review/4".to_owned()));
+    let folder = PathBuf::from(
+        std::env::args()
+            .nth(1)
+            .unwrap_or_else(|| "review/4".to_owned()),
+    );
     let (factor, gap) = match with_trouble() {
         true => (BURST, Duration::ZERO),
         false => (1.0, USUAL_GAP),
@@ -100,13 +106,18 @@
     for number in 1..=4 {
         let address = (deployment.ip(3, number), ports().app).into();
         let work = Duration::from_millis(30);
-        let runner = PlainRunner::start(&format!("i-{number}"), "logbook-app", address, work, &runs);
+        let runner =
+            PlainRunner::start(&format!("i-{number}"), "logbook-app", address, work, &runs);
         beat(&store, &runner, "", HEARTBEAT * u32::from(number) / 4);
     }
     let ends: Arc<Mutex<Vec<usize>>> = Arc::new(Mutex::new(vec![0; GATEWAYS.into()]));
     let watches: Vec<_> = (1..=GATEWAYS)
         .map(|gateway| {
-            let (deployment, ends, record) = (Arc::clone(&deployment), Arc::clone(&ends), Arc::clone(&record));
+            let (deployment, ends, record) = (
+                Arc::clone(&deployment),
+                Arc::clone(&ends),
+                Arc::clone(&record),
+            );
             thread::spawn(move || watch(&deployment, gateway, &ends, &record))
         })
         .collect();
@@ -121,7 +132,11 @@
                 (0..count).map(move |place| (zone as u8 + 1, place))
             })
             .collect();
-        record.tell(format!("wave {burst}: {} clients, {} ms apart in each zone", homes.len(), gap.as_millis()));
+        record.tell(format!(
+            "wave {burst}: {} clients, {} ms apart in each zone",
+            homes.len(),
+            gap.as_millis()
+        ));
         let clients = homes.into_iter().map(|(home, place)| {
             let node = deployment.front(home);
             let (body, record, cut) = (Arc::clone(&body), Arc::clone(&record), Arc::clone(&cut));
@@ -135,7 +150,10 @@
                 };
                 *cut.lock().unwrap() += usize::from(answer.starts_with("none"));
                 let took = at.elapsed().as_secs_f64();
-                record.write(format!("sent at {:.3} {id} to front-{home}, answer {answer} after {took:.3} s", record.at(at)));
+                record.write(format!(
+                    "sent at {:.3} {id} to front-{home}, answer {answer} after {took:.3} s",
+                    record.at(at)
+                ));
             })
         });
         let clients: Vec<_> = clients.collect();
@@ -150,13 +168,27 @@
     }
     deployment.end();
     for run in runs.lock().unwrap().iter() {
-        record.write(format!("run at {:.3} {} by {}", record.at(run.at), run.attempt, run.runner));
+        record.write(format!(
+            "run at {:.3} {} by {}",
+            record.at(run.at),
+            run.attempt,
+            run.runner
+        ));
     }
     let ends = ends.lock().unwrap().clone();
-    record.tell(format!("{} requests ended without an answer", cut.lock().unwrap()));
-    record.tell(format!("ends of the gateways' processes for their memory: {ends:?}"));
+    record.tell(format!(
+        "{} requests ended without an answer",
+        cut.lock().unwrap()
+    ));
+    record.tell(format!(
+        "ends of the gateways' processes for their memory: {ends:?}"
+    ));
     let broken = ends.iter().filter(|ends| **ends >= ENDS_MAX).count() >= MACHINES_MAX;
-    record.tell(if broken { "Fault: broken" } else { "Fault: held" });
+    record.tell(if broken {
+        "Fault: broken"
+    } else {
+        "Fault: held"
+    });
     record.save(&folder.join("record.txt"));
     std::process::exit(i32::from(broken));
 }
--- a/review/standins/clock_back.rs
+++ b/review/standins/clock_back.rs
@@ -34,7 +34,11 @@
 }
 
 fn main() {
-    let folder = PathBuf::from(std::env::args().nth(1).unwrap_or_else(|| "review/3".to_owned()));
+    let folder = PathBuf::from(
+        std::env::args()
+            .nth(1)
+            .unwrap_or_else(|| "review/3".to_owned()),
+    );
     let trouble = with_trouble();
     let record = Record::start();
     let deployment = Deployment::prepare();
@@ -42,7 +46,10 @@
     store.put("op", "config", configuration());
     let address = |number| SocketAddr::from((deployment.ip(3, number), ports().app));
     let leaver = Runner::new("i-leaver", address(1), WORK);
-    let others = [Runner::new("i-second", address(2), WORK), Runner::new("i-third", address(3), WORK)];
+    let others = [
+        Runner::new("i-second", address(2), WORK),
+        Runner::new("i-third", address(3), WORK),
+    ];
     for runner in &others {
         runner.start(&store);
     }
@@ -54,11 +61,16 @@
     let answers: Answers = Arc::default();
 
     leaver.start(&store);
-    record.tell(format!("runner i-leaver starts, born {}", leaver.born.load(Ordering::SeqCst)));
+    record.tell(format!(
+        "runner i-leaver starts, born {}",
+        leaver.born.load(Ordering::SeqCst)
+    ));
     thread::sleep(LIFE_BEFORE_CRASH);
     if trouble {
         leaver.clock_off_ms.store(JUMP_MS, Ordering::SeqCst);
-        record.tell(format!("the time of day of its machine jumps by {JUMP_MS} ms"));
+        record.tell(format!(
+            "the time of day of its machine jumps by {JUMP_MS} ms"
+        ));
     }
     leaver.end();
     record.tell("runner i-leaver crashes");
@@ -74,7 +86,9 @@
         sleep_ms(600);
     }
     let before_leaving = leaver.runs.lock().unwrap().len();
-    record.tell(format!("runner i-leaver has run {before_leaving} requests since"));
+    record.tell(format!(
+        "runner i-leaver has run {before_leaving} requests since"
+    ));
 
     leaver.leaving.store(true, Ordering::SeqCst);
     leaver.beat(&store);
@@ -101,10 +115,19 @@
 
     let by_id: BTreeMap<String, (u8, String)> = {
         let answers = answers.lock().unwrap();
-        answers.iter().map(|one| (one.id.clone(), (one.gateway, one.answer.clone()))).collect()
+        answers
+            .iter()
+            .map(|one| (one.id.clone(), (one.gateway, one.answer.clone())))
+            .collect()
     };
     for one in answers.lock().unwrap().iter() {
-        record.write(format!("sent at {:.3} front-{} {} answer {}", record.at(one.sent_at), one.gateway, one.id, one.answer));
+        record.write(format!(
+            "sent at {:.3} front-{} {} answer {}",
+            record.at(one.sent_at),
+            one.gateway,
+            one.id,
+            one.answer
+        ));
     }
     let cut = leaver.cut.lock().unwrap().clone();
     let mut late = 0;
@@ -121,8 +144,15 @@
             ));
         }
     }
-    record.tell(format!("{late} requests reached the runner later than {} ms after the acknowledgement", DRAIN.as_millis()));
-    record.tell(if late > 0 { "DRAIN: broken" } else { "DRAIN: held" });
+    record.tell(format!(
+        "{late} requests reached the runner later than {} ms after the acknowledgement",
+        DRAIN.as_millis()
+    ));
+    record.tell(if late > 0 {
+        "DRAIN: broken"
+    } else {
+        "DRAIN: held"
+    });
     record.save(&folder.join("record.txt"));
     std::process::exit(i32::from(late > 0));
 }
--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -57,7 +57,10 @@
 
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let mut found = self.headers.iter().filter(|(key, _)| key.eq_ignore_ascii_case(name));
+        let mut found = self
+            .headers
+            .iter()
+            .filter(|(key, _)| key.eq_ignore_ascii_case(name));
         found.next().map(|(_, value)| value.as_str())
     }
 
@@ -80,7 +83,11 @@
     }
 
     pub fn status(&self) -> u16 {
-        self.first.split(' ').nth(1).and_then(|text| text.parse().ok()).unwrap_or(0)
+        self.first
+            .split(' ')
+            .nth(1)
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0)
     }
 }
 
@@ -99,7 +106,9 @@
             break;
         }
         if let Some((name, value)) = line.split_once(':') {
-            message.headers.push((name.trim().to_owned(), value.trim().to_owned()));
+            message
+                .headers
+                .push((name.trim().to_owned(), value.trim().to_owned()));
         }
     }
     let chunked = message
@@ -147,7 +156,10 @@
 }
 
 pub fn response(status: u16, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
-    let mut text = format!("HTTP/1.1 {status} Status\r\nContent-Length: {}\r\n", body.len());
+    let mut text = format!(
+        "HTTP/1.1 {status} Status\r\nContent-Length: {}\r\n",
+        body.len()
+    );
     for (name, value) in headers {
         text.push_str(&format!("{name}: {value}\r\n"));
     }
@@ -219,7 +231,9 @@
             changed: Condvar::new(),
         });
         let serving = Arc::clone(&store);
-        listen(address, move |stream, accepted_at| serving.serve(stream, accepted_at));
+        listen(address, move |stream, accepted_at| {
+            serving.serve(stream, accepted_at)
+        });
         store
     }
 
@@ -265,7 +279,10 @@
     /// When a row was last written.
     pub fn last_write(&self, table: &str, key: &str) -> Option<Instant> {
         let state = self.state.lock().unwrap();
-        let mut writes = state.log.iter().filter(|write| write.table == table && write.key == key);
+        let mut writes = state
+            .log
+            .iter()
+            .filter(|write| write.table == table && write.key == key);
         writes.next_back().map(|write| write.at)
     }
 
@@ -313,7 +330,11 @@
     /// `None` if there is no answer.
     fn answer(&self, request: &Message, accepted_at: Instant) -> Option<Vec<u8>> {
         let table = request.query("table").unwrap_or_default();
-        let number = |name: &str| request.query(name).and_then(|text| text.parse::<u64>().ok());
+        let number = |name: &str| {
+            request
+                .query(name)
+                .and_then(|text| text.parse::<u64>().ok())
+        };
         let is_feed = request.path() == "/rows-feed";
         let after = number("after").unwrap_or(0);
         let until = Instant::now() + Duration::from_millis(number("wait_ms").unwrap_or(0));
@@ -323,7 +344,10 @@
                 return None;
             }
             let era = state.era.to_string();
-            let headers = [("Content-Type", "application/json"), ("Store-Era", era.as_str())];
+            let headers = [
+                ("Content-Type", "application/json"),
+                ("Store-Era", era.as_str()),
+            ];
             if !is_feed {
                 if request.path() != "/rows-get" {
                     return Some(response(404, &headers, b"{}"));
@@ -344,7 +368,11 @@
                 .any(|write| write.table == table && write.version > after);
             let now = Instant::now();
             if has_change || now >= until {
-                return Some(response(200, &headers, state.page(&table, Some(after)).as_bytes()));
+                return Some(response(
+                    200,
+                    &headers,
+                    state.page(&table, Some(after)).as_bytes(),
+                ));
             }
             state = self.changed.wait_timeout(state, until - now).unwrap().0;
         }
@@ -477,7 +505,9 @@
 pub fn ports() -> &'static Ports {
     static PORTS: OnceLock<Ports> = OnceLock::new();
     PORTS.get_or_init(|| {
-        let listeners: Vec<TcpListener> = (0..6).filter_map(|_| TcpListener::bind("0.0.0.0:0").ok()).collect();
+        let listeners: Vec<TcpListener> = (0..6)
+            .filter_map(|_| TcpListener::bind("0.0.0.0:0").ok())
+            .collect();
         let ports: Vec<u16> = listeners
             .iter()
             .filter_map(|listener| listener.local_addr().ok().map(|address| address.port()))
@@ -485,7 +515,14 @@
         let [front, ready, control, store, app, internal] = ports[..] else {
             cannot_run("no ports are free");
         };
-        Ports { front, ready, control, store, app, internal }
+        Ports {
+            front,
+            ready,
+            control,
+            store,
+            app,
+            internal,
+        }
     })
 }
 
@@ -501,7 +538,8 @@
 impl Deployment {
     pub fn prepare() -> Arc<Self> {
         let reserve = |network: u8| {
-            let listener = TcpListener::bind(SocketAddr::from(([127, network, 0, 1], 7_379))).ok()?;
+            let listener =
+                TcpListener::bind(SocketAddr::from(([127, network, 0, 1], 7_379))).ok()?;
             Some((network, listener))
         };
         let Some((network, reservation)) = (20..=250).find_map(reserve) else {
@@ -539,7 +577,11 @@
 
     /// Address of the store, as settings that are written from now on name it.
     pub fn store_address(&self) -> SocketAddr {
-        (self.ip(200, self.store_host.load(Ordering::SeqCst)), ports().store).into()
+        (
+            self.ip(200, self.store_host.load(Ordering::SeqCst)),
+            ports().store,
+        )
+            .into()
     }
 
     pub fn set_store_host(&self, host: u8) {
@@ -550,7 +592,14 @@
         (self.ip(1, gateway), ports().front).into()
     }
 
-    fn settings(&self, name: &str, ip: &str, role: &str, bootstrap: bool, memory_mb: u32) -> String {
+    fn settings(
+        &self,
+        name: &str,
+        ip: &str,
+        role: &str,
+        bootstrap: bool,
+        memory_mb: u32,
+    ) -> String {
         format!(
             r#"{{"node_name":"{name}","zone":"gondar","region":"amhara-highlands","zones":{{"gondar":"amhara-highlands"}},
 "ip_address":"{ip}","internal_ports":[{internal},{internal}],"seeds":[],"bootstrap":{bootstrap},"in_tolerance":false,
@@ -595,7 +644,12 @@
 
     fn gateway_settings(&self, number: u8, bootstrap: bool) -> String {
         let ip = self.ip_text(1, number);
-        let Ports { front, ready, control, .. } = ports();
+        let Ports {
+            front,
+            ready,
+            control,
+            ..
+        } = ports();
         let role = format!(
             r#""role":"gateway","machine_class":"front","serves":["front"],"listen_addresses":{{"front":"{ip}:{front}","ready":"{ip}:{ready}","control":"{ip}:{control}"}}"#
         );
@@ -702,7 +756,10 @@
 
 /// A new id for an attempt of a client.
 pub fn attempt_id() -> String {
-    format!("{:016x}", 0x9c41_0000_0000_0000_u64 + NEXT_ID.fetch_add(1, Ordering::Relaxed))
+    format!(
+        "{:016x}",
+        0x9c41_0000_0000_0000_u64 + NEXT_ID.fetch_add(1, Ordering::Relaxed)
+    )
 }
 
 // ---------------------------------------------------------------------------------------------
@@ -730,7 +787,13 @@
 }
 
 impl PlainRunner {
-    pub fn start(id: &str, service: &str, address: SocketAddr, work: Duration, runs: &Runs) -> Self {
+    pub fn start(
+        id: &str,
+        service: &str,
+        address: SocketAddr,
+        work: Duration,
+        runs: &Runs,
+    ) -> Self {
         let runner = Self {
             id: id.to_owned(),
             service: service.to_owned(),
@@ -756,7 +819,10 @@
         };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(request)) = read_message(&mut reader, false) {
-            let attempt = request.header("radishpin-attempt-id").unwrap_or_default().to_owned();
+            let attempt = request
+                .header("radishpin-attempt-id")
+                .unwrap_or_default()
+                .to_owned();
             let expected = request.header("radishpin-expected-instance");
             let answer = if expected.is_some_and(|expected| expected != self.id) {
                 let headers = [
@@ -780,7 +846,11 @@
                     ("Radishpin-Response-Signature", signature.as_str()),
                     ("Keep-Alive", "timeout=5"),
                 ];
-                response(200, &headers, format!("answer to {attempt} by {}", self.id).as_bytes())
+                response(
+                    200,
+                    &headers,
+                    format!("answer to {attempt} by {}", self.id).as_bytes(),
+                )
             };
             if writer.write_all(&answer).is_err() {
                 return;
@@ -807,7 +877,10 @@
         };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(request)) = read_message(&mut reader, false) {
-            let json = [("Content-Type", "application/json"), ("Keep-Alive", "timeout=5")];
+            let json = [
+                ("Content-Type", "application/json"),
+                ("Keep-Alive", "timeout=5"),
+            ];
             let answer = match request.path() {
                 "/report" => response(200, &json, report.as_bytes()),
                 _ => response(503, &[("Radishpin-Not-Executed", "1")], b""),
@@ -859,7 +932,10 @@
 
 impl Client {
     pub fn new(node: SocketAddr) -> Self {
-        Self { node, connection: None }
+        Self {
+            node,
+            connection: None,
+        }
     }
 
     /// Sends one attempt and waits for its answer until its deadline.
@@ -885,7 +961,9 @@
         );
         writer.write_all(text.as_bytes())?;
         let answer = read_message(&mut reader, true)?.ok_or(io::ErrorKind::UnexpectedEof)?;
-        let closes = answer.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"));
+        let closes = answer
+            .header("connection")
+            .is_some_and(|value| value.eq_ignore_ascii_case("close"));
         if !closes {
             self.connection = Some((writer, reader));
         }
@@ -969,7 +1047,11 @@
     }
 
     pub fn beat(&self, store: &Store) {
-        let state = if self.leaving.load(Ordering::SeqCst) { "draining" } else { "ready" };
+        let state = if self.leaving.load(Ordering::SeqCst) {
+            "draining"
+        } else {
+            "ready"
+        };
         let entry = format!(
             r#"{{"service":"logbook-app","address":"{}","zone":"gondar","version":"v1","slots":6,"state":"{state}","cold_remaining_ms":0,"sequence":{},"born":{}}}"#,
             self.address,
@@ -1000,7 +1082,10 @@
         };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(request)) = read_message(&mut reader, false) {
-            let attempt = request.header("radishpin-attempt-id").unwrap_or_default().to_owned();
+            let attempt = request
+                .header("radishpin-attempt-id")
+                .unwrap_or_default()
+                .to_owned();
             let expected = request.header("radishpin-expected-instance");
             if expected.is_some_and(|expected| expected != self.id) {
                 let headers = [
@@ -1011,7 +1096,10 @@
                 let _ = writer.write_all(&response(421, &headers, b""));
                 continue;
             }
-            self.runs.lock().unwrap().push((Instant::now(), attempt.clone()));
+            self.runs
+                .lock()
+                .unwrap()
+                .push((Instant::now(), attempt.clone()));
             thread::sleep(self.work);
             let signature = format!("sig.{}.{attempt}", self.id);
             let mut headers = vec![
@@ -1052,15 +1140,29 @@
         for _ in 0..per_gateway {
             let (node, answers) = (deployment.front(gateway), Arc::clone(answers));
             clients.push(thread::spawn(move || {
-                let request =
-                    ClientRequest { method: "POST", path: "/work-order/2f", deadline_ms: 3_000, body: "roof" };
+                let request = ClientRequest {
+                    method: "POST",
+                    path: "/work-order/2f",
+                    deadline_ms: 3_000,
+                    body: "roof",
+                };
                 let (id, sent_at) = (attempt_id(), Instant::now());
                 let (answer, leaving) = match Client::new(node).send(&id, &request) {
-                    Ok(answer) => (answer.status().to_string(), answer.header("server-leaving") == Some("1")),
+                    Ok(answer) => (
+                        answer.status().to_string(),
+                        answer.header("server-leaving") == Some("1"),
+                    ),
                     Err(cause) => (format!("none ({cause})"), false),
                 };
                 let ended_at = Instant::now();
-                answers.lock().unwrap().push(Sent { sent_at, ended_at, gateway, id, answer, leaving });
+                answers.lock().unwrap().push(Sent {
+                    sent_at,
+                    ended_at,
+                    gateway,
+                    id,
+                    answer,
+                    leaving,
+                });
             }));
         }
     }
--- a/review/standins/drill.rs
+++ b/review/standins/drill.rs
@@ -55,7 +55,11 @@
 }
 
 fn main() {
-    let folder = PathBuf::from(std::env::args().nth(1).unwrap_or_else(|| "review/2".to_owned()));
+    let folder = PathBuf::from(
+        std::env::args()
+            .nth(1)
+            .unwrap_or_else(|| "review/2".to_owned()),
+    );
     let trouble = with_trouble();
     let record = Record::start();
     let deployment = Deployment::prepare();
@@ -75,7 +79,12 @@
     store.put("op", "config", &configuration(7, &old));
     for number in 1..=ENGINES {
         let address = (deployment.ip(2, number), ports().app).into();
-        let engine = start_engine(&format!("i-engine{number}"), "scribe-models", address, MODELS);
+        let engine = start_engine(
+            &format!("i-engine{number}"),
+            "scribe-models",
+            address,
+            MODELS,
+        );
         beat(&store, &engine, MODELS, HEARTBEAT * u32::from(number) / 13);
         deployment.start_sidecar(number, "scribe-models", true);
     }
@@ -83,7 +92,8 @@
         for number in 1..=PLAIN_RUNNERS {
             let address = (deployment.ip(group, number), ports().app).into();
             let id = format!("i-{service}{number}");
-            let runner = PlainRunner::start(&id, service, address, Duration::from_millis(30), &runs);
+            let runner =
+                PlainRunner::start(&id, service, address, Duration::from_millis(30), &runs);
             let place = u32::from(group - 3) * 2 + u32::from(number) + 8;
             beat(&store, &runner, "", HEARTBEAT * place / 13);
         }
@@ -98,10 +108,30 @@
 
     let sent: Arc<Mutex<Vec<Sent>>> = Arc::default();
     let requests = [
-        ClientRequest { method: "POST", path: "/work-order/2f", deadline_ms: 1_500, body: "roof" },
-        ClientRequest { method: "GET", path: "/log-lookup/2f", deadline_ms: 1_500, body: "" },
-        ClientRequest { method: "GET", path: "/retired/2f", deadline_ms: 1_500, body: "" },
-        ClientRequest { method: "GET", path: "/audit/2f", deadline_ms: 1_500, body: "" },
+        ClientRequest {
+            method: "POST",
+            path: "/work-order/2f",
+            deadline_ms: 1_500,
+            body: "roof",
+        },
+        ClientRequest {
+            method: "GET",
+            path: "/log-lookup/2f",
+            deadline_ms: 1_500,
+            body: "",
+        },
+        ClientRequest {
+            method: "GET",
+            path: "/retired/2f",
+            deadline_ms: 1_500,
+            body: "",
+        },
+        ClientRequest {
+            method: "GET",
+            path: "/audit/2f",
+            deadline_ms: 1_500,
+            body: "",
+        },
     ];
     let mut clients = Vec::new();
     for gateway in 1..=GATEWAYS {
@@ -115,7 +145,13 @@
                         Ok(answer) => answer.status().to_string(),
                         Err(cause) => format!("none ({cause})"),
                     };
-                    sent.lock().unwrap().push(Sent { at, gateway, path: request.path, id, answer });
+                    sent.lock().unwrap().push(Sent {
+                        at,
+                        gateway,
+                        path: request.path,
+                        id,
+                        answer,
+                    });
                     thread::sleep(Duration::from_millis(200).saturating_sub(at.elapsed()));
                 }
             }));
@@ -140,8 +176,12 @@
     let written = store.put("op", "config", &configuration(12, &new));
     let acknowledged_at = Instant::now();
     assert!(written, "the store acknowledges the configuration");
-    record.tell(format!("operator: configuration 12 acknowledged, row version {}", store.version()));
-    let judged_from = (acknowledged_at + IN_FORCE_AFTER).max(back_at + Duration::from_millis(3_000));
+    record.tell(format!(
+        "operator: configuration 12 acknowledged, row version {}",
+        store.version()
+    ));
+    let judged_from =
+        (acknowledged_at + IN_FORCE_AFTER).max(back_at + Duration::from_millis(3_000));
     thread::sleep(judged_from.saturating_duration_since(Instant::now()));
     record.tell("requests from here on are judged");
     thread::sleep(JUDGED);
@@ -154,7 +194,9 @@
 
     let by_attempt: BTreeMap<String, Run> = {
         let runs = runs.lock().unwrap();
-        runs.iter().map(|run| (run.attempt.clone(), run.clone())).collect()
+        runs.iter()
+            .map(|run| (run.attempt.clone(), run.clone()))
+            .collect()
     };
     let mut broken: BTreeMap<String, u32> = BTreeMap::new();
     let mut judged = 0;
@@ -171,7 +213,9 @@
         };
         let verdict = match (is_judged, fault) {
             (true, Some(fault)) => {
-                *broken.entry(format!("front-{}: {} {fault}", one.gateway, one.path)).or_default() += 1;
+                *broken
+                    .entry(format!("front-{}: {} {fault}", one.gateway, one.path))
+                    .or_default() += 1;
                 "OLD"
             }
             (true, None) => "new",
@@ -181,15 +225,26 @@
         others += u32::from(is_judged && fault.is_none());
         record.write(format!(
             "sent at {:.3} front-{} {} {} answer {} run by {} {verdict}",
-            record.at(one.at), one.gateway, one.id, one.path, one.answer, service
+            record.at(one.at),
+            one.gateway,
+            one.id,
+            one.path,
+            one.answer,
+            service
         ));
     }
     for (what, count) in &broken {
         record.tell(format!("{count} requests: {what}"));
     }
-    record.tell(format!("{judged} requests judged, {others} of them handled as configuration 12 allows"));
+    record.tell(format!(
+        "{judged} requests judged, {others} of them handled as configuration 12 allows"
+    ));
     let is_broken = !broken.is_empty();
-    record.tell(if is_broken { "CONFIG: broken" } else { "CONFIG: held" });
+    record.tell(if is_broken {
+        "CONFIG: broken"
+    } else {
+        "CONFIG: held"
+    });
     record.save(&folder.join("record.txt"));
     std::process::exit(i32::from(is_broken));
 }
--- a/review/standins/leaver.rs
+++ b/review/standins/leaver.rs
@@ -34,7 +34,11 @@
 }
 
 fn main() {
-    let folder = PathBuf::from(std::env::args().nth(1).unwrap_or_else(|| "review/5".to_owned()));
+    let folder = PathBuf::from(
+        std::env::args()
+            .nth(1)
+            .unwrap_or_else(|| "review/5".to_owned()),
+    );
     let trouble = with_trouble();
     let record = Record::start();
     let deployment = Deployment::prepare();
@@ -42,7 +46,10 @@
     store.put("op", "config", configuration());
     let address = |number| SocketAddr::from((deployment.ip(3, number), ports().app));
     let leaver = Runner::new("i-leaver", address(1), WORK);
-    let others = [Runner::new("i-second", address(2), WORK), Runner::new("i-third", address(3), WORK)];
+    let others = [
+        Runner::new("i-second", address(2), WORK),
+        Runner::new("i-third", address(3), WORK),
+    ];
     leaver.start(&store);
     for runner in &others {
         runner.start(&store);
@@ -56,7 +63,8 @@
 
     let answers: Answers = Arc::default();
     let leaves = {
-        let (leaver, store, record) = (Arc::clone(&leaver), Arc::clone(&store), Arc::clone(&record));
+        let (leaver, store, record) =
+            (Arc::clone(&leaver), Arc::clone(&store), Arc::clone(&record));
         thread::spawn(move || {
             sleep_ms(100);
             leaver.leave_unlisted(&store);
@@ -66,7 +74,9 @@
     };
     record.tell("clients send requests");
     wave(&deployment, GATEWAYS, 6, &answers);
-    let left_at = leaves.join().unwrap_or_else(|_| cannot_run("the runner does not leave"));
+    let left_at = leaves
+        .join()
+        .unwrap_or_else(|_| cannot_run("the runner does not leave"));
     record.tell("all answers are there");
     let exits = {
         let leaver = Arc::clone(&leaver);
@@ -95,11 +105,19 @@
     } else {
         thread::sleep(AWAY);
     }
-    let told_at = answers.lock().unwrap().iter().filter(|one| one.leaving).map(|one| one.ended_at).max();
+    let told_at = answers
+        .lock()
+        .unwrap()
+        .iter()
+        .filter(|one| one.leaving)
+        .map(|one| one.ended_at)
+        .max();
     let Some(told_at) = told_at else {
         cannot_run("no answer said that the runner leaves");
     };
-    thread::sleep((told_at + DRAIN + Duration::from_millis(100)).saturating_duration_since(Instant::now()));
+    thread::sleep(
+        (told_at + DRAIN + Duration::from_millis(100)).saturating_duration_since(Instant::now()),
+    );
     record.tell("clients send requests again");
     wave(&deployment, GATEWAYS, 6, &answers);
     let _ = exits.join();
@@ -116,7 +134,11 @@
             one.id,
             one.answer,
             record.at(one.ended_at),
-            if one.leaving { ", Server-Leaving: 1" } else { "" }
+            if one.leaving {
+                ", Server-Leaving: 1"
+            } else {
+                ""
+            }
         ));
         if one.leaving {
             let first = told.entry(one.gateway).or_insert(one.ended_at);
@@ -130,7 +152,9 @@
         let Some(one) = answers.iter().find(|one| one.id == *id) else {
             continue;
         };
-        let since = told.get(&one.gateway).and_then(|told| one.sent_at.checked_duration_since(*told));
+        let since = told
+            .get(&one.gateway)
+            .and_then(|told| one.sent_at.checked_duration_since(*told));
         let Some(since) = since.filter(|since| *since > DRAIN) else {
             continue;
         };
@@ -143,8 +167,15 @@
             one.answer
         ));
     }
-    record.tell(format!("{late} requests reached the runner later than {} ms after that", DRAIN.as_millis()));
-    record.tell(if late > 0 { "DRAIN: broken" } else { "DRAIN: held" });
+    record.tell(format!(
+        "{late} requests reached the runner later than {} ms after that",
+        DRAIN.as_millis()
+    ));
+    record.tell(if late > 0 {
+        "DRAIN: broken"
+    } else {
+        "DRAIN: held"
+    });
     record.save(&folder.join("record.txt"));
     std::process::exit(i32::from(late > 0));
 }
--- a/review/standins/other_writer.rs
+++ b/review/standins/other_writer.rs
@@ -37,7 +37,11 @@
 }
 
 fn main() {
-    let folder = PathBuf::from(std::env::args().nth(1).unwrap_or_else(|| "review/1".to_owned()));
+    let folder = PathBuf::from(
+        std::env::args()
+            .nth(1)
+            .unwrap_or_else(|| "review/1".to_owned()),
+    );
     let trouble = with_trouble();
     let record = Record::start();
     let deployment = Deployment::prepare();
@@ -49,7 +53,8 @@
         for number in 1..=2 {
             let address = (deployment.ip(group, number), ports().app).into();
             let id = format!("i-{service}{number}");
-            let runner = PlainRunner::start(&id, service, address, Duration::from_millis(30), &runs);
+            let runner =
+                PlainRunner::start(&id, service, address, Duration::from_millis(30), &runs);
             let place = u32::from(group - 3) * 2 + u32::from(number);
             beat(&store, &runner, "", HEARTBEAT * place / 4);
             runners.insert(id, runner);
@@ -65,19 +70,40 @@
     let sent: Arc<Mutex<Vec<Sent>>> = Arc::default();
     let mut clients = Vec::new();
     for gateway in 1..=GATEWAYS {
-        for (method, path) in [("POST", "/work-order/2f"), ("GET", "/audit/2f")].into_iter().cycle().take(2 * CLIENTS) {
+        for (method, path) in [("POST", "/work-order/2f"), ("GET", "/audit/2f")]
+            .into_iter()
+            .cycle()
+            .take(2 * CLIENTS)
+        {
             let (sent, node) = (Arc::clone(&sent), deployment.front(gateway));
             clients.push(thread::spawn(move || {
-                let request = ClientRequest { method, path, deadline_ms: 1_500, body: "" };
+                let request = ClientRequest {
+                    method,
+                    path,
+                    deadline_ms: 1_500,
+                    body: "",
+                };
                 let mut client = Client::new(node);
                 while !stopped() {
                     let (id, at) = (attempt_id(), Instant::now());
                     let answer = match client.send(&id, &request) {
-                        Ok(answer) => format!("{} {}", answer.status(), String::from_utf8_lossy(&answer.body).trim()),
+                        Ok(answer) => format!(
+                            "{} {}",
+                            answer.status(),
+                            String::from_utf8_lossy(&answer.body).trim()
+                        ),
                         Err(cause) => format!("none ({cause})"),
                     };
-                    sent.lock().unwrap().push(Sent { at, gateway, path, id, answer });
-                    thread::sleep(Duration::from_millis(1_000 / PER_S).saturating_sub(at.elapsed()));
+                    sent.lock().unwrap().push(Sent {
+                        at,
+                        gateway,
+                        path,
+                        id,
+                        answer,
+                    });
+                    thread::sleep(
+                        Duration::from_millis(1_000 / PER_S).saturating_sub(at.elapsed()),
+                    );
                 }
             }));
         }
@@ -89,7 +115,10 @@
             cannot_run("the runner is missing");
         };
         // Just after the runner's own heartbeat, the next of which replaces the entry.
-        while store.last_write("servers", OTHER).is_none_or(|at| at.elapsed() > Duration::from_millis(50)) {
+        while store
+            .last_write("servers", OTHER)
+            .is_none_or(|at| at.elapsed() > Duration::from_millis(50))
+        {
             sleep_ms(5);
         }
         let entry = format!(
@@ -108,7 +137,9 @@
 
     let run_of: BTreeMap<String, Run> = {
         let runs = runs.lock().unwrap();
-        runs.iter().map(|run| (run.attempt.clone(), run.clone())).collect()
+        runs.iter()
+            .map(|run| (run.attempt.clone(), run.clone()))
+            .collect()
     };
     let mut astray = 0;
     for one in sent.lock().unwrap().iter() {
@@ -130,8 +161,14 @@
             false => record.write(line),
         }
     }
-    record.tell(format!("{astray} requests were run by a service to which no configuration allows them to go"));
-    record.tell(if astray > 0 { "ROUTE: broken" } else { "ROUTE: held" });
+    record.tell(format!(
+        "{astray} requests were run by a service to which no configuration allows them to go"
+    ));
+    record.tell(if astray > 0 {
+        "ROUTE: broken"
+    } else {
+        "ROUTE: held"
+    });
     record.save(&folder.join("record.txt"));
     std::process::exit(i32::from(astray > 0));
 }
