Have each script of the review name its record, and end in any case

Cause: a record was written under a path that no script names, and not at all by a script that could not run; one that was asked to stop left its processes; ports were chosen on all addresses.

--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -9,7 +9,7 @@
     fs::{self, File},
     io::{self, BufRead, BufReader, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
-    path::{Path, PathBuf},
+    path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{
         Arc, Condvar, Mutex, OnceLock,
@@ -38,6 +38,10 @@
 /// Ends the script as one that could not run.
 pub fn cannot_run(why: &str) -> ! {
     eprintln!("cannot run: {why}");
+    if let Some(record) = RECORD.get() {
+        record.write(format!("cannot run: {why}"));
+        record.save();
+    }
     if let Some(deployment) = DEPLOYMENT.get() {
         deployment.end();
     }
@@ -437,16 +441,27 @@
 
 /// What was sent, answered and run, with times since the start of the script.
 pub struct Record {
+    path: PathBuf,
     started: Instant,
     lines: Mutex<Vec<(Duration, String)>>,
 }
 
+/// The record of this script, which is written however the script ends.
+static RECORD: OnceLock<Arc<Record>> = OnceLock::new();
+
 impl Record {
+    /// Starts the record; the script's only argument is the path of its file.
     pub fn start() -> Arc<Self> {
-        Arc::new(Self {
+        let Some(path) = std::env::args().nth(1) else {
+            cannot_run("the path of the record is missing");
+        };
+        let record = Arc::new(Self {
+            path: PathBuf::from(path),
             started: Instant::now(),
             lines: Mutex::default(),
-        })
+        });
+        let _ = RECORD.set(Arc::clone(&record));
+        record
     }
 
     pub fn at(&self, at: Instant) -> f64 {
@@ -465,15 +480,17 @@
         self.write(line);
     }
 
-    pub fn save(&self, path: &Path) {
+    /// Writes the record to its file.
+    pub fn save(&self) {
         let mut lines = self.lines.lock().unwrap().clone();
         lines.sort_by_key(|(at, _)| *at);
         let text: String = lines
             .iter()
             .map(|(at, line)| format!("{:8.3} {line}\n", at.as_secs_f64()))
             .collect();
-        if let Err(cause) = fs::write(path, text) {
-            cannot_run(&format!("cannot write {}: {cause}", path.display()));
+        if let Err(cause) = fs::write(&self.path, text) {
+            eprintln!("cannot write {}: {cause}", self.path.display());
+            std::process::exit(2);
         }
     }
 }
@@ -506,7 +523,7 @@
     static PORTS: OnceLock<Ports> = OnceLock::new();
     PORTS.get_or_init(|| {
         let listeners: Vec<TcpListener> = (0..6)
-            .filter_map(|_| TcpListener::bind("0.0.0.0:0").ok())
+            .filter_map(|_| TcpListener::bind("127.0.0.1:0").ok())
             .collect();
         let ports: Vec<u16> = listeners
             .iter()
@@ -533,6 +550,14 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn signal(number: i32, handler: extern "C" fn(i32)) -> usize;
+}
+
+/// Whether the script itself was asked to stop.
+static ASKED_TO_STOP: AtomicBool = AtomicBool::new(false);
+
+extern "C" fn ask_to_stop(_signal: i32) {
+    ASKED_TO_STOP.store(true, Ordering::SeqCst);
 }
 
 impl Deployment {
@@ -559,9 +584,16 @@
         });
         let _ = DEPLOYMENT.set(Arc::clone(&deployment));
         std::panic::set_hook(Box::new(|panic| cannot_run(&panic.to_string())));
-        thread::spawn(|| {
-            thread::sleep(SCRIPT_TIME_MAX);
-            cannot_run("the script takes too long");
+        for number in [1, 2, 15] {
+            // SAFETY: the handler does nothing but set a flag.
+            unsafe { signal(number, ask_to_stop) };
+        }
+        let until = Instant::now() + SCRIPT_TIME_MAX;
+        thread::spawn(move || {
+            while Instant::now() < until && !ASKED_TO_STOP.load(Ordering::SeqCst) {
+                sleep_ms(50);
+            }
+            cannot_run("the script was stopped, or takes too long");
         });
         deployment
     }
@@ -1088,11 +1120,14 @@
                 .to_owned();
             let expected = request.header("radishpin-expected-instance");
             if expected.is_some_and(|expected| expected != self.id) {
-                let headers = [
+                let mut headers = vec![
                     ("Radishpin-Attempt-Id", attempt.as_str()),
                     ("Radishpin-Instance-Id", self.id),
                     ("Radishpin-Not-Executed", "1"),
                 ];
+                if self.leaving.load(Ordering::SeqCst) {
+                    headers.push(("Server-Leaving", "1"));
+                }
                 let _ = writer.write_all(&response(421, &headers, b""));
                 continue;
             }
--- a/review/standins/other_writer.rs
+++ b/review/standins/other_writer.rs
@@ -7,7 +7,6 @@
 use common::*;
 use std::{
     collections::BTreeMap,
-    path::PathBuf,
     sync::{Arc, Mutex, atomic::Ordering},
     thread,
     time::{Duration, Instant},
@@ -37,11 +36,6 @@
 }
 
 fn main() {
-    let folder = PathBuf::from(
-        std::env::args()
-            .nth(1)
-            .unwrap_or_else(|| "review/1".to_owned()),
-    );
     let trouble = with_trouble();
     let record = Record::start();
     let deployment = Deployment::prepare();
@@ -141,6 +135,16 @@
             .map(|run| (run.attempt.clone(), run.clone()))
             .collect()
     };
+    let served = |path: &str| {
+        let sent = sent.lock().unwrap();
+        let ok = sent
+            .iter()
+            .filter(|one| one.path == path && one.answer.starts_with("200"));
+        ok.count()
+    };
+    if served("/work-order/2f") == 0 || served("/audit/2f") == 0 {
+        cannot_run("a service served nothing");
+    }
     let mut astray = 0;
     for one in sent.lock().unwrap().iter() {
         let run = run_of.get(&one.id);
@@ -169,6 +173,6 @@
     } else {
         "ROUTE: held"
     });
-    record.save(&folder.join("record.txt"));
+    record.save();
     std::process::exit(i32::from(astray > 0));
 }
