--- a/review/standins/drill.rs
+++ b/review/standins/drill.rs
@@ -7,7 +7,6 @@
 use common::*;
 use std::{
     collections::BTreeMap,
-    path::PathBuf,
     sync::{Arc, Mutex, atomic::Ordering},
     thread,
     time::{Duration, Instant},
@@ -55,11 +54,6 @@
 }
 
 fn main() {
-    let folder = PathBuf::from(
-        std::env::args()
-            .nth(1)
-            .unwrap_or_else(|| "review/2".to_owned()),
-    );
     let trouble = with_trouble();
     let record = Record::start();
     let deployment = Deployment::prepare();
@@ -239,12 +233,22 @@
     record.tell(format!(
         "{judged} requests judged, {others} of them handled as configuration 12 allows"
     ));
+    let served_before = |path: &str| {
+        let sent = sent.lock().unwrap();
+        let ok = sent
+            .iter()
+            .filter(|one| one.at < back_at && one.path == path && one.answer == "200");
+        ok.count() > 0
+    };
+    if judged == 0 || !served_before("/work-order/2f") || !served_before("/retired/2f") {
+        cannot_run("the first configuration was not served, or nothing could be judged");
+    }
     let is_broken = !broken.is_empty();
     record.tell(if is_broken {
         "CONFIG: broken"
     } else {
         "CONFIG: held"
     });
-    record.save(&folder.join("record.txt"));
+    record.save();
     std::process::exit(i32::from(is_broken));
 }
