--- a/review/standins/clock_back.rs
+++ b/review/standins/clock_back.rs
@@ -8,7 +8,6 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    path::PathBuf,
     sync::{Arc, atomic::Ordering},
     thread,
     time::{Duration, Instant},
@@ -34,11 +33,6 @@
 }
 
 fn main() {
-    let folder = PathBuf::from(
-        std::env::args()
-            .nth(1)
-            .unwrap_or_else(|| "review/3".to_owned()),
-    );
     let trouble = with_trouble();
     let record = Record::start();
     let deployment = Deployment::prepare();
@@ -90,6 +84,9 @@
         "runner i-leaver has run {before_leaving} requests since"
     ));
 
+    if before_leaving == 0 {
+        cannot_run("the runner that is to leave got no request");
+    }
     leaver.leaving.store(true, Ordering::SeqCst);
     leaver.beat(&store);
     let acknowledged_at = Instant::now();
@@ -129,6 +126,10 @@
             one.answer
         ));
     }
+    let is_served = |one: &Sent| one.sent_at > acknowledged_at && one.answer == "200";
+    if !answers.lock().unwrap().iter().any(is_served) {
+        cannot_run("no request was served after the runner had left");
+    }
     let cut = leaver.cut.lock().unwrap().clone();
     let mut late = 0;
     for (at, id) in leaver.runs.lock().unwrap().iter() {
@@ -153,6 +154,6 @@
     } else {
         "DRAIN: held"
     });
-    record.save(&folder.join("record.txt"));
+    record.save();
     std::process::exit(i32::from(late > 0));
 }
