--- a/review/standins/leaver.rs
+++ b/review/standins/leaver.rs
@@ -8,7 +8,6 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    path::PathBuf,
     sync::{Arc, atomic::Ordering},
     thread,
     time::{Duration, Instant},
@@ -34,11 +33,6 @@
 }
 
 fn main() {
-    let folder = PathBuf::from(
-        std::env::args()
-            .nth(1)
-            .unwrap_or_else(|| "review/5".to_owned()),
-    );
     let trouble = with_trouble();
     let record = Record::start();
     let deployment = Deployment::prepare();
@@ -145,6 +139,10 @@
             *first = one.ended_at.min(*first);
         }
     }
+    let is_served = |one: &Sent| one.sent_at > told_at && one.answer == "200";
+    if !answers.iter().any(is_served) {
+        cannot_run("no request was served after the runner had left");
+    }
     let cut = leaver.cut.lock().unwrap().clone();
     let mut late = 0;
     for (at, id) in leaver.runs.lock().unwrap().iter() {
@@ -176,6 +174,6 @@
     } else {
         "DRAIN: held"
     });
-    record.save(&folder.join("record.txt"));
+    record.save();
     std::process::exit(i32::from(late > 0));
 }
