Add a case: a request waits behind a long body and reaches a draining runner

A runner that answers a long request before it is in keeps the connection and reads on later. The gateway gives that connection to the next request, which waits for the old body and reaches the runner after it has left.

--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -1003,6 +1003,10 @@
     }
 }
 
+/// Prefix of requests that take [`LONG_WORK`] at a [`Runner`].
+pub const LONG_PATH: &str = "/summary/";
+pub const LONG_WORK: Duration = Duration::from_millis(1_200);
+
 /// A runner of a plain service that can crash, start again and leave.
 pub struct Runner {
     pub id: &'static str,
@@ -1016,6 +1020,8 @@
     pub leaving: AtomicBool,
     /// Whether it has removed its entry.
     unlisted: AtomicBool,
+    /// How much later the store performs the next write of the entry, in milliseconds; 0 if at once.
+    pub next_beat_late_ms: AtomicU64,
     up: AtomicBool,
     connections: Mutex<Vec<TcpStream>>,
     /// Attempts that it began to run, and whether it was leaving.
@@ -1034,6 +1040,7 @@
             sequence: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
             unlisted: AtomicBool::new(false),
+            next_beat_late_ms: AtomicU64::new(0),
             up: AtomicBool::new(false),
             connections: Mutex::default(),
             runs: Mutex::default(),
@@ -1078,7 +1085,7 @@
         });
     }
 
-    pub fn beat(&self, store: &Store) {
+    pub fn beat(&self, store: &Arc<Store>) {
         let state = if self.leaving.load(Ordering::SeqCst) {
             "draining"
         } else {
@@ -1090,7 +1097,23 @@
             self.sequence.fetch_add(1, Ordering::SeqCst) + 1,
             self.born.load(Ordering::SeqCst)
         );
-        store.put("servers", self.id, &entry);
+        let late_ms = self.next_beat_late_ms.swap(0, Ordering::SeqCst);
+        if late_ms == 0 {
+            store.put("servers", self.id, &entry);
+            return;
+        }
+        // The answer is lost, and the store performs the call later.
+        let (store, id) = (Arc::clone(store), self.id);
+        thread::spawn(move || {
+            sleep_ms(late_ms);
+            store.put("servers", id, &entry);
+        });
+    }
+
+    /// Reports `draining` at once, and with each write of the entry from now on.
+    pub fn leave_announced(&self, store: &Arc<Store>) {
+        self.leaving.store(true, Ordering::SeqCst);
+        self.beat(store);
     }
 
     /// Leaves without reporting `draining`: its entry is removed.
@@ -1135,7 +1158,10 @@
                 .lock()
                 .unwrap()
                 .push((Instant::now(), attempt.clone()));
-            thread::sleep(self.work);
+            thread::sleep(match request.path().starts_with(LONG_PATH) {
+                true => LONG_WORK,
+                false => self.work,
+            });
             let signature = format!("sig.{}.{attempt}", self.id);
             let mut headers = vec![
                 ("Radishpin-Attempt-Id", attempt.as_str()),
@@ -1170,6 +1196,17 @@
 
 /// Sends requests to each gateway at the same time, and waits for the answers.
 pub fn wave(deployment: &Deployment, gateways: u8, per_gateway: usize, answers: &Answers) {
+    wave_to("/work-order/2f", deployment, gateways, per_gateway, answers);
+}
+
+/// Like [`wave`], with another path.
+pub fn wave_to(
+    path: &'static str,
+    deployment: &Deployment,
+    gateways: u8,
+    per_gateway: usize,
+    answers: &Answers,
+) {
     let mut clients = Vec::new();
     for gateway in 1..=gateways {
         for _ in 0..per_gateway {
@@ -1177,7 +1214,7 @@
             clients.push(thread::spawn(move || {
                 let request = ClientRequest {
                     method: "POST",
-                    path: "/work-order/2f",
+                    path,
                     deadline_ms: 3_000,
                     body: "roof",
                 };
