--- a/review/standins/early_answers.rs
+++ b/review/standins/early_answers.rs
@@ -225,7 +225,9 @@
     }
 
     fn stream(&self, writer: &mut TcpStream, headers: &[(&str, &str)]) -> io::Result<()> {
-        let mut head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n".to_owned();
+        let mut head =
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+                .to_owned();
         for (name, value) in headers {
             head.push_str(&format!("{name}: {value}\r\n"));
         }
@@ -291,7 +293,9 @@
         if status.is_empty() {
             status = line.split(' ').nth(1).unwrap_or_default().to_owned();
         }
-        is_chunked |= line.to_ascii_lowercase().starts_with("transfer-encoding: chunked");
+        is_chunked |= line
+            .to_ascii_lowercase()
+            .starts_with("transfer-encoding: chunked");
         if line.trim_end().is_empty() {
             break;
         }
@@ -304,7 +308,8 @@
         if reader.read_line(&mut size)? == 0 {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
-        let size = usize::from_str_radix(size.trim(), 16).map_err(|_| io::ErrorKind::InvalidData)?;
+        let size =
+            usize::from_str_radix(size.trim(), 16).map_err(|_| io::ErrorKind::InvalidData)?;
         let mut chunk = vec![0; size + 2];
         reader.read_exact(&mut chunk)?;
         if size == 0 {
--- a/review/standins/late_order.rs
+++ b/review/standins/late_order.rs
@@ -59,12 +59,17 @@
         return String::new();
     };
     let rest = rest.trim_start().trim_start_matches('"');
-    rest.chars().take_while(|c| !matches!(c, '"' | ',' | '}')).collect()
+    rest.chars()
+        .take_while(|c| !matches!(c, '"' | ',' | '}'))
+        .collect()
 }
 
 impl State {
     fn finish_load(&mut self) {
-        if let Some((model, _)) = self.loading.take_if(|(_, ready_at)| Instant::now() >= *ready_at) {
+        if let Some((model, _)) = self
+            .loading
+            .take_if(|(_, ready_at)| Instant::now() >= *ready_at)
+        {
             self.on_disk.insert(model.clone());
             self.models.insert(model);
         }
@@ -114,7 +119,9 @@
     }
 
     fn models_json(names: &BTreeSet<String>) -> String {
-        let names = names.iter().map(|name| format!(r#"{{"name":"{name}","version":1,"adapters":[]}}"#));
+        let names = names
+            .iter()
+            .map(|name| format!(r#"{{"name":"{name}","version":1,"adapters":[]}}"#));
         names.collect::<Vec<_>>().join(",")
     }
 
@@ -132,7 +139,11 @@
     fn report(&self) -> String {
         let mut state = self.state.lock().unwrap();
         state.finish_load();
-        let on_disk: Vec<String> = state.on_disk.iter().map(|name| format!("\"{name}\"")).collect();
+        let on_disk: Vec<String> = state
+            .on_disk
+            .iter()
+            .map(|name| format!("\"{name}\""))
+            .collect();
         format!(
             r#"{{"stage":"both","models":[{}],"busy":{},"sequence":{},"waiting":0,"running":0,"kv_cache_used":0,"kv_cache_total":165548,"handles":0,"born":{},"at_hand":{{"in_memory":[],"on_disk":[{}]}},"coming":[]}}"#,
             Self::models_json(&state.models),
@@ -149,7 +160,9 @@
         state.finish_load();
         let (operation, model) = (field(order, "operation"), field(order, "model"));
         let expected: Option<u64> = field(order, "expected").parse().ok();
-        let status = if state.loading.is_some() || expected.is_some_and(|expected| expected != state.sequence) {
+        let status = if state.loading.is_some()
+            || expected.is_some_and(|expected| expected != state.sequence)
+        {
             409
         } else if (operation == "load") == state.models.contains(&model) {
             200
@@ -172,7 +185,10 @@
             }
             202
         };
-        let line = format!("order {order} {how}: {status}, sequence now {}", state.sequence);
+        let line = format!(
+            "order {order} {how}: {status}, sequence now {}",
+            state.sequence
+        );
         drop(state);
         self.record.tell(line);
         status
@@ -184,17 +200,29 @@
         };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(request)) = read_message(&mut reader, false) {
-            let json = [("Content-Type", "application/json"), ("Keep-Alive", "timeout=5")];
+            let json = [
+                ("Content-Type", "application/json"),
+                ("Keep-Alive", "timeout=5"),
+            ];
             if request.path() == "/report" {
-                if writer.write_all(&response(200, &json, self.report().as_bytes())).is_err() {
+                if writer
+                    .write_all(&response(200, &json, self.report().as_bytes()))
+                    .is_err()
+                {
                     return;
                 }
                 continue;
             }
-            let attempt = request.header("radishpin-attempt-id").unwrap_or_default().to_owned();
+            let attempt = request
+                .header("radishpin-attempt-id")
+                .unwrap_or_default()
+                .to_owned();
             let expected = request.header("radishpin-expected-instance");
             if expected.is_some_and(|expected| expected != ID) {
-                let headers = [("Radishpin-Attempt-Id", attempt.as_str()), ("Radishpin-Instance-Id", ID)];
+                let headers = [
+                    ("Radishpin-Attempt-Id", attempt.as_str()),
+                    ("Radishpin-Instance-Id", ID),
+                ];
                 let _ = writer.write_all(&response(421, &headers, b""));
                 continue;
             }
@@ -222,7 +250,10 @@
             let answered = if holds {
                 self.stream(&mut writer, &attempt)
             } else {
-                let headers = [("Radishpin-Attempt-Id", attempt.as_str()), ("Radishpin-Not-Executed", "1")];
+                let headers = [
+                    ("Radishpin-Attempt-Id", attempt.as_str()),
+                    ("Radishpin-Not-Executed", "1"),
+                ];
                 writer.write_all(&response(421, &headers, b""))
             };
             if answered.is_err() {
@@ -299,7 +330,12 @@
     let deployment = Deployment::prepare();
     let store = Store::start(deployment.store_address());
     store.put("op", "config", &configuration());
-    let names = |models: &[&str]| models.iter().map(|name| (*name).to_owned()).collect::<BTreeSet<String>>();
+    let names = |models: &[&str]| {
+        models
+            .iter()
+            .map(|name| (*name).to_owned())
+            .collect::<BTreeSet<String>>()
+    };
     let engine = Arc::new(Engine {
         address: (deployment.ip(2, 1), ports().app).into(),
         trouble,
@@ -369,7 +405,10 @@
     let served = Arc::new(AtomicU64::new(0));
     let broken_off: Arc<Mutex<Vec<(Instant, Instant)>>> = Arc::default();
     let clients = MODELS[..3].iter().enumerate().map(|(index, model)| {
-        let (node, record) = (deployment.front(1 + index as u8 % GATEWAYS), Arc::clone(&record));
+        let (node, record) = (
+            deployment.front(1 + index as u8 % GATEWAYS),
+            Arc::clone(&record),
+        );
         let (served, broken_off) = (Arc::clone(&served), Arc::clone(&broken_off));
         thread::spawn(move || {
             while !stopped() {
@@ -405,7 +444,9 @@
     let broken = overfull.is_some();
     let cut = {
         let broken_off = broken_off.lock().unwrap();
-        let cut = broken_off.iter().filter(|(from, to)| *from < crashed_at && *to >= crashed_at);
+        let cut = broken_off
+            .iter()
+            .filter(|(from, to)| *from < crashed_at && *to >= crashed_at);
         cut.count()
     };
     if served.load(Ordering::SeqCst) == 0 {
@@ -419,7 +460,11 @@
     if let Some(text) = overfull {
         record.tell(format!("the runner {text}"));
     }
-    record.tell(if broken { "LIMIT: broken" } else { "LIMIT: held" });
+    record.tell(if broken {
+        "LIMIT: broken"
+    } else {
+        "LIMIT: held"
+    });
     record.save();
     std::process::exit(i32::from(broken));
 }
