--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -8,12 +8,12 @@
     collections::BTreeMap,
     fs::{self, File},
     io::{self, BufRead, BufReader, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{
         Arc, Condvar, Mutex, OnceLock,
-        atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicI64, AtomicU8, AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -1002,3 +1002,243 @@
         Ok(answer)
     }
 }
+
+/// Prefix of requests that take [`LONG_WORK`] at a [`Runner`].
+pub const LONG_PATH: &str = "/summary/";
+pub const LONG_WORK: Duration = Duration::from_millis(1_200);
+
+/// A runner of a plain service that can crash, start again and leave.
+pub struct Runner {
+    pub id: &'static str,
+    address: SocketAddr,
+    /// Time that a request takes.
+    work: Duration,
+    /// What the time of day on its machine is off by, in milliseconds.
+    pub clock_off_ms: AtomicI64,
+    pub born: AtomicU64,
+    sequence: AtomicU64,
+    pub leaving: AtomicBool,
+    /// Whether it has removed its entry.
+    unlisted: AtomicBool,
+    /// How much later the store performs the next write of the entry, in milliseconds; 0 if at once.
+    pub next_beat_late_ms: AtomicU64,
+    up: AtomicBool,
+    connections: Mutex<Vec<TcpStream>>,
+    /// Attempts that it began to run, and whether it was leaving.
+    pub runs: Mutex<Vec<(Instant, String)>>,
+    pub cut: Mutex<Vec<String>>,
+}
+
+impl Runner {
+    pub fn new(id: &'static str, address: SocketAddr, work: Duration) -> Arc<Self> {
+        Arc::new(Self {
+            id,
+            address,
+            work,
+            clock_off_ms: AtomicI64::new(0),
+            born: AtomicU64::new(0),
+            sequence: AtomicU64::new(0),
+            leaving: AtomicBool::new(false),
+            unlisted: AtomicBool::new(false),
+            next_beat_late_ms: AtomicU64::new(0),
+            up: AtomicBool::new(false),
+            connections: Mutex::default(),
+            runs: Mutex::default(),
+            cut: Mutex::default(),
+        })
+    }
+
+    pub fn start(self: &Arc<Self>, store: &Arc<Store>) {
+        let now = unix_ms() as i64 + self.clock_off_ms.load(Ordering::SeqCst);
+        self.born.store(now as u64, Ordering::SeqCst);
+        self.sequence.store(0, Ordering::SeqCst);
+        let Ok(listener) = TcpListener::bind(self.address) else {
+            cannot_run("a runner cannot listen");
+        };
+        let _ = listener.set_nonblocking(true);
+        self.up.store(true, Ordering::SeqCst);
+        let runner = Arc::clone(self);
+        thread::spawn(move || {
+            while runner.up.load(Ordering::SeqCst) {
+                let Ok((stream, _)) = listener.accept() else {
+                    sleep_ms(2);
+                    continue;
+                };
+                let _ = stream.set_nonblocking(false);
+                let _ = stream.set_nodelay(true);
+                if let Ok(copy) = stream.try_clone() {
+                    runner.connections.lock().unwrap().push(copy);
+                }
+                let serving = Arc::clone(&runner);
+                thread::spawn(move || serving.serve(stream));
+            }
+        });
+        let (runner, store) = (Arc::clone(self), Arc::clone(store));
+        let born = self.born.load(Ordering::SeqCst);
+        thread::spawn(move || {
+            while runner.up.load(Ordering::SeqCst) && runner.born.load(Ordering::SeqCst) == born {
+                if !runner.unlisted.load(Ordering::SeqCst) {
+                    runner.beat(&store);
+                }
+                thread::sleep(HEARTBEAT);
+            }
+        });
+    }
+
+    pub fn beat(&self, store: &Arc<Store>) {
+        let state = if self.leaving.load(Ordering::SeqCst) {
+            "draining"
+        } else {
+            "ready"
+        };
+        let entry = format!(
+            r#"{{"service":"logbook-app","address":"{}","zone":"gondar","version":"v1","slots":6,"state":"{state}","cold_remaining_ms":0,"sequence":{},"born":{}}}"#,
+            self.address,
+            self.sequence.fetch_add(1, Ordering::SeqCst) + 1,
+            self.born.load(Ordering::SeqCst)
+        );
+        let late_ms = self.next_beat_late_ms.swap(0, Ordering::SeqCst);
+        if late_ms == 0 {
+            store.put("servers", self.id, &entry);
+            return;
+        }
+        // The answer is lost, and the store performs the call later.
+        let (store, id) = (Arc::clone(store), self.id);
+        thread::spawn(move || {
+            sleep_ms(late_ms);
+            store.put("servers", id, &entry);
+        });
+    }
+
+    /// Reports `draining` at once, and with each write of the entry from now on.
+    pub fn leave_announced(&self, store: &Arc<Store>) {
+        self.leaving.store(true, Ordering::SeqCst);
+        self.beat(store);
+    }
+
+    /// Leaves without reporting `draining`: its entry is removed.
+    pub fn leave_unlisted(&self, store: &Store) {
+        self.leaving.store(true, Ordering::SeqCst);
+        self.unlisted.store(true, Ordering::SeqCst);
+        store.remove("servers", self.id);
+    }
+
+    /// Ends the process: a crash, or the exit after the drain.
+    pub fn end(&self) {
+        self.up.store(false, Ordering::SeqCst);
+        for connection in self.connections.lock().unwrap().drain(..) {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let Ok(mut writer) = stream.try_clone() else {
+            return;
+        };
+        let mut reader = BufReader::new(stream);
+        while let Ok(Some(request)) = read_message(&mut reader, false) {
+            let attempt = request
+                .header("radishpin-attempt-id")
+                .unwrap_or_default()
+                .to_owned();
+            let expected = request.header("radishpin-expected-instance");
+            if expected.is_some_and(|expected| expected != self.id) {
+                let mut headers = vec![
+                    ("Radishpin-Attempt-Id", attempt.as_str()),
+                    ("Radishpin-Instance-Id", self.id),
+                    ("Radishpin-Not-Executed", "1"),
+                ];
+                if self.leaving.load(Ordering::SeqCst) {
+                    headers.push(("Server-Leaving", "1"));
+                }
+                let _ = writer.write_all(&response(421, &headers, b""));
+                continue;
+            }
+            self.runs
+                .lock()
+                .unwrap()
+                .push((Instant::now(), attempt.clone()));
+            thread::sleep(match request.path().starts_with(LONG_PATH) {
+                true => LONG_WORK,
+                false => self.work,
+            });
+            let signature = format!("sig.{}.{attempt}", self.id);
+            let mut headers = vec![
+                ("Radishpin-Attempt-Id", attempt.as_str()),
+                ("Radishpin-Response-Signature", signature.as_str()),
+                ("Keep-Alive", "timeout=5"),
+            ];
+            if self.leaving.load(Ordering::SeqCst) {
+                headers.push(("Server-Leaving", "1"));
+            }
+            let answered = self.up.load(Ordering::SeqCst)
+                && writer.write_all(&response(200, &headers, b"done")).is_ok();
+            if !answered {
+                self.cut.lock().unwrap().push(attempt);
+                return;
+            }
+        }
+    }
+}
+
+/// A request of a client, and how it ended.
+pub struct Sent {
+    pub sent_at: Instant,
+    pub ended_at: Instant,
+    pub gateway: u8,
+    pub id: String,
+    pub answer: String,
+    /// Whether the answer says that its runner leaves.
+    pub leaving: bool,
+}
+
+pub type Answers = Arc<Mutex<Vec<Sent>>>;
+
+/// Sends requests to each gateway at the same time, and waits for the answers.
+pub fn wave(deployment: &Deployment, gateways: u8, per_gateway: usize, answers: &Answers) {
+    wave_to("/work-order/2f", deployment, gateways, per_gateway, answers);
+}
+
+/// Like [`wave`], with another path.
+pub fn wave_to(
+    path: &'static str,
+    deployment: &Deployment,
+    gateways: u8,
+    per_gateway: usize,
+    answers: &Answers,
+) {
+    let mut clients = Vec::new();
+    for gateway in 1..=gateways {
+        for _ in 0..per_gateway {
+            let (node, answers) = (deployment.front(gateway), Arc::clone(answers));
+            clients.push(thread::spawn(move || {
+                let request = ClientRequest {
+                    method: "POST",
+                    path,
+                    deadline_ms: 3_000,
+                    body: "roof",
+                };
+                let (id, sent_at) = (attempt_id(), Instant::now());
+                let (answer, leaving) = match Client::new(node).send(&id, &request) {
+                    Ok(answer) => (
+                        answer.status().to_string(),
+                        answer.header("server-leaving") == Some("1"),
+                    ),
+                    Err(cause) => (format!("none ({cause})"), false),
+                };
+                let ended_at = Instant::now();
+                answers.lock().unwrap().push(Sent {
+                    sent_at,
+                    ended_at,
+                    gateway,
+                    id,
+                    answer,
+                    leaving,
+                });
+            }));
+        }
+    }
+    for client in clients {
+        let _ = client.join();
+    }
+}
